Lay the workspace, the shared types and the edges' codecs

Cause: nothing ran yet, and work side by side needs one set of ids, datagram fields, effects and interfaces to build against.

Before: no files.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+# Every target builds the environment first, so that each works on a fresh machine.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := core transport node cli standins
+PIP := $(BIN)/python -m pip install --quiet --disable-pip-version-check
+
+.PHONY: env demo test bench lint format report capacity clean
+
+env: $(VENV)/installed
+
+$(VENV)/installed: requirements.txt $(wildcard packages/*/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(PIP) -r requirements.txt
+	$(PIP) --no-deps --no-build-isolation \
+	    $(foreach p,$(PACKAGES),-e packages/sapphirerail-$(p))
+	touch $@
+
+demo: env
+	@$(BIN)/python -m sapphirerail_standins.demo
+
+test: env
+	$(BIN)/python -m pytest
+
+bench: env
+	@$(BIN)/python -m bench
+
+report: env
+	$(BIN)/python -m bench.report
+
+capacity: env
+	$(BIN)/python -m bench.capacity
+
+lint: env
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+format: env
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+clean:
+	rm -rf $(VENV) build
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""The bench: one JSON object a line on standard output."""
--- /dev/null
+++ b/packages/sapphirerail-cli/src/sapphirerail_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The sapphirerail cli package."""
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/effects.py
@@ -0,0 +1,44 @@
+"""What the decisions ask the node to do."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from .datagram import Datagram
+from .types import InstanceId, ServerId
+
+__all__ = ["Effect", "Message", "SendToCaller", "SendToPeer", "SendToServer"]
+
+
+class Message(msgspec.Struct, frozen=True, array_like=True):
+    """Base of the messages between instances.
+
+    A subclass sets ``tag`` to a number of its own: 10 to 29 for flow, 30 to 49 for
+    request and load, 50 to 69 for plan, 70 to 89 for fleet.
+    """
+
+
+@dataclass(frozen=True, slots=True)
+class SendToServer:
+    """Send a datagram to a backend server."""
+
+    server: ServerId
+    datagram: Datagram
+
+
+@dataclass(frozen=True, slots=True)
+class SendToCaller:
+    """Send a datagram to the address in its ``caller`` field."""
+
+    datagram: Datagram
+
+
+@dataclass(frozen=True, slots=True)
+class SendToPeer:
+    """Send a message to another instance."""
+
+    instance: InstanceId
+    message: Message
+
+
+Effect = SendToServer | SendToCaller | SendToPeer
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/__init__.py
@@ -0,0 +1,1 @@
+"""Flows: where a packet of a connection goes."""
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load: limits, slow start and shedding."""
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/model.py
@@ -0,0 +1,107 @@
+"""An immutable snapshot of what the operators configured."""
+
+from functools import cached_property
+
+import msgspec
+
+from ..types import (
+    DataCentreId,
+    DataCentreState,
+    Revision,
+    ServerId,
+    ServerState,
+    ServiceId,
+    TenantId,
+)
+
+__all__ = ["EMPTY_PLAN", "DataCentre", "Plan", "Server", "Service"]
+
+
+class DataCentre(msgspec.Struct, frozen=True):
+    """A data centre and whether it may receive packets."""
+
+    data_centre: DataCentreId
+    state: DataCentreState = DataCentreState.IN
+    changed_at: Revision = Revision(0)
+
+
+class Service(msgspec.Struct, frozen=True):
+    """A service of one tenant."""
+
+    service: ServiceId
+    tenant: TenantId
+
+
+class Server(msgspec.Struct, frozen=True, kw_only=True):
+    """A backend server behind a service.
+
+    Parameters
+    ----------
+    server : ServerId
+        Its name.
+    service : ServiceId
+        The one service that it serves.
+    data_centre : DataCentreId
+        Where it stands.
+    address : str
+        ``address:port`` of its datagram socket.
+    state : ServerState
+        Place in its planned life.
+    seat : int
+        Number of the hash position that it holds within its service; a
+        replacement takes the position of the server that it replaces.
+    n_slots : int
+        Requests that it runs at a time when warm.
+    n_flows_max : int
+        Connections that it bears.
+    changed_at : Revision
+        Revision of its last change.
+    """
+
+    server: ServerId
+    service: ServiceId
+    data_centre: DataCentreId
+    address: str
+    state: ServerState = ServerState.ACTIVE
+    seat: int = 0
+    n_slots: int = 2
+    n_flows_max: int = 4000
+    changed_at: Revision = Revision(0)
+
+
+class Plan(msgspec.Struct, frozen=True, dict=True):
+    """A whole plan at one revision; never changed in place.
+
+    Parameters
+    ----------
+    revision : Revision
+        Its number; 0 is the empty plan before any sheet.
+    data_centres, services, servers
+        The parts, by id.
+    """
+
+    revision: Revision = Revision(0)
+    data_centres: dict[DataCentreId, DataCentre] = {}
+    services: dict[ServiceId, Service] = {}
+    servers: dict[ServerId, Server] = {}
+
+    @cached_property
+    def servers_by_service(self) -> dict[ServiceId, tuple[Server, ...]]:
+        """Servers of each service that have not left, in order of their seats."""
+        found: dict[ServiceId, list[Server]] = {name: [] for name in self.services}
+        for server in self.servers.values():
+            if server.state is ServerState.LEFT or server.service not in found:
+                continue
+            found[server.service].append(server)
+        return {
+            name: tuple(sorted(servers, key=lambda s: (s.seat, s.server)))
+            for name, servers in found.items()
+        }
+
+    def is_out(self, data_centre: DataCentreId) -> bool:
+        """Return whether operators have taken a data centre out."""
+        known = self.data_centres.get(data_centre)
+        return known is None or known.state is DataCentreState.OUT
+
+
+EMPTY_PLAN = Plan()
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/__init__.py
@@ -0,0 +1,1 @@
+"""Requests: outcome, deadline, retry and duplicates."""
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/messages.py
@@ -0,0 +1,7 @@
+"""Messages between instances about requests and admission."""
+
+from ..effects import Message
+
+__all__ = ["MESSAGES"]
+
+MESSAGES: tuple[type[Message], ...] = ()
--- /dev/null
+++ b/packages/sapphirerail-node/src/sapphirerail_node/__init__.py
@@ -0,0 +1,1 @@
+"""The sapphirerail node package."""
--- /dev/null
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/__init__.py
@@ -0,0 +1,1 @@
+"""The sapphirerail standins package."""
--- /dev/null
+++ b/packages/sapphirerail-transport/src/sapphirerail_transport/__init__.py
@@ -0,0 +1,1 @@
+"""Codecs, datagram sockets, HTTP, signatures and the platform's clients."""
--- /dev/null
+++ b/packages/sapphirerail-transport/src/sapphirerail_transport/http.py
@@ -0,0 +1,335 @@
+"""HTTP with JSON on asyncio streams; h11 does the protocol."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+from urllib.parse import parse_qsl, urlsplit
+
+import h11
+import msgspec
+
+from sapphirerail_core.errors import SapphirerailError
+
+from .signature import Signer
+from .udp import Address
+
+__all__ = [
+    "SIGNATURE_HEADER",
+    "HttpClient",
+    "HttpError",
+    "HttpRequest",
+    "HttpResponse",
+    "HttpServer",
+]
+
+SIGNATURE_HEADER = "x-sapphirerail-signature"
+BODY_MAX_BYTES = 16 * 1024 * 1024
+READ_BYTES = 65536
+
+
+class HttpError(SapphirerailError):
+    """A call that failed, or a request that is refused with a status.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status; 0 if there was no answer.
+    code : str
+        Stable identifier.
+    message : str
+        What happened.
+    """
+
+    def __init__(self, status: int, code: str, message: str) -> None:
+        super().__init__(code, message)
+        self.status = status
+
+
+class HttpRequest(msgspec.Struct, frozen=True):
+    """One request as a handler sees it."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    body: bytes
+
+    def json(self, kind: type[Any]) -> Any:
+        """Return the body as a typed value, or raise a 400 `HttpError`."""
+        try:
+            return msgspec.json.decode(self.body, type=kind)
+        except msgspec.MsgspecError as error:
+            raise HttpError(400, "http.bad_body", str(error)) from error
+
+
+class HttpResponse(msgspec.Struct, frozen=True):
+    """An answer: a status and a value to encode as JSON."""
+
+    value: Any = None
+    status: int = 200
+
+
+class ErrorBody(msgspec.Struct):
+    """The JSON body of a refused request."""
+
+    code: str
+    message: str
+
+
+Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+
+
+def _signed_part(method: str, target: str, body: bytes) -> bytes:
+    """Return the bytes that a signature covers."""
+    return f"{method} {target}\n".encode() + body
+
+
+class HttpServer:
+    """Serves one handler; refuses unsigned requests if it has a signer.
+
+    Parameters
+    ----------
+    handler : callable
+        Answers a request, or raises `HttpError`.
+    signer : Signer or None
+        Key that requests must be signed with; None accepts all.
+    body_max_bytes : int
+        Larger bodies are refused with status 413.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        signer: Signer | None = None,
+        body_max_bytes: int = BODY_MAX_BYTES,
+    ) -> None:
+        self._handler = handler
+        self._signer = signer
+        self._body_max_bytes = body_max_bytes
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self, address: Address) -> Address:
+        """Listen on an address and return the one that was bound."""
+        self._server = await asyncio.start_server(self._on_connection, *address)
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return host, port
+
+    async def close(self) -> None:
+        """Stop listening and end the open connections."""
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _on_connection(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        try:
+            await self._serve(reader, writer)
+        except (ConnectionError, h11.RemoteProtocolError, asyncio.CancelledError):
+            pass
+        finally:
+            self._tasks.discard(task)
+            writer.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        connection = h11.Connection(h11.SERVER)
+        while True:
+            received = await self._receive(connection, reader)
+            if received is None:
+                return
+            response = await self._answer(*received)
+            writer.write(_encode_response(connection, response))
+            await writer.drain()
+            if connection.our_state is h11.MUST_CLOSE:
+                return
+            if connection.their_state is not h11.DONE:
+                return
+            connection.start_next_cycle()
+
+    async def _receive(
+        self, connection: h11.Connection, reader: asyncio.StreamReader
+    ) -> tuple[h11.Request, bytes | None] | None:
+        """Return the next request; its body is None if it was too large."""
+        request: h11.Request | None = None
+        body = bytearray()
+        while True:
+            event = connection.next_event()
+            if event is h11.NEED_DATA:
+                connection.receive_data(await reader.read(READ_BYTES))
+            elif isinstance(event, h11.Request):
+                request = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > self._body_max_bytes and request is not None:
+                    return request, None
+            elif isinstance(event, h11.EndOfMessage) and request is not None:
+                return request, bytes(body)
+            else:
+                return None
+
+    async def _answer(self, head: h11.Request, body: bytes | None) -> HttpResponse:
+        if body is None:
+            limit = f"at most {self._body_max_bytes} bytes are allowed"
+            return _refusal(HttpError(413, "http.too_large", limit))
+        try:
+            self._check_signature(head, body)
+            return await self._handler(_parse_request(head, body))
+        except HttpError as error:
+            return _refusal(error)
+        except SapphirerailError as error:
+            return _refusal(HttpError(422, error.code, error.message))
+
+    def _check_signature(self, head: h11.Request, body: bytes) -> None:
+        if self._signer is None:
+            return
+        signature = dict(head.headers).get(SIGNATURE_HEADER.encode(), b"")
+        signed = _signed_part(head.method.decode(), head.target.decode(), body)
+        if signature != self._signer.tag(signed).hex().encode():
+            raise HttpError(401, "http.unsigned", "sign the request with the key")
+
+
+def _parse_request(head: h11.Request, body: bytes) -> HttpRequest:
+    parts = urlsplit(head.target.decode())
+    query = dict(parse_qsl(parts.query, keep_blank_values=True))
+    return HttpRequest(head.method.decode(), parts.path, query, body)
+
+
+def _refusal(error: HttpError) -> HttpResponse:
+    return HttpResponse(ErrorBody(error.code, error.message), error.status)
+
+
+def _encode_response(connection: h11.Connection, response: HttpResponse) -> bytes:
+    body = msgspec.json.encode(response.value)
+    headers = [
+        ("content-type", "application/json"),
+        ("content-length", str(len(body))),
+    ]
+    head = connection.send(h11.Response(status_code=response.status, headers=headers))
+    data = connection.send(h11.Data(data=body))
+    end = connection.send(h11.EndOfMessage())
+    return b"".join(part for part in (head, data, end) if part)
+
+
+class HttpClient:
+    """Calls a server, one connection a call.
+
+    Parameters
+    ----------
+    address : tuple of str and int
+        Host and port of the server.
+    signer : Signer or None
+        Signs each request if given.
+    """
+
+    def __init__(self, address: Address, signer: Signer | None = None) -> None:
+        self.address = address
+        self._signer = signer
+
+    async def call(
+        self,
+        method: str,
+        target: str,
+        value: Any = None,
+        *,
+        timeout_ms: int = 5000,
+    ) -> bytes:
+        """Return the body of a successful answer.
+
+        Parameters
+        ----------
+        method : str
+            HTTP method.
+        target : str
+            Path and query.
+        value : object
+            Encoded as the JSON body; None sends none.
+        timeout_ms : int
+            Time for the whole call.
+
+        Returns
+        -------
+        bytes
+            The body.
+
+        Raises
+        ------
+        HttpError
+            With status 0 and ``http.unreachable`` or ``http.timeout`` if there was
+            no answer, else with the status and code of the answer.
+        """
+        body = b"" if value is None else msgspec.json.encode(value)
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                status, answer = await self._exchange(method, target, body)
+        except TimeoutError as error:
+            text = f"no answer within {timeout_ms} ms"
+            raise HttpError(0, "http.timeout", text) from error
+        except (OSError, h11.ProtocolError) as error:
+            raise HttpError(0, "http.unreachable", str(error)) from error
+        if status >= 400:
+            raise _error_from(status, answer)
+        return answer
+
+    async def _exchange(
+        self, method: str, target: str, body: bytes
+    ) -> tuple[int, bytes]:
+        reader, writer = await asyncio.open_connection(*self.address)
+        try:
+            connection = h11.Connection(h11.CLIENT)
+            writer.write(self._encode_request(connection, method, target, body))
+            await writer.drain()
+            return await _read_response(connection, reader)
+        finally:
+            writer.close()
+
+    def _encode_request(
+        self, connection: h11.Connection, method: str, target: str, body: bytes
+    ) -> bytes:
+        headers = [
+            ("host", self.address[0]),
+            ("connection", "close"),
+            ("content-length", str(len(body))),
+        ]
+        if self._signer is not None:
+            tag = self._signer.tag(_signed_part(method, target, body))
+            headers.append((SIGNATURE_HEADER, tag.hex()))
+        head = connection.send(
+            h11.Request(method=method, target=target, headers=headers)
+        )
+        data = connection.send(h11.Data(data=body))
+        end = connection.send(h11.EndOfMessage())
+        return b"".join(part for part in (head, data, end) if part)
+
+
+async def _read_response(
+    connection: h11.Connection, reader: asyncio.StreamReader
+) -> tuple[int, bytes]:
+    status = 0
+    body = bytearray()
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            connection.receive_data(await reader.read(READ_BYTES))
+        elif isinstance(event, h11.Response):
+            status = event.status_code
+        elif isinstance(event, h11.Data):
+            body += event.data
+        elif isinstance(event, h11.EndOfMessage):
+            return status, bytes(body)
+        else:
+            raise ConnectionError("the server closed the connection")
+
+
+def _error_from(status: int, body: bytes) -> HttpError:
+    try:
+        told = msgspec.json.decode(body, type=ErrorBody)
+    except msgspec.MsgspecError:
+        return HttpError(status, "http.status", f"status {status}")
+    return HttpError(status, told.code, told.message)
--- /dev/null
+++ b/packages/sapphirerail-transport/tests/test_http.py
@@ -0,0 +1,70 @@
+import asyncio
+
+import pytest
+
+from sapphirerail_transport.http import (
+    HttpClient,
+    HttpError,
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+)
+from sapphirerail_transport.signature import Signer
+
+
+async def _echo(request: HttpRequest) -> HttpResponse:
+    if request.path == "/fail":
+        raise HttpError(409, "test.conflict", "always")
+    if request.path == "/json":
+        return HttpResponse(request.json(dict[str, int]))
+    return HttpResponse({"path": request.path, "query": request.query})
+
+
+def _call(target, value=None, *, server_key=None, client_key=None, limit=1000):
+    async def scenario():
+        signer = Signer(server_key) if server_key else None
+        server = HttpServer(_echo, signer, body_max_bytes=limit)
+        address = await server.start(("127.0.0.1", 0))
+        client = HttpClient(address, Signer(client_key) if client_key else None)
+        try:
+            return await client.call("POST", target, value)
+        finally:
+            await server.close()
+
+    return asyncio.run(scenario())
+
+
+def test_answer_and_query():
+    assert _call("/a?b=c") == b'{"path":"/a","query":{"b":"c"}}'
+
+
+def test_signed_request_is_served():
+    assert _call("/a", server_key="k", client_key="k")
+
+
+@pytest.mark.parametrize(
+    ("target", "value", "keys", "status", "code"),
+    [
+        ("/fail", None, (None, None), 409, "test.conflict"),
+        ("/json", ["x"], (None, None), 400, "http.bad_body"),
+        ("/json", "x" * 2000, (None, None), 413, "http.too_large"),
+        ("/a", None, ("k", None), 401, "http.unsigned"),
+        ("/a", None, ("k", "other"), 401, "http.unsigned"),
+    ],
+)
+def test_refusals(target, value, keys, status, code):
+    with pytest.raises(HttpError) as refused:
+        _call(target, value, server_key=keys[0], client_key=keys[1])
+    assert (refused.value.status, refused.value.code) == (status, code)
+
+
+def test_unreachable_server_is_told():
+    async def scenario():
+        server = HttpServer(_echo)
+        address = await server.start(("127.0.0.1", 0))
+        await server.close()
+        await HttpClient(address).call("GET", "/")
+
+    with pytest.raises(HttpError) as refused:
+        asyncio.run(scenario())
+    assert (refused.value.status, refused.value.code) == (0, "http.unreachable")
