--- a/packages/sapphirerail-node/src/sapphirerail_node/__init__.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/__init__.py
@@ -1,1 +1,1 @@
-"""The sapphirerail node package."""
+"""The entry instance: one process between callers and backend servers."""
--- /dev/null
+++ b/packages/sapphirerail-node/src/sapphirerail_node/__main__.py
@@ -0,0 +1,118 @@
+"""The command line of the entry instance."""
+
+import asyncio
+import os
+import sys
+from dataclasses import fields
+from typing import Annotated, Any
+
+import typer
+
+from .application import Application
+from .exit_code import ExitCode
+from .log import LogContext, configure_logging
+from .settings import Settings, SettingsError, Source
+
+__all__ = ["main"]
+
+KEY_VARIABLE = "SAPPHIRERAIL_KEY"
+ENVIRONMENT_PREFIX = "SAPPHIRERAIL_"
+
+command = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
+
+
+def _option(flag: str, text: str) -> Any:
+    variable = ENVIRONMENT_PREFIX + flag.removeprefix("--").replace("-", "_").upper()
+    return typer.Option(flag, envvar=variable, help=text)
+
+
+@command.command()
+def run(
+    context: typer.Context,
+    instance: Annotated[str, _option("--instance", "Name of this instance.")] = "",
+    data_centre: Annotated[
+        str, _option("--data-centre", "Data centre that it stands in.")
+    ] = "",
+    caller_address: Annotated[
+        str, _option("--caller-address", "Socket towards callers.")
+    ] = "127.0.0.1:0",
+    server_address: Annotated[
+        str, _option("--server-address", "Socket towards backend servers.")
+    ] = "127.0.0.1:0",
+    peer_address: Annotated[
+        str, _option("--peer-address", "Socket towards other instances.")
+    ] = "127.0.0.1:0",
+    api_address: Annotated[
+        str, _option("--api-address", "Socket of the operators' API.")
+    ] = "127.0.0.1:0",
+    platform_address: Annotated[
+        str, _option("--platform", "The platform's service.")
+    ] = "",
+    statsd_address: Annotated[
+        str | None, _option("--statsd", "Where metrics go; none if absent.")
+    ] = None,
+    n_flows_max: Annotated[
+        int, _option("--n-flows-max", "Flows that the local table holds.")
+    ] = 300_000,
+    stop_linger_ms: Annotated[
+        int, _option("--stop-linger-ms", "Quiet time that ends a shutdown.")
+    ] = 2_000,
+    stop_timeout_ms: Annotated[
+        int, _option("--stop-timeout-ms", "Longest graceful shutdown.")
+    ] = 60_000,
+    log_level: Annotated[
+        str, _option("--log-level", "debug, info, warning or error.")
+    ] = "info",
+    seed: Annotated[int, _option("--seed", "Seed of random choices.")] = 0,
+    print_settings: Annotated[
+        bool, typer.Option("--print-settings", help="Print each value and its source.")
+    ] = False,
+) -> None:
+    """Run one entry instance until it is told to stop.
+
+    The shared key comes from the environment variable SAPPHIRERAIL_KEY only.
+    """
+    config = {name: context.params[name] for name in _field_names()}
+    config["key"] = os.environ.get(KEY_VARIABLE, "")
+    try:
+        settings = Settings.from_config(config)
+    except SettingsError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(ExitCode.SETTINGS) from error
+    if print_settings:
+        _print_settings(context, settings)
+        return
+    log_context = LogContext(settings.instance, settings.data_centre)
+    configure_logging(settings.log_level, log_context)
+    application = Application.from_config(settings, log_context)
+    raise typer.Exit(asyncio.run(application.run()))
+
+
+def _field_names() -> list[str]:
+    return [field.name for field in fields(Settings) if field.name != "key"]
+
+
+def _print_settings(context: typer.Context, settings: Settings) -> None:
+    for name, text in settings.printable().items():
+        typer.echo(f"{name} = {text}  ({_source(context, name).value})")
+
+
+def _source(context: typer.Context, name: str) -> Source:
+    if name == "key":
+        return Source.ENVIRONMENT
+    origin = context.get_parameter_source(name)
+    if origin is None:
+        return Source.DEFAULT
+    return {
+        "COMMANDLINE": Source.FLAG,
+        "ENVIRONMENT": Source.ENVIRONMENT,
+    }.get(origin.name, Source.DEFAULT)
+
+
+def main() -> None:
+    """Run the command line."""
+    command()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/sapphirerail-node/src/sapphirerail_node/api.py
@@ -0,0 +1,52 @@
+"""The operators' API of one instance: HTTP with JSON, signed."""
+
+from collections.abc import Awaitable, Callable
+
+from sapphirerail_transport.http import (
+    HttpError,
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+)
+from sapphirerail_transport.signature import Signer
+from sapphirerail_transport.udp import Address
+
+__all__ = ["Api", "ApiHandler"]
+
+BODY_MAX_BYTES = 1024 * 1024
+ApiHandler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+
+
+class Api:
+    """Serves handlers by method and path.
+
+    Parameters
+    ----------
+    signer : Signer
+        Key that every call must be signed with.
+    """
+
+    def __init__(self, signer: Signer) -> None:
+        self._handlers: dict[tuple[str, str], ApiHandler] = {}
+        self._server = HttpServer(self._handle, signer, BODY_MAX_BYTES)
+
+    def mount(self, method: str, path: str, handler: ApiHandler) -> None:
+        """Serve a handler at a path."""
+        self._handlers[method, path] = handler
+
+    async def open(self, address: Address) -> Address:
+        """Listen, and return the bound address."""
+        return await self._server.start(address)
+
+    async def close(self) -> None:
+        """Stop listening."""
+        await self._server.close()
+
+    async def _handle(self, request: HttpRequest) -> HttpResponse:
+        handler = self._handlers.get((request.method, request.path))
+        if handler is not None:
+            return await handler(request)
+        paths = sorted({path for _, path in self._handlers})
+        if request.path in paths:
+            raise HttpError(405, "api.method", f"{request.method} is not served here")
+        raise HttpError(404, "api.path", "served are " + ", ".join(paths))
--- /dev/null
+++ b/packages/sapphirerail-node/src/sapphirerail_node/metrics.py
@@ -0,0 +1,134 @@
+"""Counters and histograms, sent to statsd once a second."""
+
+from collections import Counter
+from typing import Protocol
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from sapphirerail_core.types import TenantId, TrafficClass
+
+__all__ = ["HistogramSummary", "Metrics", "StatsdSink"]
+
+LATENCY_MAX_MS = 60_000
+SIZE_MAX_BYTES = 65_536
+# Two digits keep a histogram at a few kilobytes.
+SIGNIFICANT_DIGITS = 2
+PERCENTILES = (50.0, 99.0)
+
+
+class StatsdSink(Protocol):
+    """The part of a statsd client that is used."""
+
+    def incr(self, stat: str, count: int = 1, rate: float = 1) -> None:
+        """Add to a counter."""
+
+    def gauge(
+        self, stat: str, value: float, rate: float = 1, delta: bool = False
+    ) -> None:
+        """Set a gauge."""
+
+
+class HistogramSummary(msgspec.Struct, frozen=True):
+    """One histogram in short.
+
+    Parameters
+    ----------
+    tenant : TenantId
+        Whose traffic.
+    traffic_class : str
+        Its class.
+    measure : str
+        ``latency_ms`` or ``size_bytes``.
+    count : int
+        Number of values.
+    p50, p99, max : int
+        Percentiles and the largest value, in the measure's unit.
+    """
+
+    tenant: TenantId
+    traffic_class: str
+    measure: str
+    count: int
+    p50: int
+    p99: int
+    max: int
+
+
+class Metrics:
+    """Counts events and keeps histograms per tenant and class.
+
+    Parameters
+    ----------
+    sink : StatsdSink or None
+        Where `flush` sends; None keeps everything local.
+    """
+
+    def __init__(self, sink: StatsdSink | None = None) -> None:
+        self._sink = sink
+        self.counters: Counter[str] = Counter()
+        self._sent: Counter[str] = Counter()
+        self._histograms: dict[tuple[TenantId, TrafficClass, str], HdrHistogram] = {}
+
+    def count(self, name: str, n_events: int = 1) -> None:
+        """Add to a counter."""
+        self.counters[name] += n_events
+
+    def observe_latency(
+        self, tenant: TenantId, traffic_class: TrafficClass, latency_ms: int
+    ) -> None:
+        """Add the latency of one answer."""
+        value = min(max(latency_ms, 1), LATENCY_MAX_MS)
+        self._histogram(
+            tenant, traffic_class, "latency_ms", LATENCY_MAX_MS
+        ).record_value(value)
+
+    def observe_size(
+        self, tenant: TenantId, traffic_class: TrafficClass, size_bytes: int
+    ) -> None:
+        """Add the size of one payload."""
+        value = min(max(size_bytes, 1), SIZE_MAX_BYTES)
+        self._histogram(
+            tenant, traffic_class, "size_bytes", SIZE_MAX_BYTES
+        ).record_value(value)
+
+    def _histogram(
+        self, tenant: TenantId, traffic_class: TrafficClass, measure: str, highest: int
+    ) -> HdrHistogram:
+        key = (tenant, traffic_class, measure)
+        found = self._histograms.get(key)
+        if found is None:
+            found = HdrHistogram(1, highest, SIGNIFICANT_DIGITS)
+            self._histograms[key] = found
+        return found
+
+    def summaries(self) -> list[HistogramSummary]:
+        """Return every histogram in short, in a stable order."""
+        return [
+            HistogramSummary(
+                tenant=tenant,
+                traffic_class=traffic_class.name.lower(),
+                measure=measure,
+                count=histogram.get_total_count(),
+                p50=histogram.get_value_at_percentile(PERCENTILES[0]),
+                p99=histogram.get_value_at_percentile(PERCENTILES[1]),
+                max=histogram.get_max_value(),
+            )
+            for (tenant, traffic_class, measure), histogram in sorted(
+                self._histograms.items()
+            )
+        ]
+
+    def flush(self) -> None:
+        """Send what was counted since the last call."""
+        if self._sink is None:
+            return
+        for name, value in self.counters.items():
+            added = value - self._sent[name]
+            if added:
+                self._sink.incr(name, added)
+                self._sent[name] = value
+        for summary in self.summaries():
+            prefix = f"{summary.tenant}.{summary.traffic_class}.{summary.measure}"
+            self._sink.gauge(f"{prefix}.p50", summary.p50)
+            self._sink.gauge(f"{prefix}.p99", summary.p99)
--- /dev/null
+++ b/packages/sapphirerail-node/src/sapphirerail_node/shutdown.py
@@ -0,0 +1,60 @@
+"""Decides when a graceful shutdown is complete."""
+
+__all__ = ["Shutdown"]
+
+
+class Shutdown:
+    """Waits for work in flight, then for quiet on the callers' side.
+
+    The fabric goes on spraying at a leaving instance until its own list has caught
+    up, so the process serves as a plain forwarder until no caller was heard for the
+    linger time.
+
+    Parameters
+    ----------
+    linger_ms : int
+        Quiet time after the last packet of a caller.
+    timeout_ms : int
+        Longest shutdown.
+
+    Examples
+    --------
+    >>> shutdown = Shutdown(linger_ms=100, timeout_ms=1000)
+    >>> shutdown.begin(now_ms=0)
+    >>> shutdown.is_complete(now_ms=100, n_in_flight=1)
+    False
+    >>> shutdown.is_complete(now_ms=100, n_in_flight=0)
+    True
+    """
+
+    def __init__(self, linger_ms: int, timeout_ms: int) -> None:
+        self._linger_ms = linger_ms
+        self._timeout_ms = timeout_ms
+        self._began_ms: int | None = None
+        self._heard_ms = 0
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether the shutdown was asked for."""
+        return self._began_ms is not None
+
+    def begin(self, now_ms: int) -> None:
+        """Start the shutdown."""
+        self._began_ms = now_ms
+        self._heard_ms = now_ms
+
+    def on_caller_datagram(self, now_ms: int) -> None:
+        """Note that a caller was heard."""
+        self._heard_ms = now_ms
+
+    def is_complete(self, now_ms: int, n_in_flight: int) -> bool:
+        """Return whether the process may end without cutting anything."""
+        if n_in_flight > 0 or self._began_ms is None:
+            return False
+        return now_ms - self._heard_ms >= self._linger_ms
+
+    def is_overdue(self, now_ms: int) -> bool:
+        """Return whether the longest shutdown has passed."""
+        return self._began_ms is not None and (
+            now_ms - self._began_ms >= self._timeout_ms
+        )
--- /dev/null
+++ b/packages/sapphirerail-node/tests/test_edge.py
@@ -0,0 +1,40 @@
+import asyncio
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sapphirerail_core.datagram import Datagram, Kind
+from sapphirerail_node.edge import DatagramEdge
+from sapphirerail_node.metrics import Metrics
+from sapphirerail_transport.udp import UdpSocket
+
+
+def test_round_trip_and_bad_payloads_are_counted():
+    async def scenario():
+        received = asyncio.Queue()
+        metrics = Metrics()
+        edge = DatagramEdge("caller", lambda d, a: received.put_nowait(d), metrics)
+        address = await edge.open(("127.0.0.1", 0))
+        sender = await UdpSocket.bind(("127.0.0.1", 0), lambda p, a: None)
+        sender.send(b"not a datagram", address)
+        datagram = Datagram(kind=Kind.DATA, service="s", flow=1)
+        sending = Metrics()
+        other = DatagramEdge("caller", lambda d, a: None, sending)
+        await other.open(("127.0.0.1", 0))
+        other.send(datagram, f"{address[0]}:{address[1]}")
+        other.send(datagram, "no address")
+        assert await received.get() == datagram
+        for open_one in (edge, other, sender):
+            open_one.close()
+        return metrics, sending
+
+    metrics, sending = asyncio.run(scenario())
+    assert metrics.counters["caller.dropped.datagram.malformed"] == 1
+    assert sending.counters["caller.bad_address"] == 1
+
+
+@settings(derandomize=True)
+@given(st.binary(max_size=9000))
+def test_no_payload_reaches_the_loop_as_an_exception(payload):
+    edge = DatagramEdge("caller", lambda d, a: None, Metrics())
+    edge._on_payload(payload, ("127.0.0.1", 1))
