--- /dev/null
+++ b/bench/fake_server.py
@@ -0,0 +1,161 @@
+"""A backend server on a virtual clock, for bench and tests."""
+
+from collections import Counter
+from dataclasses import dataclass
+
+import msgspec
+
+from sapphirerail_core.datagram import (
+    Datagram,
+    HealthReport,
+    Kind,
+    RefusalCode,
+    Run,
+)
+from sapphirerail_core.plan.model import Server
+
+__all__ = ["FakeServer", "RunKey", "run_key"]
+
+RunKey = tuple[int, int]
+
+
+def run_key(datagram: Datagram) -> RunKey:
+    """Return what identifies a request at a server."""
+    return datagram.flow, datagram.request
+
+
+@dataclass
+class _Running:
+    datagram: Datagram
+    ends_at_ms: int
+
+
+class FakeServer:
+    """Runs requests, counts the runs, and falls silent when cold and overrun.
+
+    Parameters
+    ----------
+    planned : Server
+        Its entry in the plan.
+    runs : Counter
+        Runs by request, shared by all servers.
+    work_ms : int
+        Time that a request takes.
+    """
+
+    def __init__(self, planned: Server, runs: Counter[RunKey], work_ms: int = 50):
+        self.planned = planned
+        self.runs = runs
+        self.work_ms = work_ms
+        self.n_bears_cold = 1
+        self.cold_until_ms = 0
+        self.silent_until_ms = 0
+        self.is_stuck = False
+        self.n_parts = 1
+        self.n_queue_max = 2
+        self.n_overruns = 0
+        self.n_in_flight_max = 0
+        self.n_answered = 0
+        self._running: list[_Running] = []
+        self._queue: list[_Running] = []
+
+    def chill(self, now_ms: int, for_ms: int) -> None:
+        """Turn cold without saying so."""
+        self.cold_until_ms = now_ms + for_ms
+
+    def on_datagram(self, datagram: Datagram, now_ms: int) -> list[Datagram]:
+        """Take a datagram in; return what is answered at once."""
+        if datagram.kind is Kind.PROBE:
+            return [self._health(datagram)]
+        if self.is_stuck or now_ms < self.silent_until_ms:
+            return []
+        if datagram.kind is Kind.CANCEL:
+            return self._cancel(datagram)
+        deadline_at_ms = now_ms + datagram.deadline_ms
+        if now_ms < self.cold_until_ms and self._n_in_flight() >= self.n_bears_cold:
+            self._collapse(now_ms)
+            return []
+        if len(self._running) < self.planned.n_slots:
+            self._start(datagram, now_ms)
+        elif len(self._queue) < self.n_queue_max:
+            self._queue.append(_Running(datagram, deadline_at_ms))
+        else:
+            return [_refuse(datagram, RefusalCode.SERVER_SHED, Run.NO)]
+        self.n_in_flight_max = max(self.n_in_flight_max, self._n_in_flight())
+        return []
+
+    def tick(self, now_ms: int) -> list[Datagram]:
+        """Return the answers that are ready."""
+        if now_ms < self.silent_until_ms:
+            return []
+        ended = [r for r in self._running if r.ends_at_ms <= now_ms]
+        self._running = [r for r in self._running if r.ends_at_ms > now_ms]
+        answers = [part for r in ended for part in self._answer(r.datagram)]
+        self.n_answered += len(ended)
+        while self._queue and len(self._running) < self.planned.n_slots:
+            waiting = self._queue.pop(0)
+            if waiting.ends_at_ms <= now_ms:
+                answers.append(
+                    _refuse(waiting.datagram, RefusalCode.DEADLINE_EXCEEDED, Run.NO)
+                )
+                continue
+            self._start(waiting.datagram, now_ms)
+        return answers
+
+    def is_busy(self) -> bool:
+        """Return whether anything runs or waits."""
+        return bool(self._running or self._queue)
+
+    def next_end_ms(self) -> int:
+        """Return when the next request ends."""
+        ends = [r.ends_at_ms for r in self._running] or [self.silent_until_ms]
+        return max(min(ends), self.silent_until_ms)
+
+    def _n_in_flight(self) -> int:
+        return len(self._running) + len(self._queue)
+
+    def _start(self, datagram: Datagram, now_ms: int) -> None:
+        self.runs[run_key(datagram)] += 1
+        self._running.append(_Running(datagram, now_ms + self.work_ms))
+
+    def _collapse(self, now_ms: int) -> None:
+        self.n_overruns += 1
+        self.silent_until_ms = now_ms + 3_000
+        self._running = []
+        self._queue = []
+
+    def _cancel(self, datagram: Datagram) -> list[Datagram]:
+        key = run_key(datagram)
+        waiting = [r for r in self._queue if run_key(r.datagram) == key]
+        running = [r for r in self._running if run_key(r.datagram) == key]
+        self._queue = [r for r in self._queue if r not in waiting]
+        self._running = [r for r in self._running if r not in running]
+        refused = [_refuse(r.datagram, RefusalCode.CANCELLED, Run.NO) for r in waiting]
+        return refused + [
+            _refuse(r.datagram, RefusalCode.CANCELLED, Run.UNKNOWN) for r in running
+        ]
+
+    def _answer(self, datagram: Datagram) -> list[Datagram]:
+        if datagram.kind is Kind.OPEN:
+            return [msgspec.structs.replace(datagram, kind=Kind.ACK, body=b"")]
+        return [
+            msgspec.structs.replace(
+                datagram,
+                kind=Kind.ANSWER,
+                part=part,
+                n_parts=self.n_parts,
+                body=b"answer " + datagram.body,
+            )
+            for part in range(self.n_parts)
+        ]
+
+    def _health(self, datagram: Datagram) -> Datagram:
+        report = HealthReport(len(self._running), len(self._queue), 0)
+        body = msgspec.msgpack.encode(report)
+        return msgspec.structs.replace(datagram, kind=Kind.HEALTH, body=body)
+
+
+def _refuse(datagram: Datagram, code: RefusalCode, run: Run) -> Datagram:
+    return msgspec.structs.replace(
+        datagram, kind=Kind.REFUSAL, code=code, run=run, body=b""
+    )
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/load/gate.py
@@ -0,0 +1,150 @@
+"""Admission to one backend server: what waits, what is in flight, the limit."""
+
+from dataclasses import dataclass
+
+from ..datagram import HealthReport
+from ..types import ServerId
+from .config import LimitConfig
+from .limit import LimitState, ServerLimit
+from .queue import AdmissionQueue, QueueItem
+
+__all__ = ["InFlight", "Inherited", "ServerGate"]
+
+
+@dataclass(slots=True)
+class InFlight:
+    """A request that the server may be running."""
+
+    sent_at_ms: int
+    deadline_at_ms: int
+    is_overdue: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Inherited:
+    """Requests of a previous owner, and when the last of them has ended."""
+
+    n_in_flight: int
+    until_ms: int
+
+
+class ServerGate:
+    """Counts a server's work in one place.
+
+    Parameters
+    ----------
+    server : ServerId
+        The server.
+    n_slots : int
+        Requests that it runs at a time when warm.
+    n_flows_max : int
+        Connections that it bears.
+    config : LimitConfig
+        Thresholds of its limit.
+    now_ms : int
+        Start of the warm-up.
+    """
+
+    def __init__(
+        self,
+        server: ServerId,
+        n_slots: int,
+        n_flows_max: int,
+        config: LimitConfig,
+        now_ms: int,
+    ) -> None:
+        self.server = server
+        self.n_flows_max = n_flows_max
+        self.n_flows = 0
+        self.limit = ServerLimit(n_slots, config, now_ms)
+        self.queue = AdmissionQueue(config.n_queued_per_slot * max(1, n_slots))
+        self.in_flight: dict[int, InFlight] = {}
+        self._config = config
+        self._inherited: dict[str, Inherited] = {}
+
+    def n_in_flight(self, now_ms: int) -> int:
+        """Return how many requests the server may be running."""
+        inherited = [
+            part.n_in_flight
+            for part in self._inherited.values()
+            if part.until_ms > now_ms
+        ]
+        return len(self.in_flight) + sum(inherited)
+
+    def n_waiting(self) -> int:
+        """Return a figure of load that other instances can compare."""
+        if self.limit.state is LimitState.EJECTED:
+            return self.queue.n_items_max
+        return len(self.queue) + len(self.in_flight)
+
+    def remaining_ms(self, now_ms: int) -> int:
+        """Return the time until the last request in flight has surely ended."""
+        ends = [work.deadline_at_ms for work in self.in_flight.values()]
+        ends += [p.until_ms for p in self._inherited.values() if p.n_in_flight]
+        grace_ms = self._config.silence_grace_ms
+        return max(0, max(ends) + grace_ms - now_ms) if ends else 0
+
+    def has_room(self, now_ms: int) -> bool:
+        """Return whether one more request may be sent."""
+        return self.n_in_flight(now_ms) < self.limit.allowed(now_ms)
+
+    def is_closed(self, now_ms: int) -> bool:
+        """Return whether the server is ejected and gets no request now."""
+        if self.limit.state is not LimitState.EJECTED:
+            return False
+        return not self.has_room(now_ms)
+
+    def bears_flow(self) -> bool:
+        """Return whether one more connection may be opened."""
+        return self.n_flows < self.n_flows_max
+
+    def wait_ms(self, item: QueueItem) -> float:
+        """Return the expected wait of an item that would be queued now."""
+        default_ms = self._config.latency_floor_ms
+        usual_ms = self.limit.latency.expected_ms(default_ms)
+        n_ahead = self.queue.n_ahead(item.traffic_class)
+        return usual_ms * (n_ahead + 1) / max(1, self.limit.limit)
+
+    def inherit(self, holder: str, n_in_flight: int, until_ms: int) -> None:
+        """Count the requests that another owner has in flight at the server."""
+        self._inherited[holder] = Inherited(n_in_flight, until_ms)
+
+    def on_sent(self, key: int, deadline_at_ms: int, now_ms: int) -> None:
+        """Count a request as in flight."""
+        self.in_flight[key] = InFlight(now_ms, deadline_at_ms)
+
+    def on_report(self, report: HealthReport, now_ms: int) -> None:
+        """Take in what the server says of itself."""
+        self.n_flows = report.n_flows
+        self.limit.on_report(report, now_ms)
+
+    def on_answer(self, key: int, now_ms: int) -> None:
+        """Free the slot of a request that was answered."""
+        work = self.in_flight.pop(key, None)
+        if work is not None:
+            self.limit.on_answer(now_ms - work.sent_at_ms, now_ms)
+
+    def on_refusal(self, key: int, is_shed: bool, now_ms: int) -> None:
+        """Free the slot of a request that the server refused."""
+        work = self.in_flight.pop(key, None)
+        if work is not None and is_shed:
+            self.limit.on_shed(now_ms)
+
+    def take_overdue(self, now_ms: int) -> list[int]:
+        """Return the keys whose deadline passed since the last call."""
+        overdue = []
+        for key, work in list(self.in_flight.items()):
+            if work.deadline_at_ms <= now_ms and not work.is_overdue:
+                work.is_overdue = True
+                self.limit.on_silence(now_ms)
+                overdue.append(key)
+            elif now_ms - work.sent_at_ms > self.limit.stall_age_ms():
+                self.limit.on_stall(now_ms)
+        self._free_ended(now_ms)
+        return overdue
+
+    def _free_ended(self, now_ms: int) -> None:
+        latest_ms = now_ms - self._config.silence_grace_ms
+        for key, work in list(self.in_flight.items()):
+            if work.is_overdue and work.deadline_at_ms <= latest_ms:
+                del self.in_flight[key]
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/admission.py
@@ -0,0 +1,426 @@
+"""Admission of requests to the servers that this instance owns."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from ..datagram import Datagram, Kind, RefusalCode, Run
+from ..effects import Effect, SendToCaller, SendToPeer, SendToServer
+from ..journal import Reason
+from ..load.gate import ServerGate
+from ..types import InstanceId, InstanceState, ServerId
+from .claimant import Claimant, ClaimDecision, ClaimResult
+from .context import Context
+from .forwarder import Forwarder
+from .gates import GateTable
+from .keeper import NOBODY
+from .keys import request_key
+from .ledger import Ledger
+from .messages import Attach, Forward
+from .outcome import Outcome, OutcomeKind
+from .replies import refusal
+from .retry import RetryBudget
+from .roles import RoleState, RoleTable
+from .routes import Routes
+from .work import Work, WorkState, needs_claim, with_remaining
+
+__all__ = ["AdmissionController"]
+
+_N_HOPS_FOR_LOAD = 3
+
+
+class AdmissionController:
+    """Queues, sends, moves and refuses the requests for owned servers.
+
+    Parameters
+    ----------
+    context : Context
+        Plan, fleet and settings.
+    routes : Routes
+        Servers that a request may go to.
+    roles : RoleTable
+        Which servers this instance may send to.
+    gates : GateTable
+        Limits and queues of the servers.
+    forwarder : Forwarder
+        Way to other owners.
+    claimant : Claimant
+        Obtains the right to run a request that is not idempotent.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        routes: Routes,
+        roles: RoleTable,
+        gates: GateTable,
+        forwarder: Forwarder,
+        claimant: Claimant,
+    ) -> None:
+        self.ledger = Ledger(context.config)
+        self.on_outcome: Callable[[Outcome], None] | None = None
+        self._context = context
+        self._routes = routes
+        self._roles = roles
+        self._gates = gates
+        self._forwarder = forwarder
+        self._claimant = claimant
+        self._retries = RetryBudget(context.config.retry_share)
+
+    def admit(self, forward: Forward, now_ms: int) -> list[Effect]:
+        """Take a request for a server that this instance admits for."""
+        work = Work.from_forward(forward, now_ms)
+        self.ledger.add(work)
+        self._claimant.stop(work.key)
+        self._retries.on_request()
+        if self.ledger.is_cancelled(work.key):
+            return self.refuse(work, RefusalCode.CANCELLED, now_ms)
+        effects = self._roles.take(work.server, now_ms)
+        return effects + self._place(work, now_ms)
+
+    def refuse_unplaced(
+        self, forward: Forward, code: RefusalCode, now_ms: int
+    ) -> list[Effect]:
+        """Refuse a request that no owner can be found for."""
+        work = Work.from_forward(forward, now_ms)
+        self.ledger.add(work)
+        return self.refuse(work, code, now_ms)
+
+    def relay(self, forward: Forward, now_ms: int) -> list[Effect]:
+        """Pass a request on to the owner that this instance knows better."""
+        work = Work.from_forward(forward, now_ms)
+        self.ledger.add(work)
+        if work.hop >= self._context.config.n_hops_max:
+            return self.refuse(work, RefusalCode.OWNER_LOST, now_ms)
+        return self._hand_over(work, now_ms)
+
+    def reroute(self, work: Work, now_ms: int) -> list[Effect]:
+        """Go on with a request whose forward was not received."""
+        if work.is_claimed:
+            # The target may have it all the same, and the right to run it.
+            work.was_sent = True
+            return self.refuse(work, RefusalCode.OWNER_LOST, now_ms)
+        work.is_uncertain = True
+        return self._move_or_refuse(work, RefusalCode.UNREACHABLE, now_ms)
+
+    def repeat(
+        self, work: Work, datagram: Datagram, now_ms: int, hop: int = 0
+    ) -> list[Effect]:
+        """Handle a further transmission of a known request."""
+        work.renew(datagram)
+        if work.state is WorkState.SETTLED:
+            return self._repeat_reply(work, datagram, now_ms)
+        if work.state in (WorkState.MOVED, WorkState.ATTACHED):
+            return self._attach(work, hop, now_ms)
+        if work.state is WorkState.SENT and datagram.kind is Kind.OPEN:
+            return [SendToServer(work.server, self._outgoing(work, now_ms))]
+        if work.state is WorkState.SENT and work.datagram.idempotent:
+            return self._retry_stalled(work, now_ms)
+        return []
+
+    def on_attach(self, datagram: Datagram, hop: int, now_ms: int) -> list[Effect]:
+        """Handle a further transmission that met this instance's claim."""
+        work = self.ledger.get(request_key(datagram))
+        if work is None:
+            # This instance no longer knows whether it ran the request.
+            reply = refusal(datagram, RefusalCode.DUPLICATE, Run.UNKNOWN)
+            return [SendToCaller(reply)]
+        return self.repeat(work, datagram, now_ms, hop)
+
+    def cancel(self, work: Work, cancel: Datagram, now_ms: int) -> list[Effect]:
+        """Stop a request, as far as it has come."""
+        if work.state is WorkState.QUEUED:
+            self._gates.gate(work.server, now_ms).queue.remove(work.key)
+            return self.refuse(work, RefusalCode.CANCELLED, now_ms)
+        if work.state is WorkState.CLAIMING:
+            work.refusal = RefusalCode.CANCELLED
+        if work.state is WorkState.SENT:
+            outgoing = with_remaining(cancel, work.deadline_at_ms, now_ms)
+            return [SendToServer(work.server, outgoing)]
+        return []
+
+    def refuse(self, work: Work, code: RefusalCode, now_ms: int) -> list[Effect]:
+        """Refuse a request; "not run" is only said with its claim in hand."""
+        if needs_claim(work.datagram) and not (work.is_claimed or work.was_sent):
+            work.refusal = code
+            return self._claim(work, now_ms)
+        return self.end(work, refusal(work.datagram, code, work.run()), now_ms)
+
+    def end(self, work: Work, reply: Datagram, now_ms: int) -> list[Effect]:
+        """Settle a request with a refusal and keep it for further transmissions."""
+        self.ledger.replies.restart(work)
+        work.settle()
+        self.ledger.keep_reply(work, reply)
+        unknown = reply.run is Run.UNKNOWN
+        kind = OutcomeKind.REFUSED_UNKNOWN if unknown else OutcomeKind.REFUSED_NOT_RUN
+        self.report(work, kind, now_ms)
+        self._context.journal.note(
+            now_ms,
+            Reason.REQUEST_REFUSED,
+            flow=work.datagram.flow,
+            request=work.datagram.request,
+            server=work.server,
+            detail=f"{reply.code.name} run {reply.run.name}",
+        )
+        return [SendToCaller(reply)]
+
+    def report(self, work: Work, kind: OutcomeKind, now_ms: int) -> None:
+        """Tell the observer how a request ended."""
+        if self.on_outcome is None:
+            return
+        latency_ms = now_ms - work.arrived_at_ms
+        datagram = work.datagram
+        outcome = Outcome(datagram.service, datagram.traffic_class, kind, latency_ms)
+        self.on_outcome(outcome)
+
+    def on_claims_decided(self, now_ms: int) -> list[Effect]:
+        """Go on with the requests whose claims were decided."""
+        effects: list[Effect] = []
+        for result in self._claimant.take_decided():
+            work = self.ledger.get(result.key)
+            if work is not None and work.state is WorkState.CLAIMING:
+                effects += self._on_decided(work, result, now_ms)
+        return effects
+
+    def pump(self, gate: ServerGate, now_ms: int) -> list[Effect]:
+        """Send what has room, and refuse what waited too long."""
+        effects: list[Effect] = []
+        for item in gate.queue.take_expired(now_ms):
+            work = self.ledger.get(item.key)
+            if work is not None:
+                effects += self.refuse(work, RefusalCode.DEADLINE_EXCEEDED, now_ms)
+        while self._roles.is_active(gate.server, now_ms) and gate.has_room(now_ms):
+            item_or_none = gate.queue.pop()
+            if item_or_none is None:
+                break
+            work = self.ledger.get(item_or_none.key)
+            if work is not None and work.state is WorkState.QUEUED:
+                effects += self._send(work, gate, now_ms)
+        return effects
+
+    def tick(self, now_ms: int) -> list[Effect]:
+        """Handle deadlines, queues and servers that were ejected."""
+        effects: list[Effect] = []
+        for gate in self._gates.all():
+            for key in gate.take_overdue(now_ms):
+                effects += self._on_overdue(key, now_ms)
+            effects += self._leave_closed(gate, now_ms)
+            effects += self.pump(gate, now_ms)
+        self.ledger.tick(now_ms)
+        return effects
+
+    def leave(self, gate: ServerGate, now_ms: int) -> list[Effect]:
+        """Hand all that waits for a server to other owners."""
+        effects: list[Effect] = []
+        for item in gate.queue.take_all():
+            work = self.ledger.get(item.key)
+            if work is not None:
+                effects += self._hand_over(work, now_ms)
+        return effects
+
+    def retry(self, work: Work, now_ms: int) -> list[Effect] | None:
+        """Send a request that was surely not run to another server.
+
+        Returns
+        -------
+        list of Effect or None
+            None if there is no other server, no time or no budget.
+        """
+        if work.deadline_at_ms <= now_ms or not self._retries.try_spend():
+            return None
+        work.was_sent = False
+        return self._move(work, now_ms)
+
+    def _place(self, work: Work, now_ms: int) -> list[Effect]:
+        gate = self._gates.gate(work.server, now_ms)
+        if self._is_crowded(gate, work, now_ms):
+            moved = self._move(work, now_ms)
+            if moved is not None:
+                return moved
+        code = self._lack_of_room(gate, work, now_ms)
+        if code is not None:
+            return self.refuse(work, code, now_ms)
+        if needs_claim(work.datagram) and not work.is_claimed:
+            return self._claim(work, now_ms)
+        return self._enqueue(work, gate, now_ms)
+
+    def _is_crowded(self, gate: ServerGate, work: Work, now_ms: int) -> bool:
+        if self._lack_of_room(gate, work, now_ms) is not None:
+            return True
+        if work.hop >= _N_HOPS_FOR_LOAD:
+            return False
+        n_ahead = gate.queue.n_ahead(work.datagram.traffic_class)
+        return n_ahead >= gate.limit.limit
+
+    def _lack_of_room(
+        self, gate: ServerGate, work: Work, now_ms: int
+    ) -> RefusalCode | None:
+        if gate.is_closed(now_ms):
+            return RefusalCode.NO_SERVER
+        if work.datagram.kind is Kind.OPEN and not gate.bears_flow():
+            return RefusalCode.OVERLOADED
+        if gate.wait_ms(work.queue_item()) > work.deadline_at_ms - now_ms:
+            return RefusalCode.OVERLOADED
+        return None
+
+    def _claim(self, work: Work, now_ms: int) -> list[Effect]:
+        work.state = WorkState.CLAIMING
+        is_first = work.datagram.attempt == 0
+        effects = self._claimant.start(work.key, is_first, work.deadline_at_ms, now_ms)
+        return effects + self.on_claims_decided(now_ms)
+
+    def _on_decided(self, work: Work, result: ClaimResult, now_ms: int) -> list[Effect]:
+        if result.decision is ClaimDecision.HELD:
+            work.state = WorkState.ATTACHED
+            work.holder = result.holder
+            return self._attach(work, 0, now_ms)
+        if result.decision is ClaimDecision.FAILED:
+            code = work.refusal or RefusalCode.UNREACHABLE
+            reply = refusal(work.datagram, code, Run.UNKNOWN)
+            effects = self.end(work, reply, now_ms)
+            # Its right was given back, so a further transmission may try again.
+            self.ledger.remove(work)
+            return effects
+        work.is_claimed = True
+        if work.refusal is not None:
+            return self.refuse(work, work.refusal, now_ms)
+        if self._roles.holder_of(work.server, now_ms) != self._context.fleet.self_id:
+            return self._hand_over(work, now_ms)
+        return self._enqueue(work, self._gates.gate(work.server, now_ms), now_ms)
+
+    def _enqueue(self, work: Work, gate: ServerGate, now_ms: int) -> list[Effect]:
+        work.state = WorkState.QUEUED
+        evicted = gate.queue.push(work.queue_item())
+        effects: list[Effect] = []
+        if evicted is not None:
+            loser = self.ledger.get(evicted.key)
+            if loser is not None:
+                effects += self._move_or_refuse(loser, RefusalCode.OVERLOADED, now_ms)
+        return effects + self.pump(gate, now_ms)
+
+    def _send(self, work: Work, gate: ServerGate, now_ms: int) -> list[Effect]:
+        if work.deadline_at_ms <= now_ms:
+            return self.refuse(work, RefusalCode.DEADLINE_EXCEEDED, now_ms)
+        if self._context.plan.is_out(
+            self._context.plan.servers[work.server].data_centre
+        ):
+            return self._hand_over(work, now_ms)
+        work.state = WorkState.SENT
+        work.was_sent = True
+        work.sent_at_ms = now_ms
+        gate.on_sent(work.key, work.deadline_at_ms, now_ms)
+        outgoing = self._outgoing(work, now_ms)
+        effects: list[Effect] = []
+        if outgoing.kind is Kind.OPEN:
+            gate.n_flows += 1
+            effects += self._context.flows.opened(outgoing, work.server, now_ms)
+        return [*effects, SendToServer(work.server, outgoing)]
+
+    @staticmethod
+    def _outgoing(work: Work, now_ms: int) -> Datagram:
+        return with_remaining(work.datagram, work.deadline_at_ms, now_ms)
+
+    def _move(self, work: Work, now_ms: int) -> list[Effect] | None:
+        if work.hop >= self._context.config.n_hops_max:
+            return None
+        tried = (*work.tried, work.server)
+        servers = self._routes.servers_for(work.datagram, tried)
+        return self._move_to(work, servers[0], tried, now_ms) if servers else None
+
+    def _hand_over(self, work: Work, now_ms: int) -> list[Effect]:
+        target = self._roles.holder_of(work.server, now_ms)
+        if target is not None and target != self._context.fleet.self_id:
+            return self._move_to(work, work.server, work.tried, now_ms)
+        return self._move_or_refuse(work, RefusalCode.NO_SERVER, now_ms)
+
+    def _move_or_refuse(
+        self, work: Work, code: RefusalCode, now_ms: int
+    ) -> list[Effect]:
+        moved = self._move(work, now_ms)
+        if moved is not None:
+            return moved
+        return self.refuse(work, code, now_ms)
+
+    def _move_to(
+        self, work: Work, server: ServerId, tried: tuple[ServerId, ...], now_ms: int
+    ) -> list[Effect]:
+        target = self._roles.holder_of(server, now_ms)
+        work.hop += 1
+        work.tried = tried
+        work.server = server
+        if target is None or target == self._context.fleet.self_id:
+            effects = self._roles.take(server, now_ms)
+            return effects + self._place(work, now_ms)
+        work.state = WorkState.MOVED
+        work.holder = target
+        return self._forward(work, target, now_ms)
+
+    def _forward(self, work: Work, target: InstanceId, now_ms: int) -> list[Effect]:
+        forward = Forward(
+            datagram=self._outgoing(work, now_ms),
+            server=work.server,
+            hop=work.hop,
+            tried=work.tried,
+            revision=self._context.plan.revision,
+            is_claimed=work.is_claimed,
+            is_uncertain=work.is_uncertain,
+        )
+        return self._forwarder.send(forward, target, now_ms)
+
+    def _attach(self, work: Work, hop: int, now_ms: int) -> list[Effect]:
+        holder = work.holder
+        fleet = self._context.fleet
+        lost = (InstanceState.DEAD, InstanceState.LEFT)
+        if holder is None or holder in (NOBODY, fleet.self_id):
+            return self._unknown(work)
+        if fleet.state(holder) in lost:
+            return self._unknown(work)
+        if work.state is WorkState.MOVED and not work.is_claimed:
+            return self._forward(work, holder, now_ms)
+        if hop >= self._context.config.n_hops_max:
+            return []
+        return [SendToPeer(holder, Attach(self._outgoing(work, now_ms), hop + 1))]
+
+    @staticmethod
+    def _unknown(work: Work) -> list[Effect]:
+        reply = refusal(work.datagram, RefusalCode.OWNER_LOST, Run.UNKNOWN)
+        return [SendToCaller(reply)]
+
+    def _repeat_reply(
+        self, work: Work, datagram: Datagram, now_ms: int
+    ) -> list[Effect]:
+        is_refused = bool(work.reply) and work.reply[0].kind is Kind.REFUSAL
+        if work.reply and (needs_claim(datagram) or not is_refused):
+            caller = work.datagram.caller
+            return [
+                SendToCaller(msgspec.structs.replace(part, caller=caller))
+                for part in work.reply
+            ]
+        if needs_claim(datagram):
+            reply = refusal(work.datagram, RefusalCode.DUPLICATE, Run.UNKNOWN)
+            return [SendToCaller(reply)]
+        self.ledger.remove(work)
+        forward = Forward(datagram, work.server, is_uncertain=True)
+        return self.admit(forward, now_ms)
+
+    def _retry_stalled(self, work: Work, now_ms: int) -> list[Effect]:
+        gate = self._gates.gate(work.server, now_ms)
+        if work.parts:
+            return []
+        if now_ms - work.sent_at_ms < gate.limit.stall_age_ms():
+            return []
+        work.is_uncertain = True
+        return self.retry(work, now_ms) or []
+
+    def _on_overdue(self, key: int, now_ms: int) -> list[Effect]:
+        work = self.ledger.get(key)
+        if work is None or work.state is not WorkState.SENT:
+            return []
+        return self.refuse(work, RefusalCode.SERVER_LOST, now_ms)
+
+    def _leave_closed(self, gate: ServerGate, now_ms: int) -> list[Effect]:
+        role = self._roles.role(gate.server)
+        released = role is not None and role.state is RoleState.RELEASED
+        if len(gate.queue) and (released or gate.is_closed(now_ms)):
+            return self.leave(gate, now_ms)
+        return []
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/context.py
@@ -0,0 +1,25 @@
+"""What the parts of the dispatcher share."""
+
+import random
+from dataclasses import dataclass
+
+from ..fleet.view import FleetView
+from ..journal import Journal
+from ..plan.model import EMPTY_PLAN, Plan
+from .config import DispatcherConfig
+from .ports import FlowPort
+
+__all__ = ["Context"]
+
+
+@dataclass(slots=True)
+class Context:
+    """Settings, neighbours and the plan in force."""
+
+    config: DispatcherConfig
+    fleet: FleetView
+    flows: FlowPort
+    journal: Journal
+    random_state: random.Random
+    plan: Plan = EMPTY_PLAN
+    is_draining: bool = False
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/dispatcher.py
@@ -0,0 +1,304 @@
+"""Requests and openings of flows, from the caller to a backend server and back."""
+
+import random
+from collections.abc import Callable
+from functools import singledispatchmethod
+
+from ..datagram import Datagram
+from ..effects import Effect, Message, SendToPeer
+from ..fleet.view import FleetView
+from ..journal import Journal
+from ..plan.model import Plan
+from ..types import InstanceId, InstanceState, ServerId, ServerState
+from .admission import AdmissionController
+from .answers import AnswerHandler
+from .claimant import Claimant
+from .config import DispatcherConfig
+from .context import Context
+from .forwarder import Forwarder
+from .gates import GateTable
+from .handover import claim_handovers
+from .ingress import Ingress
+from .keeper import ClaimKeeper
+from .keys import request_key
+from .messages import (
+    Attach,
+    Claim,
+    ClaimHandover,
+    Forward,
+    Grant,
+    LoadNotice,
+    RoleClaim,
+    RoleRelease,
+    Taken,
+    Withdraw,
+)
+from .outcome import Outcome
+from .ports import FlowPort
+from .roles import RoleTable
+from .routes import Routes
+from .status import DispatcherStatus
+
+__all__ = ["Dispatcher"]
+
+_PAUSE_MS = 500
+_NEW_WORK_STATES = frozenset({ServerState.ENTERING, ServerState.ACTIVE})
+
+
+class Dispatcher:
+    """Facade of admission, claims and answers at one instance.
+
+    Parameters
+    ----------
+    context : Context
+        Settings, neighbours and the plan in force.
+    started_at_ms : int
+        When the instance started.
+    """
+
+    def __init__(self, context: Context, started_at_ms: int = 0) -> None:
+        config = context.config
+        self._context = context
+        self._routes = Routes(context)
+        self._keeper = ClaimKeeper(config.claim_margin_ms, config.n_claims_max)
+        self._claimant = Claimant(context, self._keeper)
+        self._forwarder = Forwarder(context)
+        self._roles = RoleTable(context, self._routes, started_at_ms)
+        self._gates = GateTable(context, self._roles)
+        self._admission = AdmissionController(
+            context,
+            self._routes,
+            self._roles,
+            self._gates,
+            self._forwarder,
+            self._claimant,
+        )
+        self._ingress = Ingress(
+            context, self._routes, self._roles, self._forwarder, self._admission
+        )
+        self._answers = AnswerHandler(self._admission, self._gates)
+        self._seen_at_ms = started_at_ms
+
+    @classmethod
+    def from_config(
+        cls,
+        config: DispatcherConfig,
+        fleet: FleetView,
+        flows: FlowPort,
+        journal: Journal,
+        random_state: random.Random,
+        started_at_ms: int = 0,
+    ) -> "Dispatcher":
+        """Return a dispatcher without a plan yet."""
+        context = Context(config, fleet, flows, journal, random_state)
+        return cls(context, started_at_ms)
+
+    @property
+    def on_outcome(self) -> Callable[[Outcome], None] | None:
+        """Observer that is told how each request ended."""
+        return self._admission.on_outcome
+
+    @on_outcome.setter
+    def on_outcome(self, observer: Callable[[Outcome], None] | None) -> None:
+        self._admission.on_outcome = observer
+
+    @property
+    def n_in_flight(self) -> int:
+        """Outcomes that are owed; a leaving instance may exit at 0."""
+        return self._admission.ledger.n_open() + len(self._forwarder)
+
+    def on_plan(self, plan: Plan, now_ms: int) -> list[Effect]:
+        """Use a new plan; what waits for leaving servers goes elsewhere."""
+        former = self._context.plan
+        self._context.plan = plan
+        self._routes.forget()
+        former_in = [name for name in former.data_centres if not former.is_out(name)]
+        now_in = [name for name in plan.data_centres if not plan.is_out(name)]
+        if former_in and set(former_in) != set(now_in):
+            self._claimant.on_data_centres(former_in, now_ms)
+        effects: list[Effect] = []
+        for gate in self._gates.all():
+            if not self._takes_new_work(gate.server):
+                effects += self._admission.leave(gate, now_ms)
+            if gate.server not in plan.servers and not gate.in_flight:
+                self._gates.drop(gate.server)
+                self._roles.drop(gate.server)
+        return effects
+
+    def submit(self, datagram: Datagram, now_ms: int) -> list[Effect]:
+        """Handle an opening, a request or a cancellation from a caller."""
+        self._check_lease(now_ms)
+        return self._ingress.submit(datagram, now_ms)
+
+    def expects(self, datagram: Datagram) -> bool:
+        """Return whether a server's datagram belongs here and not to a flow."""
+        return self._answers.expects(datagram)
+
+    def on_server_datagram(
+        self, server: ServerId, datagram: Datagram, now_ms: int
+    ) -> list[Effect]:
+        """Handle a server's answer or report."""
+        self._check_lease(now_ms)
+        return self._answers.on_datagram(server, datagram, now_ms)
+
+    def on_message(
+        self, sender: InstanceId, message: Message, now_ms: int
+    ) -> list[Effect]:
+        """Handle a message of another instance."""
+        self._check_lease(now_ms)
+        return self._on_message(message, sender, now_ms)
+
+    def on_instance_state(
+        self, instance: InstanceId, state: InstanceState, now_ms: int
+    ) -> list[Effect]:
+        """Take in a change of the membership."""
+        self._routes.forget()
+        if state in (InstanceState.DEAD, InstanceState.LEFT):
+            self._roles.on_lost(instance, now_ms)
+        elif state is InstanceState.ALIVE:
+            self._roles.on_back(instance)
+        return []
+
+    def tick(self, now_ms: int) -> list[Effect]:
+        """Handle deadlines, queues, repeats and roles."""
+        self._check_lease(now_ms)
+        self._routes.tick(now_ms)
+        self._keeper.forget_expired(now_ms)
+        effects = self._claimant.tick(now_ms)
+        effects += self._admission.on_claims_decided(now_ms)
+        repeated, failed = self._forwarder.tick(now_ms)
+        effects += repeated
+        for forward in failed:
+            effects += self._ingress.on_unreceived(forward, now_ms)
+        effects += self._advance_roles(now_ms)
+        effects += self._admission.tick(now_ms)
+        return effects + self._gates.tick(now_ms)
+
+    def drain(self, now_ms: int) -> list[Effect]:
+        """Begin a planned stop: hand over what was not sent, and all claims."""
+        self._context.is_draining = True
+        self._routes.forget()
+        self._roles.suspend()
+        effects: list[Effect] = []
+        for gate in self._gates.all():
+            effects += self._admission.leave(gate, now_ms)
+        entries = self._keeper.entries(now_ms)
+        return effects + claim_handovers(self._context, entries)
+
+    def status(self, now_ms: int) -> DispatcherStatus:
+        """Return the limits, queues and states for operators."""
+        return DispatcherStatus(
+            is_draining=self._context.is_draining,
+            holds_lease=self._context.fleet.holds_lease(now_ms),
+            n_in_flight=self.n_in_flight,
+            n_requests_known=len(self._admission.ledger),
+            n_claims_kept=len(self._keeper),
+            servers=self._gates.status(now_ms),
+        )
+
+    def _check_lease(self, now_ms: int) -> None:
+        paused = now_ms - self._seen_at_ms > _PAUSE_MS
+        self._seen_at_ms = now_ms
+        if paused or not self._context.fleet.holds_lease(now_ms):
+            self._roles.suspend()
+
+    def _advance_roles(self, now_ms: int) -> list[Effect]:
+        effects, gained = self._roles.tick(now_ms)
+        for server in gained:
+            self._gates.on_gained(server, now_ms)
+            gate = self._gates.get(server)
+            if gate is not None:
+                effects += self._admission.pump(gate, now_ms)
+        return effects
+
+    def _takes_new_work(self, server: ServerId) -> bool:
+        planned = self._context.plan.servers.get(server)
+        if planned is None or self._context.plan.is_out(planned.data_centre):
+            return False
+        return planned.state in _NEW_WORK_STATES
+
+    @singledispatchmethod
+    def _on_message(
+        self, message: Message, sender: InstanceId, now_ms: int
+    ) -> list[Effect]:
+        raise TypeError(f"no handler for {type(message).__name__}")
+
+    @_on_message.register
+    def _(self, message: Forward, sender: InstanceId, now_ms: int) -> list[Effect]:
+        effects = self._ingress.on_forward(sender, message, now_ms)
+        gate = self._gates.get(message.server)
+        taken = Taken(
+            key=request_key(message.datagram),
+            hop=message.hop,
+            server=message.server,
+            n_waiting=gate.n_waiting() if gate is not None else 0,
+        )
+        return [SendToPeer(sender, taken), *effects]
+
+    @_on_message.register
+    def _(self, message: Taken, sender: InstanceId, now_ms: int) -> list[Effect]:
+        self._ingress.on_taken(sender, message, now_ms)
+        return []
+
+    @_on_message.register
+    def _(self, message: Claim, sender: InstanceId, now_ms: int) -> list[Effect]:
+        grant = self._keeper.claim(sender, message, now_ms)
+        effects: list[Effect] = [SendToPeer(sender, grant)]
+        if not self._context.is_draining:
+            return effects
+        entries = self._keeper.entries_of(message.key, now_ms)
+        return effects + claim_handovers(self._context, entries)
+
+    @_on_message.register
+    def _(self, message: Grant, sender: InstanceId, now_ms: int) -> list[Effect]:
+        effects = self._claimant.on_grant(sender, message, now_ms)
+        return effects + self._admission.on_claims_decided(now_ms)
+
+    @_on_message.register
+    def _(self, message: Withdraw, sender: InstanceId, now_ms: int) -> list[Effect]:
+        self._keeper.withdraw(sender, message)
+        return []
+
+    @_on_message.register
+    def _(self, message: Attach, sender: InstanceId, now_ms: int) -> list[Effect]:
+        return self._admission.on_attach(message.datagram, message.hop, now_ms)
+
+    @_on_message.register
+    def _(
+        self, message: ClaimHandover, sender: InstanceId, now_ms: int
+    ) -> list[Effect]:
+        for entry in message.entries:
+            self._keeper.restore(entry, now_ms)
+        return []
+
+    @_on_message.register
+    def _(self, message: RoleClaim, sender: InstanceId, now_ms: int) -> list[Effect]:
+        effects: list[Effect] = []
+        for server in message.servers:
+            effects += self._on_role_claim(sender, server, now_ms)
+        return effects
+
+    @_on_message.register
+    def _(self, message: RoleRelease, sender: InstanceId, now_ms: int) -> list[Effect]:
+        self._roles.on_release(sender, message)
+        self._gates.on_release(sender, message, now_ms)
+        return self._advance_roles(now_ms)
+
+    @_on_message.register
+    def _(self, message: LoadNotice, sender: InstanceId, now_ms: int) -> list[Effect]:
+        self._roles.on_notice(message)
+        return []
+
+    def _on_role_claim(
+        self, sender: InstanceId, server: ServerId, now_ms: int
+    ) -> list[Effect]:
+        self_id = self._context.fleet.self_id
+        if self._roles.on_claim(sender, server, now_ms):
+            return [SendToPeer(sender, RoleRelease(server, owner=self_id))]
+        gate = self._gates.get(server)
+        effects: list[Effect] = []
+        if gate is not None:
+            effects += self._admission.leave(gate, now_ms)
+        other = self._roles.other_owner(server, sender)
+        release = self._gates.release(server, other, now_ms)
+        return [SendToPeer(sender, release), *effects]
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/forwarder.py
@@ -0,0 +1,90 @@
+"""Sends forwards to admission owners until they are received."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from ..datagram import Kind
+from ..effects import Effect, SendToPeer
+from ..types import InstanceId
+from .context import Context
+from .keys import RequestKey, request_key
+from .messages import Forward, Taken
+from .work import with_remaining
+
+__all__ = ["Forwarder"]
+
+
+@dataclass(slots=True)
+class _Pending:
+    forward: Forward
+    target: InstanceId
+    deadline_at_ms: int
+    resend_at_ms: int
+    n_sends: int = 1
+
+
+class Forwarder:
+    """Repeats a forward until its receipt, and reports those without one.
+
+    Parameters
+    ----------
+    context : Context
+        Settings.
+    """
+
+    def __init__(self, context: Context) -> None:
+        self._config = context.config
+        self._pending: dict[tuple[RequestKey, int], _Pending] = {}
+
+    def __len__(self) -> int:
+        return len(self._pending)
+
+    def send(self, forward: Forward, target: InstanceId, now_ms: int) -> list[Effect]:
+        """Send a forward; requests and openings are repeated until received."""
+        if forward.datagram.kind is not Kind.CANCEL:
+            key = request_key(forward.datagram)
+            self._pending[key, forward.hop] = _Pending(
+                forward=forward,
+                target=target,
+                deadline_at_ms=now_ms + forward.datagram.deadline_ms,
+                resend_at_ms=now_ms + self._config.forward_resend_ms,
+            )
+        return [SendToPeer(target, forward)]
+
+    def on_taken(self, sender: InstanceId, taken: Taken) -> None:
+        """Stop repeating a forward that was received."""
+        pending = self._pending.get((taken.key, taken.hop))
+        if pending is not None and pending.target == sender:
+            del self._pending[taken.key, taken.hop]
+
+    def tick(self, now_ms: int) -> tuple[list[Effect], list[Forward]]:
+        """Repeat what is due.
+
+        Returns
+        -------
+        tuple of list
+            Effects, and the forwards whose target did not receive them.
+        """
+        effects: list[Effect] = []
+        failed: list[Forward] = []
+        for key, pending in list(self._pending.items()):
+            if now_ms < pending.resend_at_ms:
+                continue
+            forward = self._renewed(pending, now_ms)
+            late = now_ms >= pending.deadline_at_ms
+            if late or pending.n_sends >= self._config.n_forward_sends:
+                del self._pending[key]
+                failed.append(forward)
+                continue
+            pending.n_sends += 1
+            pending.resend_at_ms = now_ms + self._config.forward_resend_ms
+            effects.append(SendToPeer(pending.target, forward))
+        return effects, failed
+
+    @staticmethod
+    def _renewed(pending: _Pending, now_ms: int) -> Forward:
+        datagram = with_remaining(
+            pending.forward.datagram, pending.deadline_at_ms, now_ms
+        )
+        return msgspec.structs.replace(pending.forward, datagram=datagram)
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/gates.py
@@ -0,0 +1,162 @@
+"""The gates of the servers that this instance admits for."""
+
+from ..datagram import Datagram, Kind
+from ..effects import Effect, SendToPeer, SendToServer
+from ..load.gate import ServerGate
+from ..types import FlowId, InstanceId, ServerId
+from .context import Context
+from .keeper import NOBODY
+from .messages import RoleRelease
+from .roles import RoleState, RoleTable
+from .status import ServerStatus
+
+__all__ = ["GateTable"]
+
+
+class GateTable:
+    """Creates gates, and carries their state from one owner to the next.
+
+    Parameters
+    ----------
+    context : Context
+        Plan and settings.
+    roles : RoleTable
+        Which servers this instance admits for.
+    """
+
+    def __init__(self, context: Context, roles: RoleTable) -> None:
+        self._context = context
+        self._roles = roles
+        self._gates: dict[ServerId, ServerGate] = {}
+        self._notice_at_ms = 0
+
+    def get(self, server: ServerId) -> ServerGate | None:
+        """Return the gate of a server."""
+        return self._gates.get(server)
+
+    def gate(self, server: ServerId, now_ms: int) -> ServerGate:
+        """Return the gate of a server, a new one if need be."""
+        gate = self._gates.get(server)
+        if gate is None:
+            planned = self._context.plan.servers[server]
+            gate = ServerGate(
+                server,
+                planned.n_slots,
+                planned.n_flows_max,
+                self._context.config.limit,
+                now_ms,
+            )
+            self._gates[server] = gate
+        return gate
+
+    def all(self) -> list[ServerGate]:
+        """Return all gates."""
+        return list(self._gates.values())
+
+    def drop(self, server: ServerId) -> None:
+        """Forget the gate of a server that has left."""
+        self._gates.pop(server, None)
+
+    def on_gained(self, server: ServerId, now_ms: int) -> None:
+        """Start admission where the previous owner left it."""
+        role = self._roles.role(server)
+        if role is None or server not in self._context.plan.servers:
+            return
+        gate = self.gate(server, now_ms)
+        limits = [release.limit for release in role.answered.values()]
+        lost = self._roles.lost_holders(server)
+        if lost:
+            self._inherit_from_lost(gate, lost[0], now_ms)
+        elif max(limits, default=0) > 0:
+            gate.limit.assume_limit(max(limits), now_ms)
+        for sender, release in role.answered.items():
+            self._inherit(gate, sender, release, now_ms)
+
+    def on_release(self, sender: InstanceId, release: RoleRelease, now_ms: int) -> None:
+        """Take in how much of a previous owner's work is still in flight."""
+        gate = self._gates.get(release.server)
+        role = self._roles.role(release.server)
+        if gate is None or role is None or role.state is not RoleState.ACTIVE:
+            return
+        self._inherit(gate, sender, release, now_ms)
+
+    def release(self, server: ServerId, other: InstanceId, now_ms: int) -> RoleRelease:
+        """Return what the next owner must know."""
+        gate = self._gates.get(server)
+        if gate is None:
+            return RoleRelease(server, owner=other)
+        return RoleRelease(
+            server,
+            owner=other,
+            n_in_flight=gate.n_in_flight(now_ms),
+            remaining_ms=gate.remaining_ms(now_ms),
+            limit=gate.limit.limit,
+        )
+
+    def tick(self, now_ms: int) -> list[Effect]:
+        """Tell new holders what has ended, and those next in line the limits."""
+        effects: list[Effect] = []
+        for server in self._roles.servers(RoleState.RELEASED):
+            effects += self._tell_holder(server, now_ms)
+        if now_ms < self._notice_at_ms:
+            return effects
+        self._notice_at_ms = now_ms + self._context.config.notice_ms
+        for server in self._roles.servers(RoleState.ACTIVE):
+            gate = self._gates.get(server)
+            if gate is None:
+                continue
+            effects += self._roles.notice(server, gate.limit.limit)
+            effects += self._probe(server)
+        return effects
+
+    def status(self, now_ms: int) -> list[ServerStatus]:
+        """Return the state of each gate."""
+        return [self._status(gate, now_ms) for gate in self._gates.values()]
+
+    def _status(self, gate: ServerGate, now_ms: int) -> ServerStatus:
+        role = self._roles.role(gate.server)
+        return ServerStatus(
+            server=gate.server,
+            role=role.state.value if role is not None else "none",
+            state=gate.limit.state.value,
+            reason=gate.limit.reason,
+            limit=gate.limit.allowed(now_ms),
+            n_in_flight=gate.n_in_flight(now_ms),
+            n_queued=len(gate.queue),
+            n_flows=gate.n_flows,
+            latency_ms=gate.limit.latency.expected_ms(0),
+        )
+
+    def _inherit(
+        self, gate: ServerGate, sender: InstanceId, release: RoleRelease, now_ms: int
+    ) -> None:
+        until_ms = now_ms + release.remaining_ms
+        gate.inherit(sender, release.n_in_flight, until_ms)
+
+    def _inherit_from_lost(
+        self, gate: ServerGate, lost: InstanceId, now_ms: int
+    ) -> None:
+        if self._roles.noticed_limit(gate.server) >= gate.limit.n_slots:
+            # A warm server bears one request more until the lost ones have ended.
+            return
+        config = self._context.config
+        longest_ms = config.deadline_max_ms + config.limit.silence_grace_ms
+        gate.inherit(lost, gate.limit.n_slots, now_ms + longest_ms)
+
+    def _tell_holder(self, server: ServerId, now_ms: int) -> list[Effect]:
+        role = self._roles.role(server)
+        gate = self._gates.get(server)
+        if role is None or gate is None:
+            return []
+        n_in_flight = gate.n_in_flight(now_ms)
+        if n_in_flight == role.n_told:
+            return []
+        role.n_told = n_in_flight
+        return [SendToPeer(role.holder, self.release(server, NOBODY, now_ms))]
+
+    def _probe(self, server: ServerId) -> list[Effect]:
+        planned = self._context.plan.servers.get(server)
+        if planned is None or self._context.plan.is_out(planned.data_centre):
+            return []
+        probe = Datagram(kind=Kind.PROBE, service=planned.service, flow=FlowId(0))
+        return [SendToServer(server, probe)]
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/ingress.py
@@ -0,0 +1,169 @@
+"""Way of a caller's datagram to an admission owner."""
+
+import msgspec
+
+from ..datagram import Datagram, Kind, RefusalCode
+from ..effects import Effect
+from ..types import InstanceId, ServerId
+from .admission import AdmissionController
+from .context import Context
+from .forwarder import Forwarder
+from .keys import request_key
+from .messages import Forward, Taken
+from .roles import RoleTable
+from .routes import Routes
+from .work import WorkState
+
+__all__ = ["Ingress"]
+
+_HINT_MS = 300
+_N_COMPARED = 2
+_LOAD_MARGIN = 2
+
+
+class Ingress:
+    """Chooses a server for each request and forwards it to the server's owner.
+
+    Parameters
+    ----------
+    context : Context
+        Plan, fleet and settings.
+    routes : Routes
+        Servers that a request may go to.
+    roles : RoleTable
+        Holders of the servers' roles.
+    forwarder : Forwarder
+        Way to other owners.
+    admission : AdmissionController
+        Admission for the servers that this instance owns.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        routes: Routes,
+        roles: RoleTable,
+        forwarder: Forwarder,
+        admission: AdmissionController,
+    ) -> None:
+        self._context = context
+        self._routes = routes
+        self._roles = roles
+        self._forwarder = forwarder
+        self._admission = admission
+        self._hints: dict[ServerId, tuple[int, int]] = {}
+
+    def submit(self, datagram: Datagram, now_ms: int) -> list[Effect]:
+        """Handle a datagram of a caller."""
+        datagram = self._with_deadline(datagram)
+        if datagram.kind is Kind.CANCEL:
+            return self._cancel(datagram, now_ms)
+        work = self._admission.ledger.get(request_key(datagram))
+        if work is not None:
+            return self._admission.repeat(work, datagram, now_ms)
+        forward = Forward(datagram, ServerId(""))
+        return self.dispatch(forward, now_ms)
+
+    def dispatch(self, forward: Forward, now_ms: int) -> list[Effect]:
+        """Forward a request to the owner of the best server."""
+        servers = self._routes.servers_for(forward.datagram, forward.tried)
+        if not servers:
+            code = RefusalCode.UNREACHABLE if forward.tried else RefusalCode.NO_SERVER
+            return self._admission.refuse_unplaced(forward, code, now_ms)
+        server = self._best(forward.datagram, servers, now_ms)
+        target = self._roles.holder_of(server, now_ms)
+        forward = msgspec.structs.replace(
+            forward, server=server, revision=self._context.plan.revision
+        )
+        if target is None or target == self._context.fleet.self_id:
+            return self._admission.admit(forward, now_ms)
+        return self._forwarder.send(forward, target, now_ms)
+
+    def on_forward(
+        self, sender: InstanceId, forward: Forward, now_ms: int
+    ) -> list[Effect]:
+        """Handle a request that another instance forwarded."""
+        if forward.datagram.kind is Kind.CANCEL:
+            return self._cancel_here(forward.datagram, now_ms)
+        work = self._admission.ledger.get(request_key(forward.datagram))
+        if work is None:
+            return self._take(forward, now_ms)
+        if forward.is_claimed and (forward.hop > work.hop or not work.is_claimed):
+            return self._take(forward, now_ms)
+        came_round = forward.hop > work.hop and not work.is_claimed
+        if came_round and work.state is WorkState.MOVED:
+            return self._take(forward, now_ms)
+        return self._admission.repeat(work, forward.datagram, now_ms, forward.hop)
+
+    def on_unreceived(self, forward: Forward, now_ms: int) -> list[Effect]:
+        """Go on with a request whose forward was not received."""
+        work = self._admission.ledger.get(request_key(forward.datagram))
+        if work is not None:
+            if work.state is WorkState.MOVED and work.hop == forward.hop:
+                return self._admission.reroute(work, now_ms)
+            return []
+        if forward.hop >= self._context.config.n_hops_max:
+            code = RefusalCode.UNREACHABLE
+            return self._admission.refuse_unplaced(forward, code, now_ms)
+        forward = msgspec.structs.replace(
+            forward,
+            hop=forward.hop + 1,
+            tried=(*forward.tried, forward.server),
+            is_uncertain=True,
+        )
+        return self.dispatch(forward, now_ms)
+
+    def on_taken(self, sender: InstanceId, taken: Taken, now_ms: int) -> None:
+        """Take in a receipt and the load that it tells."""
+        self._forwarder.on_taken(sender, taken)
+        self._hints[taken.server] = (taken.n_waiting, now_ms)
+
+    def _take(self, forward: Forward, now_ms: int) -> list[Effect]:
+        if forward.server not in self._context.plan.servers:
+            code = RefusalCode.NO_SERVER
+            return self._admission.refuse_unplaced(forward, code, now_ms)
+        target = self._roles.holder_of(forward.server, now_ms)
+        if target == self._context.fleet.self_id:
+            return self._admission.admit(forward, now_ms)
+        return self._admission.relay(forward, now_ms)
+
+    def _best(
+        self, datagram: Datagram, servers: list[ServerId], now_ms: int
+    ) -> ServerId:
+        if datagram.kind is Kind.OPEN or len(servers) < _N_COMPARED:
+            # Transmissions of an opening must meet at one owner.
+            return servers[0]
+        first, second = servers[:_N_COMPARED]
+        n_more = self._hint(first, now_ms) - self._hint(second, now_ms)
+        return second if n_more >= _LOAD_MARGIN else first
+
+    def _hint(self, server: ServerId, now_ms: int) -> int:
+        n_waiting, at_ms = self._hints.get(server, (0, 0))
+        return n_waiting if now_ms - at_ms <= _HINT_MS else 0
+
+    def _with_deadline(self, datagram: Datagram) -> Datagram:
+        config = self._context.config
+        asked_ms = datagram.deadline_ms or config.deadline_default_ms
+        deadline_ms = min(max(1, asked_ms), config.deadline_max_ms)
+        return msgspec.structs.replace(datagram, deadline_ms=deadline_ms)
+
+    def _cancel(self, datagram: Datagram, now_ms: int) -> list[Effect]:
+        effects: list[Effect] = []
+        targets = set()
+        for server in self._routes.servers_for(datagram, ()):
+            target = self._roles.holder_of(server, now_ms)
+            if target is None or target in targets:
+                continue
+            targets.add(target)
+            if target != self._context.fleet.self_id:
+                forward = Forward(datagram, server)
+                effects += self._forwarder.send(forward, target, now_ms)
+        return effects + self._cancel_here(datagram, now_ms)
+
+    def _cancel_here(self, datagram: Datagram, now_ms: int) -> list[Effect]:
+        key = request_key(datagram)
+        self._admission.ledger.cancel_early(key, now_ms)
+        work = self._admission.ledger.get(key)
+        if work is None:
+            return []
+        return self._admission.cancel(work, datagram, now_ms)
--- /dev/null
+++ b/packages/sapphirerail-core/tests/request/test_dispatcher.py
@@ -0,0 +1,114 @@
+from bench.request_world import SERVICE, RequestWorld, small_plan
+
+from sapphirerail_core.datagram import Datagram, Kind, RefusalCode, Run
+from sapphirerail_core.types import FlowId, InstanceId, RequestId, ServiceId
+
+
+def warm_world(**kwargs) -> RequestWorld:
+    world = RequestWorld(small_plan(), n_instances=3, **kwargs)
+    world.run(1_000)
+    return world
+
+
+def test_a_request_is_answered_once_with_its_own_answer():
+    world = warm_world()
+    world.request(7)
+    world.run(2_500)
+    assert [part.body for part in world.answers[7, 1]] == [b"answer 7/1"]
+    assert world.runs[7, 1] == 1
+
+
+def test_all_parts_arrive():
+    world = warm_world()
+    for server in world.servers.values():
+        server.n_parts = 3
+    world.request(7)
+    world.run(2_500)
+    assert sorted(part.part for part in world.answers[7, 1]) == [0, 1, 2]
+
+
+def test_a_retransmission_over_other_instances_runs_once():
+    world = warm_world()
+    for attempt, name in enumerate(sorted(world.nodes)):
+        world.request(7, attempt=attempt, name=name)
+    world.run(2_500)
+    assert world.runs[7, 1] == 1
+    assert world.answers[7, 1]
+
+
+def test_a_retransmission_after_the_answer_gets_the_kept_answer():
+    world = warm_world()
+    world.request(7)
+    world.run(500)
+    n_before = len(world.answers[7, 1])
+    world.request(7, attempt=1)
+    world.run(500)
+    assert world.runs[7, 1] == 1
+    assert len(world.answers[7, 1]) == n_before + 1
+
+
+def test_an_opening_is_acknowledged_and_opened_once():
+    world = warm_world()
+    for attempt in range(3):
+        world.request(7, 0, attempt=attempt, kind=Kind.OPEN)
+    world.run(2_500)
+    assert world.answers[7, 0]
+    assert sum(node.flows.n_opened[7] for node in world.nodes.values()) == 1
+
+
+def test_a_request_for_a_service_without_servers_is_refused_as_not_run():
+    world = warm_world()
+    datagram = Datagram(
+        kind=Kind.REQUEST,
+        service=ServiceId("none"),
+        flow=FlowId(9),
+        request=RequestId(1),
+        caller="caller:9",
+    )
+    world.submit(InstanceId("dc0-0"), datagram)
+    world.run(1_000)
+    refusal = world.refusals[9, 1][0]
+    assert (refusal.code, refusal.run) == (RefusalCode.NO_SERVER, Run.NO)
+
+
+def test_a_silent_server_is_answered_as_unknown_at_the_deadline():
+    world = warm_world()
+    for server in world.servers.values():
+        server.is_stuck = True
+    world.request(7, deadline_ms=500)
+    world.run(1_000)
+    assert [r.run for r in world.refusals[7, 1]] == [Run.UNKNOWN]
+    assert world.refusals[7, 1][0].code is RefusalCode.SERVER_LOST
+
+
+def test_a_cancellation_that_overtakes_its_request_counts():
+    world = warm_world()
+    world.request(7, kind=Kind.CANCEL)
+    world.run(50)
+    world.request(7)
+    world.run(1_000)
+    assert world.runs[7, 1] == 0
+    assert world.refusals[7, 1][0].code is RefusalCode.CANCELLED
+    assert world.refusals[7, 1][0].run is Run.NO
+
+
+def test_status_names_each_owned_server_and_its_state():
+    world = warm_world()
+    for flow in range(40):
+        world.request(flow + 1)
+    world.run(3_000)
+    states = [
+        server
+        for node in world.nodes.values()
+        for server in node.dispatcher.status(world.now_ms).servers
+        if server.role == "active"
+    ]
+    assert {s.server for s in states} == set(world.plan.servers)
+    assert {s.state for s in states} == {"warming"}
+
+
+def test_services_stay_apart():
+    world = warm_world()
+    world.request(7)
+    world.run(1_000)
+    assert all(part.service == SERVICE for part in world.answers[7, 1])
