--- /dev/null
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/history.py
@@ -0,0 +1,216 @@
+"""What callers, backend servers and operators saw, as typed events."""
+
+from enum import Enum
+
+import msgspec
+
+from sapphirerail_core.datagram import Kind, RefusalCode, Run
+from sapphirerail_core.types import TrafficClass
+
+__all__ = [
+    "Answered",
+    "Arrived",
+    "ColdOverload",
+    "Corrupted",
+    "Event",
+    "FlowEnded",
+    "FlowEnding",
+    "FlowOpened",
+    "HistoryEvent",
+    "InstanceStopped",
+    "Misdelivered",
+    "PlanChanged",
+    "Refused",
+    "RevisionSeen",
+    "RunEnded",
+    "RunStarted",
+    "Sent",
+    "ServerFailed",
+    "TimedOut",
+    "in_order",
+]
+
+
+class Event(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Something that happened at a moment of the machine's monotonic clock."""
+
+    at_ms: int
+
+
+class Sent(Event, frozen=True, kw_only=True, tag=True):
+    """A caller sent an opening or a request, for the first time or again."""
+
+    kind: Kind
+    service: str
+    flow: int
+    request: int = 0
+    attempt: int = 0
+    idempotent: bool = False
+
+
+class Answered(Event, frozen=True, kw_only=True, tag=True):
+    """A caller got a whole answer and found it to be its own."""
+
+    flow: int
+    request: int
+    server: str
+
+
+class Corrupted(Event, frozen=True, kw_only=True, tag=True):
+    """A caller put an answer together that is not whole or not its own."""
+
+    flow: int
+    request: int
+    detail: str
+
+
+class Refused(Event, frozen=True, kw_only=True, tag=True):
+    """A caller got a refusal of a request or of an opening."""
+
+    flow: int
+    request: int
+    code: RefusalCode
+    run: Run
+
+
+class TimedOut(Event, frozen=True, kw_only=True, tag=True):
+    """A caller got no whole answer by its deadline."""
+
+    flow: int
+    request: int
+
+
+class Misdelivered(Event, frozen=True, kw_only=True, tag=True):
+    """A caller got a datagram of a flow or a service that is not its own."""
+
+    flow: int
+    request: int
+    detail: str
+
+
+class FlowOpened(Event, frozen=True, kw_only=True, tag=True):
+    """A caller's opening was acknowledged."""
+
+    flow: int
+    traffic_class: TrafficClass
+
+
+class FlowEnding(Enum):
+    """How a flow ended for its caller."""
+
+    CLOSED = "closed"
+    COMPLETE = "complete"
+    SILENT = "silent"
+    RESET = "reset"
+
+
+class FlowEnded(Event, frozen=True, kw_only=True, tag=True):
+    """A flow ended for its caller."""
+
+    flow: int
+    ending: FlowEnding
+    code: RefusalCode = RefusalCode.NONE
+
+
+class Arrived(Event, frozen=True, kw_only=True, tag=True):
+    """A backend server received a datagram."""
+
+    server: str
+    served: str
+    service: str
+    kind: Kind
+    flow: int
+    request: int
+    attempt: int
+    is_new_work: bool
+
+
+class RunStarted(Event, frozen=True, kw_only=True, tag=True):
+    """A backend server began to run a request."""
+
+    server: str
+    flow: int
+    request: int
+    attempt: int
+    idempotent: bool
+
+
+class RunEnded(Event, frozen=True, kw_only=True, tag=True):
+    """A backend server finished a run, or gave it up."""
+
+    server: str
+    flow: int
+    request: int
+    is_complete: bool
+
+
+class ColdOverload(Event, frozen=True, kw_only=True, tag=True):
+    """A cold backend server received more than it bears and fell silent."""
+
+    server: str
+    n_in_flight: int
+    n_bearable: int
+    cold_since_ms: int
+
+
+class ServerFailed(Event, frozen=True, kw_only=True, tag=True):
+    """A backend server was broken on purpose; its flows may be lost."""
+
+    server: str
+
+
+class InstanceStopped(Event, frozen=True, kw_only=True, tag=True):
+    """An instance was stopped, in a planned way or by a kill."""
+
+    instance: str
+    is_planned: bool
+    ended_ms: int
+
+
+class PlanChanged(Event, frozen=True, kw_only=True, tag=True):
+    """An accepted line of a sheet changed a backend server or a data centre.
+
+    Parameters
+    ----------
+    subject : str
+        Name of the backend server or of the data centre.
+    state : str
+        Its new state: of a server ``entering``, ``active``, ``draining`` or
+        ``left``; of a data centre ``in`` or ``out``.
+    """
+
+    subject: str
+    state: str
+
+
+class RevisionSeen(Event, frozen=True, kw_only=True, tag=True):
+    """A revision that an instance acted on or the store's root held."""
+
+    where: str
+    revision: int
+
+
+HistoryEvent = (
+    Sent
+    | Answered
+    | Corrupted
+    | Refused
+    | TimedOut
+    | Misdelivered
+    | FlowOpened
+    | FlowEnded
+    | Arrived
+    | RunStarted
+    | RunEnded
+    | ColdOverload
+    | ServerFailed
+    | InstanceStopped
+    | PlanChanged
+    | RevisionSeen
+)
+
+
+def in_order(*records: list[HistoryEvent]) -> list[HistoryEvent]:
+    """Return the events of several records in order of time."""
+    merged = [event for record in records for event in record]
+    return sorted(merged, key=lambda event: event.at_ms)
--- /dev/null
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/link.py
@@ -0,0 +1,113 @@
+"""The fault-injecting link: relays of datagrams and streams in one process."""
+
+from enum import Enum
+from fnmatch import fnmatchcase
+from typing import Annotated
+
+import msgspec
+import typer
+
+from sapphirerail_transport.http import (
+    HttpError,
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+)
+from sapphirerail_transport.udp import format_address, parse_address
+
+from .clock import LoopClock
+from .link_faults import FaultRule, FaultRules
+from .process import LOOPBACK, run, split_path
+from .tcp_relay import TcpRelay
+from .udp_relay import UdpRelay
+
+__all__ = ["Link", "Protocol", "RelaySpec"]
+
+
+class Protocol(Enum):
+    """What a relay passes on."""
+
+    UDP = "udp"
+    TCP = "tcp"
+
+
+class RelaySpec(msgspec.Struct, frozen=True):
+    """A relay to open."""
+
+    name: str
+    target: str
+    protocol: Protocol = Protocol.UDP
+
+
+class _Silence(msgspec.Struct):
+    relay: str = "*"
+
+
+class Link:
+    """Opens relays and injects faults as it is told.
+
+    ``POST /relays`` with a `RelaySpec` returns the relay's address, ``POST /faults``
+    adds a `FaultRule`, ``DELETE /faults`` removes all, and ``POST /silence`` lets
+    the flows and connections that relays have seen go silent for good.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the random faults.
+    """
+
+    def __init__(self, seed: int = 0) -> None:
+        self._rules = FaultRules(seed)
+        self._relays: list[UdpRelay | TcpRelay] = []
+        self._http = HttpServer(self._handle)
+
+    async def start(self) -> dict[str, str]:
+        """Listen for admin calls."""
+        admin = await self._http.start(parse_address(LOOPBACK))
+        return {"admin_address": format_address(admin)}
+
+    async def close(self) -> None:
+        """Close all relays."""
+        await self._http.close()
+        for relay in self._relays:
+            await relay.close()
+
+    async def _handle(self, request: HttpRequest) -> HttpResponse:
+        call, _ = split_path(request)
+        if call == "relays" and request.method == "POST":
+            return HttpResponse({"address": await self._open(request.json(RelaySpec))})
+        if call == "faults" and request.method == "POST":
+            self._rules.add(request.json(FaultRule))
+        elif call == "faults" and request.method == "DELETE":
+            self._rules.clear()
+        elif call == "silence":
+            self._silence(request.json(_Silence).relay)
+        else:
+            raise HttpError(404, "http.no_such_call", request.path)
+        return HttpResponse({})
+
+    async def _open(self, spec: RelaySpec) -> str:
+        target = parse_address(spec.target)
+        relay: UdpRelay | TcpRelay
+        if spec.protocol is Protocol.UDP:
+            relay = UdpRelay(spec.name, target, self._rules, LoopClock())
+        else:
+            relay = TcpRelay(spec.name, target, self._rules)
+        self._relays.append(relay)
+        return format_address(await relay.start((target[0], 0)))
+
+    def _silence(self, pattern: str) -> None:
+        for relay in self._relays:
+            if fnmatchcase(relay.name, pattern):
+                relay.silence()
+
+
+def main(
+    seed: Annotated[int, typer.Option(help="Seed of the random faults.")] = 0,
+) -> None:
+    """Relay datagrams and streams until SIGTERM."""
+    run(Link(seed))
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/udp_relay.py
@@ -0,0 +1,119 @@
+"""A datagram relay that faults are injected into."""
+
+import asyncio
+from functools import partial
+
+from sapphirerail_core.errors import InputError
+from sapphirerail_transport.datagram_codec import decode_datagram
+from sapphirerail_transport.udp import Address, UdpSocket, format_address
+
+from .clock import Clock
+from .link_faults import Direction, FaultRules
+
+__all__ = ["UdpRelay"]
+
+
+class _Session:
+    """What one sender sends through a relay, from a socket of its own."""
+
+    def __init__(self, sender: Address) -> None:
+        self.sender = sender
+        self.name = format_address(sender)
+        self.socket: UdpSocket | None = None
+        self.waiting: list[bytes] = []
+
+
+class UdpRelay:
+    """Passes datagrams between its senders and one target.
+
+    Each sender is given a socket of its own towards the target, so that the target
+    can answer to it.
+
+    Parameters
+    ----------
+    name : str
+        What rules name it by.
+    target : tuple of str and int
+        Where datagrams go.
+    rules : FaultRules
+        What goes wrong.
+    clock : Clock
+        Timers of the delays.
+    """
+
+    def __init__(
+        self, name: str, target: Address, rules: FaultRules, clock: Clock
+    ) -> None:
+        self.name = name
+        self._target = target
+        self._rules = rules
+        self._clock = clock
+        self._sessions: dict[Address, _Session] = {}
+        self._seen: set[str] = set()
+        self._silent: set[str] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self, address: Address) -> Address:
+        """Listen on an address and return the one that was bound."""
+        self._socket = await UdpSocket.bind(address, self._on_forward)
+        return self._socket.address
+
+    async def close(self) -> None:
+        """Close all sockets."""
+        self._socket.close()
+        for session in self._sessions.values():
+            if session.socket is not None:
+                session.socket.close()
+
+    def silence(self) -> None:
+        """Let nothing of what passed until now pass again; new flows still do.
+
+        A flow is known by its number; where there is none, by its sender.
+        """
+        self._silent |= self._seen
+
+    def _on_forward(self, payload: bytes, sender: Address) -> None:
+        session = self._sessions.get(sender)
+        if session is None:
+            session = _Session(sender)
+            self._sessions[sender] = session
+            task = asyncio.create_task(self._open(session))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        self._pass(payload, session, Direction.FORWARD)
+
+    async def _open(self, session: _Session) -> None:
+        def on_back(payload: bytes, _: Address) -> None:
+            self._pass(payload, session, Direction.BACK)
+
+        session.socket = await UdpSocket.bind((self._target[0], 0), on_back)
+        for payload in session.waiting:
+            session.socket.send(payload, self._target)
+        session.waiting.clear()
+
+    def _pass(self, payload: bytes, session: _Session, direction: Direction) -> None:
+        key = _flow_or_sender(payload, session.name)
+        self._seen.add(key)
+        if key in self._silent:
+            return
+        for delay_ms in self._rules.delays_ms(self.name, session.name, direction):
+            send = partial(self._send, payload, session, direction)
+            if delay_ms:
+                self._clock.call_later(delay_ms, send)
+            else:
+                send()
+
+    def _send(self, payload: bytes, session: _Session, direction: Direction) -> None:
+        if direction is Direction.BACK:
+            self._socket.send(payload, session.sender)
+        elif session.socket is None:
+            session.waiting.append(payload)
+        else:
+            session.socket.send(payload, self._target)
+
+
+def _flow_or_sender(payload: bytes, sender: str) -> str:
+    try:
+        return f"flow {decode_datagram(payload).flow}"
+    except InputError:
+        return sender
