--- /dev/null
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/flow_checks.py
@@ -0,0 +1,90 @@
+"""Checks over flows and over where packets went."""
+
+from collections.abc import Sequence
+
+from sapphirerail_core.datagram import Kind
+
+from .history import (
+    Arrived,
+    FlowEnded,
+    FlowEnding,
+    FlowOpened,
+    HistoryEvent,
+    PlanChanged,
+    ServerFailed,
+    ServerPlaced,
+    TimedOut,
+)
+from .violation import Limits, Violation, of_flow, with_surroundings
+
+__all__ = [
+    "broken_flows",
+    "established_flow_survives",
+    "no_packet_to_another_service",
+]
+
+BREAKS = (FlowEnding.SILENT, FlowEnding.RESET)
+
+
+def broken_flows(events: Sequence[HistoryEvent]) -> list[FlowEnded | TimedOut]:
+    """Return how each established flow broke that did, whatever the reason."""
+    opened = {event.flow for event in events if isinstance(event, FlowOpened)}
+    return [
+        event
+        for event in events
+        if (isinstance(event, FlowEnded) and event.ending in BREAKS)
+        or (isinstance(event, TimedOut) and event.request == 0)
+        if event.flow in opened
+    ]
+
+
+def established_flow_survives(
+    events: Sequence[HistoryEvent], limits: Limits
+) -> list[Violation]:
+    """Check that flows break only with their server or their data centre."""
+    found = []
+    for end in broken_flows(events):
+        if _is_given_up(events, end):
+            continue
+        trace = with_surroundings(events, of_flow(events, end.flow))
+        detail = f"flow {end.flow} broke: {end}"
+        found.append(Violation("established_flow_survives", detail, trace))
+    return found
+
+
+def no_packet_to_another_service(
+    events: Sequence[HistoryEvent], limits: Limits
+) -> list[Violation]:
+    """Check that servers only got datagrams of the service that they serve."""
+    found = []
+    for event in events:
+        if isinstance(event, Arrived) and event.service != event.served:
+            trace = with_surroundings(events, of_flow(events, event.flow))
+            detail = f"{event.server} got a packet of {event.service!r}"
+            found.append(Violation("no_packet_to_another_service", detail, trace))
+    return found
+
+
+def _is_given_up(events: Sequence[HistoryEvent], end: FlowEnded | TimedOut) -> bool:
+    """Return whether a flow's server failed or its data centre was taken out."""
+    servers = {
+        event.server
+        for event in events
+        if isinstance(event, Arrived)
+        and event.flow == end.flow
+        and event.kind is Kind.OPEN
+    }
+    places = {
+        event.data_centre
+        for event in events
+        if isinstance(event, ServerPlaced) and event.server in servers
+    }
+    for event in events:
+        if event.at_ms > end.at_ms:
+            continue
+        if isinstance(event, ServerFailed) and event.server in servers:
+            return True
+        if isinstance(event, PlanChanged) and event.state == "out":
+            if event.subject in places:
+                return True
+    return False
--- /dev/null
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/harness.py
@@ -0,0 +1,190 @@
+"""Starts a whole system of real processes, and ends every one of them."""
+
+import asyncio
+
+import msgspec
+
+from sapphirerail_transport.http import HttpClient
+from sapphirerail_transport.udp import parse_address
+
+from .callers import Callers
+from .child import Child
+from .clock import LoopClock
+from .history import PLATFORM, HistoryEvent, Partitioned, RevisionSeen, in_order
+from .instance_group import InstanceGroup
+from .key_value import Write
+from .launcher import Launcher
+from .link import Protocol
+from .link_control import LinkControl
+from .operators import CommandResult, Operators
+from .platform import Faults
+from .server_group import ServerGroup
+from .sheets import first_sheet
+from .topology import SystemSpec
+from .waiting import wait_until
+
+__all__ = ["System"]
+
+ROOT_KEY = "plan-root"
+
+
+class _Root(msgspec.Struct):
+    """What is read of the plan's root value."""
+
+    revision: int
+
+
+class System:
+    """A platform, data centres with instances, servers, fabrics and links.
+
+    Use it as an asynchronous context manager: however the block is left, every
+    process that was started is ended.
+
+    Parameters
+    ----------
+    spec : SystemSpec
+        What to start.
+    """
+
+    def __init__(self, spec: SystemSpec) -> None:
+        self.spec = spec
+        self.launcher = Launcher(spec.seed)
+        self.servers = ServerGroup(self.launcher)
+        self.callers: dict[str, Callers] = {}
+        self._platforms: dict[str, str] = {}
+        self._fabrics: dict[str, Child] = {}
+        self._events: list[HistoryEvent] = []
+
+    async def __aenter__(self) -> "System":
+        try:
+            await self._start()
+        except BaseException:
+            await self._end()
+            raise
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self._end()
+
+    @property
+    def links(self) -> LinkControl:
+        """The fault-injecting links."""
+        assert self.launcher.links is not None, "the system was started without links"
+        return self.launcher.links
+
+    def platform(self) -> HttpClient:
+        """Return a client of the platform that no link stands before."""
+        return HttpClient(parse_address(self._platforms["address"]))
+
+    async def break_platform(self, faults: Faults) -> None:
+        """Replace the platform's faults."""
+        await self.platform().call("PUT", "/admin/faults", faults)
+
+    async def writes(self) -> list[Write]:
+        """Return every write that took effect in the platform."""
+        answer = await self.platform().call("GET", "/admin/writes")
+        return msgspec.json.decode(answer, type=list[Write])
+
+    async def apply_first_sheet(self) -> CommandResult:
+        """Apply the sheet of everything that was started, and wait for it."""
+        rows = first_sheet(self.spec, self.servers.running.values())
+        result = await self.operators.apply(rows)
+        if result.exit_code != 0:
+            raise AssertionError(f"the first sheet was not applied: {result}")
+        await self.in_force(result.revision)
+        return result
+
+    async def in_force(
+        self, revision: int, names: list[str] | None = None, timeout_ms: int = 20_000
+    ) -> int:
+        """Wait until instances act on a revision; return the milliseconds."""
+
+        async def has_come() -> bool:
+            seen = await self.instances.revisions()
+            wanted = list(self.instances.running) if names is None else names
+            return all(seen.get(name, 0) >= revision for name in wanted)
+
+        return await wait_until(f"revision {revision} in force", has_come, timeout_ms)
+
+    async def partition(self, data_centre: str, *, with_platform: bool = True) -> None:
+        """Cut a data centre off from the others and from the platform."""
+        inside = [
+            instance.child.ready["server_address"]
+            for instance in self.instances.of(data_centre)
+        ]
+        await self.links.partition(data_centre, inside, with_platform=with_platform)
+        self._note_partition(data_centre, is_healed=False)
+
+    async def heal(self, data_centre: str) -> None:
+        """Mend all links."""
+        await self.links.mend()
+        self._note_partition(data_centre, is_healed=True)
+
+    async def history(self) -> list[HistoryEvent]:
+        """Return all events of callers, servers, platform and operators in order."""
+        records = [record.events for record in await self.servers.records()]
+        records += [callers.events for callers in self.callers.values()]
+        records += [self.instances.events, self.servers.events, self.operators.events]
+        return in_order(self._events, await self._root_revisions(), *records)
+
+    async def _root_revisions(self) -> list[HistoryEvent]:
+        return [
+            RevisionSeen(
+                at_ms=write.at_ms,
+                where=PLATFORM,
+                revision=msgspec.json.decode(write.value, type=_Root).revision,
+            )
+            for write in await self.writes()
+            if write.key == ROOT_KEY and write.value is not None
+        ]
+
+    def _note_partition(self, data_centre: str, *, is_healed: bool) -> None:
+        event = Partitioned(
+            at_ms=LoopClock().now_ms(), data_centre=data_centre, is_healed=is_healed
+        )
+        self._events.append(event)
+
+    async def _start(self) -> None:
+        await self._start_platform()
+        async with asyncio.TaskGroup() as group:
+            for data_centre in self.spec.data_centres:
+                group.create_task(self._start_fabric(data_centre))
+            for server in self.spec.servers:
+                group.create_task(self.servers.add(server))
+        self.instances = InstanceGroup(
+            self.spec, self.launcher, self._platforms, self._fabrics
+        )
+        self.operators = Operators(self._platforms["address"])
+        async with asyncio.TaskGroup() as group:
+            for data_centre in self.spec.data_centres:
+                for letter in "abcdefgh"[: self.spec.n_instances]:
+                    name = f"{data_centre}-{letter}"
+                    group.create_task(self.instances.add(data_centre, name))
+
+    async def _start_platform(self) -> None:
+        flags = [f"--view={view}" for view in self.spec.data_centres]
+        child = await self.launcher.start_module("platform", "platform", flags)
+        self._platforms.update(child.ready)
+        if not self.spec.has_links:
+            return
+        await self.launcher.start_link()
+        for view in self.spec.data_centres:
+            self._platforms[view] = await self.launcher.address(
+                f"platform/{view}", child, view, Protocol.TCP
+            )
+
+    async def _start_fabric(self, data_centre: str) -> None:
+        flags = ["--seed", str(self.spec.seed), "--stale-ms", str(self.spec.stale_ms)]
+        name = f"fabric of {data_centre}"
+        child = await self.launcher.start_module(name, "fabric", flags)
+        address = await self.launcher.address(f"fabric/{data_centre}", child, "address")
+        self._fabrics[data_centre] = child
+        number = self.spec.data_centres.index(data_centre)
+        callers = Callers(parse_address(address), self.spec.seed * 1000 + number)
+        await callers.start(("127.0.0.1", 0))
+        self.callers[data_centre] = callers
+
+    async def _end(self) -> None:
+        for callers in self.callers.values():
+            callers.close()
+        await self.launcher.end_all()
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/history.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/history.py
@@ -8,6 +8,7 @@
 from sapphirerail_core.types import TrafficClass
 
 __all__ = [
+    "PLATFORM",
     "Answered",
     "Arrived",
     "ColdOverload",
@@ -19,6 +20,7 @@
     "HistoryEvent",
     "InstanceStopped",
     "Misdelivered",
+    "Partitioned",
     "PlanChanged",
     "Refused",
     "RevisionSeen",
@@ -26,10 +28,14 @@
     "RunStarted",
     "Sent",
     "ServerFailed",
+    "ServerPlaced",
+    "SheetAccepted",
     "TimedOut",
     "in_order",
 ]
 
+PLATFORM = "platform"
+
 
 class Event(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Something that happened at a moment of the machine's monotonic clock."""
@@ -151,6 +157,15 @@
     n_in_flight: int
     n_bearable: int
     cold_since_ms: int
+    is_announced: bool
+
+
+class ServerPlaced(Event, frozen=True, kw_only=True, tag=True):
+    """A backend server was started in a data centre."""
+
+    server: str
+    service: str
+    data_centre: str
 
 
 class ServerFailed(Event, frozen=True, kw_only=True, tag=True):
@@ -165,6 +180,7 @@
     instance: str
     is_planned: bool
     ended_ms: int
+    exit_code: int = 0
 
 
 class PlanChanged(Event, frozen=True, kw_only=True, tag=True):
@@ -184,10 +200,35 @@
 
 
 class RevisionSeen(Event, frozen=True, kw_only=True, tag=True):
-    """A revision that an instance acted on or the store's root held."""
+    """A revision that an instance acted on, or that the store's root held.
+
+    Parameters
+    ----------
+    where : str
+        Name of the instance, or `PLATFORM`.
+    data_centre : str
+        Where the instance stands; empty for the platform.
+    revision : int
+        The revision.
+    """
 
     where: str
     revision: int
+    data_centre: str = ""
+
+
+class SheetAccepted(Event, frozen=True, kw_only=True, tag=True):
+    """Operators were told that lines of a sheet are accepted at a revision."""
+
+    revision: int
+    n_lines: int
+
+
+class Partitioned(Event, frozen=True, kw_only=True, tag=True):
+    """A data centre was cut off, or joined again if it is healed."""
+
+    data_centre: str
+    is_healed: bool
 
 
 HistoryEvent = (
@@ -207,6 +248,9 @@
     | InstanceStopped
     | PlanChanged
     | RevisionSeen
+    | ServerPlaced
+    | SheetAccepted
+    | Partitioned
 )
 
 
--- /dev/null
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/instance_group.py
@@ -0,0 +1,183 @@
+"""The entry instances of a system under test, and who is told of them."""
+
+import asyncio
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from sapphirerail_transport.http import HttpClient, HttpError
+from sapphirerail_transport.signature import Signer
+from sapphirerail_transport.udp import parse_address
+
+from .child import Child
+from .clock import LoopClock
+from .fabric import SprayTarget
+from .history import HistoryEvent, InstanceStopped, RevisionSeen
+from .launcher import KEY, Launcher
+from .link import Protocol
+from .platform import InstanceEntry, Instances
+from .topology import SystemSpec
+
+__all__ = ["Instance", "InstanceGroup"]
+
+CALL_TIMEOUT_MS = 2000
+SOCKETS = ("caller", "server", "peer", "api")
+
+
+@dataclass
+class Instance:
+    """An entry instance that runs, with its addresses as each data centre sees it."""
+
+    name: str
+    data_centre: str
+    child: Child
+    peer_by_view: dict[str, str]
+    api_by_view: dict[str, str]
+    state: str = "live"
+
+    def entry(self, view: str) -> InstanceEntry:
+        """Return its line on the platform's list, as a data centre sees it."""
+        return InstanceEntry(
+            instance=self.name,
+            data_centre=self.data_centre,
+            peer_address=self.peer_by_view[view],
+            api_address=self.api_by_view[view],
+            state=self.state,
+        )
+
+
+class InstanceGroup:
+    """Starts and stops instances, and keeps the platform and fabrics informed.
+
+    Parameters
+    ----------
+    spec : SystemSpec
+        What the system consists of.
+    launcher : Launcher
+        Starts processes.
+    platforms : dict of str to str
+        The platform's address, as each data centre sees it.
+    fabrics : dict of str to Child
+        The fabric of each data centre.
+    """
+
+    def __init__(
+        self,
+        spec: SystemSpec,
+        launcher: Launcher,
+        platforms: dict[str, str],
+        fabrics: dict[str, Child],
+    ) -> None:
+        self.running: dict[str, Instance] = {}
+        self.events: list[HistoryEvent] = []
+        self._spec = spec
+        self._launcher = launcher
+        self._platforms = platforms
+        self._fabrics = fabrics
+        self._n_started = 0
+        self._publishing = asyncio.Lock()
+
+    def of(self, data_centre: str) -> list[Instance]:
+        """Return the instances of a data centre."""
+        return [i for i in self.running.values() if i.data_centre == data_centre]
+
+    async def add(self, data_centre: str, name: str = "") -> Instance:
+        """Start one more instance and put it on all lists."""
+        self._n_started += 1
+        name = name or f"{data_centre}-{self._n_started}"
+        flags = ["--instance", name, "--data-centre", data_centre]
+        flags += ["--platform", self._platforms[data_centre]]
+        for socket in SOCKETS:
+            flags += [f"--{socket}-address", "127.0.0.1:0"]
+        flags += self._spec.node_flags
+        child = await self._launcher.start_program(name, "sapphirerail-node", flags)
+        instance = Instance(name, data_centre, child, {}, {})
+        for view in self._spec.data_centres:
+            way = f"{view}/{data_centre}/{name}"
+            instance.peer_by_view[view] = await self._launcher.address(
+                f"peer/{way}", child, "peer_address"
+            )
+            instance.api_by_view[view] = await self._launcher.address(
+                f"api/{way}", child, "api_address", Protocol.TCP
+            )
+        self.running[name] = instance
+        await self.publish()
+        return instance
+
+    async def stop(self, name: str, timeout_ms: int = 30_000) -> int:
+        """Stop an instance in a planned way and return its exit code."""
+        instance = self.running[name]
+        began_ms = LoopClock().now_ms()
+        instance.state = "leaving"
+        await self.publish()
+        exit_code = await instance.child.stop(timeout_ms)
+        await self._remove(name, began_ms, is_planned=True, exit_code=exit_code)
+        return exit_code
+
+    async def kill(self, name: str) -> None:
+        """End an instance at once, as a crash does."""
+        began_ms = LoopClock().now_ms()
+        await self.running[name].child.kill()
+        await self._remove(name, began_ms, is_planned=False, exit_code=-9)
+
+    async def publish(self) -> None:
+        """Tell the platform and the fabrics which instances there are."""
+        async with self._publishing:
+            await self._publish()
+
+    async def call(self, name: str, target: str) -> dict[str, Any]:
+        """Return an instance's answer; empty if it can't be reached."""
+        address = self.running[name].child.ready["api_address"]
+        client = HttpClient(parse_address(address), Signer(KEY))
+        try:
+            answer = await client.call("GET", target, timeout_ms=CALL_TIMEOUT_MS)
+        except HttpError:
+            return {}
+        return msgspec.json.decode(answer, type=dict[str, Any])
+
+    async def revisions(self) -> dict[str, int]:
+        """Return and record the revision that each reachable instance acts on."""
+        found: dict[str, int] = {}
+        for name, instance in list(self.running.items()):
+            status = await self.call(name, "/status")
+            if "revision" not in status:
+                continue
+            found[name] = int(status["revision"])
+            event = RevisionSeen(
+                at_ms=LoopClock().now_ms(),
+                where=name,
+                revision=found[name],
+                data_centre=instance.data_centre,
+            )
+            self.events.append(event)
+        return found
+
+    async def _publish(self) -> None:
+        platform = HttpClient(parse_address(self._platforms["address"]))
+        for view in self._spec.data_centres:
+            entries = [instance.entry(view) for instance in self.running.values()]
+            target = f"/admin/instances?view={view}"
+            await platform.call("PUT", target, Instances(entries))
+        for data_centre, fabric in self._fabrics.items():
+            targets = [
+                SprayTarget(instance.name, instance.child.ready["caller_address"])
+                for instance in self.of(data_centre)
+                if instance.state == "live"
+            ]
+            client = HttpClient(parse_address(fabric.ready["admin_address"]))
+            await client.call("PUT", "/targets", {"targets": targets})
+
+    async def _remove(
+        self, name: str, began_ms: int, *, is_planned: bool, exit_code: int
+    ) -> None:
+        del self.running[name]
+        event = InstanceStopped(
+            at_ms=began_ms,
+            instance=name,
+            is_planned=is_planned,
+            ended_ms=LoopClock().now_ms(),
+            exit_code=exit_code,
+        )
+        self.events.append(event)
+        await self.publish()
--- /dev/null
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/plan_checks.py
@@ -0,0 +1,147 @@
+"""Checks over accepted changes: what servers and the platform saw after them."""
+
+from collections import defaultdict
+from collections.abc import Sequence
+
+from .history import (
+    Arrived,
+    HistoryEvent,
+    Partitioned,
+    PlanChanged,
+    RevisionSeen,
+    ServerPlaced,
+    SheetAccepted,
+)
+from .violation import Limits, Violation, with_surroundings
+
+__all__ = [
+    "accepted_line_stays_in_force",
+    "leaving_server_gets_no_new_work",
+    "no_packet_to_data_centre_out",
+]
+
+LEAVING = ("draining", "left")
+TAKEN_OUT = ("out",)
+
+
+def no_packet_to_data_centre_out(
+    events: Sequence[HistoryEvent], limits: Limits
+) -> list[Violation]:
+    """Check that servers of a data centre that is out get no packets."""
+    places = {
+        event.server: event.data_centre
+        for event in events
+        if isinstance(event, ServerPlaced)
+    }
+    changes = _changes_by_subject(events)
+    found = []
+    for event in events:
+        if not isinstance(event, Arrived):
+            continue
+        place = places.get(event.server, "")
+        late_ms = _time_since(changes[place], TAKEN_OUT, event.at_ms)
+        if late_ms > limits.few_seconds_ms:
+            detail = f"{event.server} got a packet {late_ms} ms after {place} was out"
+            trace = with_surroundings(events, [event])
+            found.append(Violation("no_packet_to_data_centre_out", detail, trace))
+    return found
+
+
+def leaving_server_gets_no_new_work(
+    events: Sequence[HistoryEvent], limits: Limits
+) -> list[Violation]:
+    """Check that draining and left servers get no openings and no requests."""
+    changes = _changes_by_subject(events)
+    found = []
+    for event in events:
+        if not isinstance(event, Arrived) or not event.is_new_work:
+            continue
+        late_ms = _time_since(changes[event.server], LEAVING, event.at_ms)
+        if late_ms > limits.few_seconds_ms:
+            detail = f"{event.server} got new work {late_ms} ms after it was to leave"
+            trace = with_surroundings(events, [event])
+            found.append(Violation("leaving_server_gets_no_new_work", detail, trace))
+    return found
+
+
+def accepted_line_stays_in_force(
+    events: Sequence[HistoryEvent], limits: Limits
+) -> list[Violation]:
+    """Check that revisions never fall and that accepted ones are in force in time."""
+    return _falling_revisions(events) + _late_revisions(events, limits)
+
+
+def _falling_revisions(events: Sequence[HistoryEvent]) -> list[Violation]:
+    highest: dict[str, RevisionSeen] = {}
+    found = []
+    for event in events:
+        if not isinstance(event, RevisionSeen):
+            continue
+        before = highest.get(event.where)
+        if before is None or event.revision >= before.revision:
+            highest[event.where] = event
+            continue
+        detail = f"{event.where} went from revision {before.revision}"
+        detail += f" to {event.revision}"
+        trace = with_surroundings(events, [before, event])
+        found.append(Violation("accepted_line_stays_in_force", detail, trace))
+    return found
+
+
+def _late_revisions(events: Sequence[HistoryEvent], limits: Limits) -> list[Violation]:
+    accepted = [event for event in events if isinstance(event, SheetAccepted)]
+    found = []
+    for event in events:
+        if not isinstance(event, RevisionSeen):
+            continue
+        due = [
+            sheet
+            for sheet in accepted
+            if sheet.at_ms + limits.in_force_ms < event.at_ms
+            and sheet.revision > event.revision
+        ]
+        if due and not _was_cut_off(events, event, limits):
+            detail = f"{event.where} is at revision {event.revision}, but"
+            detail += f" {due[0].revision} was accepted long before"
+            trace = with_surroundings(events, [due[0], event])
+            found.append(Violation("accepted_line_stays_in_force", detail, trace))
+    return found
+
+
+def _was_cut_off(
+    events: Sequence[HistoryEvent], seen: RevisionSeen, limits: Limits
+) -> bool:
+    """Return whether an instance's data centre was cut off until shortly before."""
+    last: dict[str, Partitioned] = {}
+    for event in events:
+        if isinstance(event, Partitioned) and event.at_ms <= seen.at_ms:
+            last[event.data_centre] = event
+    cut = last.get(seen.data_centre)
+    if cut is None:
+        return False
+    return not cut.is_healed or seen.at_ms - cut.at_ms <= limits.in_force_ms
+
+
+def _changes_by_subject(
+    events: Sequence[HistoryEvent],
+) -> dict[str, list[PlanChanged]]:
+    changes: dict[str, list[PlanChanged]] = defaultdict(list)
+    for event in events:
+        if isinstance(event, PlanChanged):
+            changes[event.subject].append(event)
+    return changes
+
+
+def _time_since(
+    changes: Sequence[PlanChanged], states: Sequence[str], at_ms: int
+) -> int:
+    """Return how long a subject has been in one of some states; 0 if it is not."""
+    since_ms: int | None = None
+    for event in changes:
+        if event.at_ms > at_ms:
+            break
+        if event.state not in states:
+            since_ms = None
+        elif since_ms is None:
+            since_ms = event.at_ms
+    return 0 if since_ms is None else at_ms - since_ms
--- /dev/null
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/request_checks.py
@@ -0,0 +1,143 @@
+"""Checks over requests: outcomes that callers got against runs on servers."""
+
+from collections import defaultdict
+from collections.abc import Iterator, Sequence
+
+from sapphirerail_core.datagram import Kind, Run
+
+from .history import (
+    Answered,
+    ColdOverload,
+    Corrupted,
+    HistoryEvent,
+    InstanceStopped,
+    Misdelivered,
+    Refused,
+    RunStarted,
+    Sent,
+    ServerFailed,
+    TimedOut,
+)
+from .violation import Limits, Violation, of_flow, with_surroundings
+
+__all__ = [
+    "answer_is_whole_and_own",
+    "non_idempotent_runs_at_most_once",
+    "planned_stop_cuts_no_request",
+    "refusal_not_run_is_true",
+]
+
+RequestKey = tuple[int, int]
+Outcome = Answered | Refused | TimedOut | Corrupted
+
+
+def answer_is_whole_and_own(
+    events: Sequence[HistoryEvent], limits: Limits
+) -> list[Violation]:
+    """Check that callers got whole answers to what they themselves asked."""
+    return [
+        _violation("answer_is_whole_and_own", events, event.flow, event.detail)
+        for event in events
+        if isinstance(event, Corrupted | Misdelivered)
+    ]
+
+
+def refusal_not_run_is_true(
+    events: Sequence[HistoryEvent], limits: Limits
+) -> list[Violation]:
+    """Check that no server ran what a caller was told was not run."""
+    runs = _runs(events)
+    found = []
+    for event in events:
+        if not isinstance(event, Refused) or event.run is not Run.NO:
+            continue
+        servers = [run.server for run in runs[event.flow, event.request]]
+        if servers:
+            detail = f"request {event.request} was refused as not run, but ran on "
+            detail += ", ".join(servers)
+            found.append(
+                _violation("refusal_not_run_is_true", events, event.flow, detail)
+            )
+    return found
+
+
+def non_idempotent_runs_at_most_once(
+    events: Sequence[HistoryEvent], limits: Limits
+) -> list[Violation]:
+    """Check that no request that must not run twice was started twice."""
+    found = []
+    for (flow, request), runs in _runs(events).items():
+        if len(runs) > 1 and not all(run.idempotent for run in runs):
+            servers = ", ".join(run.server for run in runs)
+            detail = f"request {request} ran {len(runs)} times: {servers}"
+            found.append(
+                _violation("non_idempotent_runs_at_most_once", events, flow, detail)
+            )
+    return found
+
+
+def planned_stop_cuts_no_request(
+    events: Sequence[HistoryEvent], limits: Limits
+) -> list[Violation]:
+    """Check that requests around a planned stop had a certain outcome.
+
+    A request that met a fault as well (an instance that crashed, a server that
+    failed or fell silent) is left to the other checks.
+    """
+    found = []
+    for stop in events:
+        if not isinstance(stop, InstanceStopped) or not stop.is_planned:
+            continue
+        if stop.exit_code != 0:
+            detail = f"{stop.instance} ended with exit code {stop.exit_code}"
+            trace = with_surroundings(events, [stop])
+            found.append(Violation("planned_stop_cuts_no_request", detail, trace))
+        for outcome in _uncertain_during(events, stop):
+            detail = f"request {outcome.request} has no certain outcome: {outcome}"
+            found.append(
+                _violation("planned_stop_cuts_no_request", events, outcome.flow, detail)
+            )
+    return found
+
+
+def _uncertain_during(
+    events: Sequence[HistoryEvent], stop: InstanceStopped
+) -> Iterator[Outcome]:
+    sent_ms: dict[RequestKey, int] = {}
+    for event in events:
+        if isinstance(event, Sent) and event.kind is Kind.REQUEST:
+            sent_ms.setdefault((event.flow, event.request), event.at_ms)
+        elif isinstance(event, Refused | TimedOut) and _is_uncertain(event):
+            began_ms = sent_ms.get((event.flow, event.request))
+            if began_ms is None:
+                continue
+            overlaps = began_ms <= stop.ended_ms and event.at_ms >= stop.at_ms
+            if overlaps and not _met_a_fault(events, began_ms, event.at_ms):
+                yield event
+
+
+def _is_uncertain(event: Refused | TimedOut) -> bool:
+    return isinstance(event, TimedOut) or event.run is not Run.NO
+
+
+def _met_a_fault(events: Sequence[HistoryEvent], from_ms: int, to_ms: int) -> bool:
+    return any(
+        from_ms <= event.at_ms <= to_ms
+        for event in events
+        if isinstance(event, ServerFailed | ColdOverload)
+        or (isinstance(event, InstanceStopped) and not event.is_planned)
+    )
+
+
+def _runs(events: Sequence[HistoryEvent]) -> dict[RequestKey, list[RunStarted]]:
+    runs: dict[RequestKey, list[RunStarted]] = defaultdict(list)
+    for event in events:
+        if isinstance(event, RunStarted):
+            runs[event.flow, event.request].append(event)
+    return runs
+
+
+def _violation(
+    name: str, events: Sequence[HistoryEvent], flow: int, detail: str
+) -> Violation:
+    return Violation(name, detail, with_surroundings(events, of_flow(events, flow)))
--- /dev/null
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/server_group.py
@@ -0,0 +1,96 @@
+"""The backend servers of a system under test, and what they recorded."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from sapphirerail_transport.http import HttpClient
+from sapphirerail_transport.udp import parse_address
+
+from .backend_server import ServerRecord
+from .child import Child
+from .clock import LoopClock
+from .history import HistoryEvent, ServerFailed, ServerPlaced
+from .launcher import Launcher
+from .server_settings import ServerSettings
+from .topology import ServerSpec
+
+__all__ = ["Server", "ServerGroup"]
+
+
+@dataclass
+class Server:
+    """A backend server that runs, and the address that the plan gives for it."""
+
+    spec: ServerSpec
+    child: Child
+    address: str
+    admin: HttpClient
+
+    async def record(self) -> ServerRecord:
+        """Return what it saw."""
+        answer = await self.admin.call("GET", "/record")
+        return msgspec.json.decode(answer, type=ServerRecord)
+
+    async def change(self, **fields: object) -> None:
+        """Change some of its settings."""
+        answer = await self.admin.call("GET", "/settings")
+        settings = msgspec.json.decode(answer, type=ServerSettings)
+        changed = msgspec.structs.replace(settings, **fields)
+        await self.admin.call("PUT", "/settings", changed)
+
+    async def turn_cold(self) -> None:
+        """Let it become cold without warning."""
+        await self.admin.call("POST", "/cold")
+
+
+class ServerGroup:
+    """Starts and breaks backend servers.
+
+    Parameters
+    ----------
+    launcher : Launcher
+        Starts processes.
+    """
+
+    def __init__(self, launcher: Launcher) -> None:
+        self.running: dict[str, Server] = {}
+        self.events: list[HistoryEvent] = []
+        self._launcher = launcher
+        self._ended: list[ServerRecord] = []
+
+    async def add(self, spec: ServerSpec) -> Server:
+        """Start a backend server; the plan does not know it yet."""
+        settings = msgspec.json.encode(spec.settings).decode()
+        flags = ["--server", spec.server, "--service", spec.service]
+        flags += ["--settings", settings]
+        child = await self._launcher.start_module(spec.server, "backend_server", flags)
+        relay = f"server/{spec.data_centre}/{spec.server}"
+        address = await self._launcher.address(relay, child, "address")
+        admin = HttpClient(parse_address(child.ready["admin_address"]))
+        server = Server(spec, child, address, admin)
+        self.running[spec.server] = server
+        event = ServerPlaced(
+            at_ms=LoopClock().now_ms(),
+            server=spec.server,
+            service=spec.service,
+            data_centre=spec.data_centre,
+        )
+        self.events.append(event)
+        return server
+
+    async def kill(self, name: str) -> None:
+        """End a backend server at once; what it recorded is kept."""
+        server = self.running.pop(name)
+        self._ended.append(await server.record())
+        self.note_failed(name)
+        await server.child.kill()
+
+    def note_failed(self, name: str) -> None:
+        """Record that a server is broken on purpose from now on."""
+        self.events.append(ServerFailed(at_ms=LoopClock().now_ms(), server=name))
+
+    async def records(self) -> list[ServerRecord]:
+        """Return what all servers saw, those that were ended included."""
+        running = [await server.record() for server in self.running.values()]
+        return self._ended + running
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/server_model.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/server_model.py
@@ -77,8 +77,9 @@
             Kind.KEEPALIVE: self._flows.on_keepalive,
             Kind.CLOSE: self._flows.on_close,
         }
+        self._is_cold_announced = settings.starts_cold
         if settings.starts_cold:
-            self.turn_cold()
+            self.cold_since_ms = clock.now_ms()
 
     @property
     def n_flows(self) -> int:
@@ -101,8 +102,9 @@
         self._note_report()
 
     def turn_cold(self) -> None:
-        """Become cold now, as after a restart of the software behind the socket."""
+        """Become cold without warning."""
         self.cold_since_ms = self._clock.now_ms()
+        self._is_cold_announced = False
 
     def forget(self) -> None:
         """Lose all flows and requests, as a restart does."""
@@ -153,6 +155,7 @@
             n_in_flight=self.n_in_flight + 1,
             n_bearable=self.settings.n_bearable_cold,
             cold_since_ms=self.cold_since_ms or 0,
+            is_announced=self._is_cold_announced,
         )
         self.events.append(event)
         self._drop_requests()
