Place flows by layers, exceptions and owners

Cause: the node needs the facade of the flow aggregate to build on, and the plan needs the layers of past memberships, which a newcomer cannot know otherwise. Conclusion: FlowDirector with placement, records at two owners, way back, search through the servers and silence probes; next_layers for the plan's writer.

--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/__init__.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/__init__.py
@@ -1,1 +1,6 @@
 """Flows: where a packet of a connection goes."""
+
+from .config import FlowConfig
+from .director import FlowDirector, FlowStatus
+
+__all__ = ["FlowConfig", "FlowDirector", "FlowStatus"]
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/address.py
@@ -0,0 +1,49 @@
+"""Packs the addresses of callers into integers."""
+
+__all__ = ["NO_ADDRESS", "pack_address", "unpack_address"]
+
+NO_ADDRESS = 0
+_N_OCTETS = 4
+
+
+def pack_address(address: str) -> int:
+    """Return an IPv4 ``address:port`` as a 48-bit integer.
+
+    Parameters
+    ----------
+    address : str
+        Address and port of a caller.
+
+    Returns
+    -------
+    int
+        Address in the upper 32 bits, port in the lower 16; `NO_ADDRESS` if the
+        text is empty or of another form.
+
+    Examples
+    --------
+    >>> unpack_address(pack_address("127.0.0.1:80"))
+    '127.0.0.1:80'
+    >>> pack_address("[::1]:80")
+    0
+    """
+    host, _, port = address.rpartition(":")
+    octets = host.split(".")
+    if len(octets) != _N_OCTETS:
+        return NO_ADDRESS
+    try:
+        first, second, third, fourth = map(int, octets)
+        number = int(port)
+    except ValueError:
+        return NO_ADDRESS
+    if max(first, second, third, fourth) > 0xFF or number > 0xFFFF:
+        return NO_ADDRESS
+    return first << 40 | second << 32 | third << 24 | fourth << 16 | number
+
+
+def unpack_address(packed: int) -> str:
+    """Return the ``address:port`` of a packed address; empty for `NO_ADDRESS`."""
+    if packed == NO_ADDRESS:
+        return ""
+    octets = packed.to_bytes(6, "big")[:_N_OCTETS]
+    return ".".join(map(str, octets)) + f":{packed & 0xFFFF}"
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/context.py
@@ -0,0 +1,170 @@
+"""State that the parts of the flow aggregate share."""
+
+import random
+from dataclasses import dataclass, field
+
+from ..datagram import Datagram, Kind, RefusalCode
+from ..effects import Effect, SendToCaller, SendToServer
+from ..fleet.view import FleetView
+from ..journal import Journal, Reason
+from ..plan.model import EMPTY_PLAN, Plan
+from ..types import FlowId, InstanceId, ServerId, ServiceId
+from .address import pack_address, unpack_address
+from .config import FlowConfig
+from .owners import OwnerHistory, OwnerMap
+from .placement import Placement, flow_key
+from .record_codec import FlowRecord, ServerCodes
+from .table import FlowMark, FlowTable
+
+__all__ = ["FlowContext", "keepalive_of"]
+
+
+def keepalive_of(record: FlowRecord, service: ServiceId) -> Datagram:
+    """Return a keepalive for the flow of a record."""
+    return Datagram(
+        kind=Kind.KEEPALIVE,
+        service=service,
+        flow=record.flow,
+        traffic_class=record.traffic_class,
+        caller=unpack_address(record.caller),
+    )
+
+
+@dataclass
+class FlowContext:
+    """The tables and the plan of one instance.
+
+    Parameters
+    ----------
+    config : FlowConfig
+        Bounds, periods and budgets.
+    fleet : FleetView
+        The membership.
+    journal : Journal
+        Where decisions are explained.
+    random_state : random.Random
+        Source of jitter.
+    """
+
+    config: FlowConfig
+    fleet: FleetView
+    journal: Journal
+    random_state: random.Random
+    placement: Placement = field(default_factory=lambda: Placement(EMPTY_PLAN))
+    previous_placement: Placement | None = None
+    plan_changed_ms: int = 0
+    codes: ServerCodes = field(default_factory=lambda: ServerCodes(EMPTY_PLAN))
+    n_lost: int = 0
+
+    def __post_init__(self) -> None:
+        self.table = FlowTable(self.config.n_flows_max)
+        self.records = FlowTable(self.config.n_records_max)
+        self.owners = OwnerHistory(self.config.owner_grace_ms)
+        self.owners.now = OwnerMap.from_fleet(self.fleet, EMPTY_PLAN)
+
+    @property
+    def self_id(self) -> InstanceId:
+        """Name of this instance."""
+        return self.fleet.self_id
+
+    @property
+    def plan(self) -> Plan:
+        """The plan in force."""
+        return self.placement.plan
+
+    def owners_of(self, row: int) -> tuple[InstanceId, ...]:
+        """Return the present owners of a flow in the table."""
+        key = flow_key(self.table.service(row), self.table.flow(row))
+        return self.owners.now.of(key)
+
+    def needs_record(self, service: ServiceId, flow: FlowId, server: ServerId) -> bool:
+        """Return whether a flow is elsewhere than an instance would assume.
+
+        Shortly after a change of plan the previous plan's default counts too,
+        because other instances may still go by it.
+        """
+        if self.placement.default(service, flow) != server:
+            return True
+        previous = self.previous_placement
+        return previous is not None and previous.default(service, flow) != server
+
+    def add(
+        self, datagram: Datagram, server: ServerId, now_ms: int, marks: int = 0
+    ) -> int:
+        """Put a flow into the table, or move it, and return its row."""
+        row = self.table.find(datagram.service, datagram.flow)
+        if row is None:
+            self._make_room(now_ms)
+            row = self.table.insert(datagram.service, datagram.flow, server, now_ms)
+        else:
+            self.table.set_server(row, server)
+            self.table.unmark(row, FlowMark.ENDED)
+        self.table.set_traffic_class(row, datagram.traffic_class)
+        caller = pack_address(datagram.caller)
+        if caller:
+            self.table.set_caller(row, caller)
+        self.table.mark(row, marks)
+        return row
+
+    def record(self, row: int) -> FlowRecord:
+        """Return the record of a flow in the table."""
+        table = self.table
+        return FlowRecord(
+            table.flow(row),
+            table.server(row),
+            table.caller(row),
+            table.traffic_class(row),
+        )
+
+    def keepalive(self, row: int) -> Effect:
+        """Return a keepalive of this instance for a flow in the table."""
+        datagram = keepalive_of(self.record(row), self.table.service(row))
+        return SendToServer(self.table.server(row), datagram)
+
+    def give_up(
+        self, datagram: Datagram, code: RefusalCode, reason: Reason, now_ms: int
+    ) -> list[Effect]:
+        """Tell the caller that its flow is lost, and explain why."""
+        self.n_lost += 1
+        self.journal.note(now_ms, reason, flow=datagram.flow, detail=code.name)
+        if not datagram.caller:
+            return []
+        reset = Datagram(
+            kind=Kind.RESET,
+            service=datagram.service,
+            flow=datagram.flow,
+            traffic_class=datagram.traffic_class,
+            caller=datagram.caller,
+            code=code,
+        )
+        return [SendToCaller(reset)]
+
+    def give_up_row(
+        self, row: int, code: RefusalCode, reason: Reason, now_ms: int
+    ) -> list[Effect]:
+        """Remove a flow from the table and tell its caller."""
+        stub = keepalive_of(self.record(row), self.table.service(row))
+        self.table.remove(row)
+        return self.give_up(stub, code, reason, now_ms)
+
+    def loss_of(self, server: ServerId) -> tuple[RefusalCode, Reason]:
+        """Return why flows of a server that may receive nothing are lost."""
+        if self.placement.is_out(server) and self.placement.is_known(server):
+            return RefusalCode.DATA_CENTRE_OUT, Reason.FLOW_GIVEN_UP
+        return RefusalCode.FLOW_LOST, Reason.FLOW_LOST
+
+    def _make_room(self, now_ms: int) -> None:
+        if not self.table.is_full():
+            return
+        oldest = self.table.oldest()
+        if oldest is None:
+            return
+        self.table.n_evicted += 1
+        self.journal.note(
+            now_ms,
+            Reason.FLOW_EVICTED,
+            flow=self.table.flow(oldest),
+            server=self.table.server(oldest),
+            detail=f"idle for {self.table.idle_ms(oldest, now_ms)} ms",
+        )
+        self.table.remove(oldest)
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/forwarding.py
@@ -0,0 +1,244 @@
+"""Sends callers' datagrams of open flows to the flows' servers."""
+
+from ..datagram import Datagram, Kind, RefusalCode
+from ..effects import Effect, SendToPeer, SendToServer
+from ..journal import Reason
+from ..types import InstanceId, ServerId
+from .address import pack_address
+from .context import FlowContext
+from .messages import Locate, Located, NotLocated
+from .placement import flow_key
+from .record_store import RecordStore
+from .registrar import Registrar
+from .search import Search
+from .silence import Silence
+from .table import FlowMark
+
+__all__ = ["Forwarding"]
+
+
+class Forwarding:
+    """Finds the server of a caller's datagram.
+
+    Parameters
+    ----------
+    context : FlowContext
+        Shared state.
+    store : RecordStore
+        The records that are kept here.
+    registrar : Registrar
+        Records what a search found, and forgets what has ended.
+    search : Search
+        Asks the servers when nothing else is left.
+    silence : Silence
+        Watches for the servers' answers.
+    """
+
+    def __init__(
+        self,
+        context: FlowContext,
+        store: RecordStore,
+        registrar: Registrar,
+        search: Search,
+        silence: Silence,
+    ) -> None:
+        self._context = context
+        self._store = store
+        self._registrar = registrar
+        self._search = search
+        self._silence = silence
+
+    def on_caller_datagram(self, datagram: Datagram, now_ms: int) -> list[Effect]:
+        """Forward a datagram of an open flow."""
+        context = self._context
+        detour = self._silence.detour(datagram.service, datagram.flow)
+        if detour is not None:
+            return [SendToPeer(detour, self._locate(datagram, (), ()))]
+        row = context.table.find(datagram.service, datagram.flow)
+        if row is not None and self._is_stale(row):
+            context.table.remove(row)
+            row = None
+        if row is not None:
+            return self._forward(row, datagram, now_ms)
+        recorded = self._store.server(datagram.service, datagram.flow)
+        if recorded is not None:
+            row = context.add(datagram, recorded, now_ms, FlowMark.CONFIRMED)
+            return self._forward(row, datagram, now_ms)
+        answers = context.placement.answers(datagram.service, datagram.flow)
+        # A server answers a close with nothing, so that a wrong guess would not
+        # be noticed.
+        sure = len(answers) == 1 and datagram.kind is not Kind.CLOSE
+        if sure and context.placement.is_reachable(answers[0]):
+            return self._forward_to_default(datagram, answers[0], now_ms)
+        return self.ask_owners(datagram, (), now_ms)
+
+    def ask_owners(
+        self, datagram: Datagram, refused_by: tuple[ServerId, ...], now_ms: int
+    ) -> list[Effect]:
+        """Send a datagram through the owners of its flow."""
+        context = self._context
+        key = flow_key(datagram.service, datagram.flow)
+        path = [
+            owner
+            for owner in context.owners.path(key, now_ms)
+            if owner != context.self_id
+        ]
+        if datagram.attempt % 2 and len(path) > 1:
+            # The first owner may have failed unnoticed; a retransmission starts
+            # at the second one.
+            path[0], path[1] = path[1], path[0]
+        return self._pass_on(self._locate(datagram, tuple(path), refused_by), now_ms)
+
+    def on_locate(self, message: Locate, now_ms: int) -> list[Effect]:
+        """Forward a datagram whose flow is known here, or pass it on."""
+        context = self._context
+        datagram = message.datagram
+        server = self._known_server(datagram, message.refused_by)
+        if server is not None:
+            row = context.add(datagram, server, now_ms, FlowMark.CONFIRMED)
+            located = Located(datagram.service, datagram.flow, server)
+            effects = self._forward(row, datagram, now_ms)
+            return [*effects, SendToPeer(message.asker, located)]
+        return self._pass_on(message, now_ms)
+
+    def on_not_located(self, message: NotLocated, now_ms: int) -> list[Effect]:
+        """Apply the default here, because this instance's plan is the newest."""
+        return self._assume(message.datagram, (), now_ms)
+
+    def on_located(self, message: Located, now_ms: int) -> None:
+        """Remember where an owner says that a flow is."""
+        context = self._context
+        row = context.table.find(message.service, message.flow)
+        if row is not None and context.table.has(row, FlowMark.CONFIRMED):
+            return
+        if not context.placement.serves(message.server, message.service):
+            return
+        if self._silence.detour(message.service, message.flow) is not None:
+            return
+        stub = Datagram(kind=Kind.KEEPALIVE, service=message.service, flow=message.flow)
+        marks = FlowMark.CONFIRMED if message.confirmed else 0
+        context.add(stub, message.server, now_ms, marks)
+
+    def _locate(
+        self,
+        datagram: Datagram,
+        path: tuple[InstanceId, ...],
+        refused_by: tuple[ServerId, ...],
+    ) -> Locate:
+        context = self._context
+        revision = context.plan.revision
+        return Locate(context.self_id, revision, path, refused_by, datagram)
+
+    def _is_stale(self, row: int) -> bool:
+        """Return whether a guess has become wrong since it was made."""
+        context = self._context
+        if context.table.has(row, FlowMark.CONFIRMED):
+            return False
+        return not context.placement.is_reachable(context.table.server(row))
+
+    def _known_server(
+        self, datagram: Datagram, refused_by: tuple[ServerId, ...]
+    ) -> ServerId | None:
+        context = self._context
+        server = self._store.server(datagram.service, datagram.flow)
+        if server is None:
+            row = context.table.find(datagram.service, datagram.flow)
+            if row is not None and context.table.has(row, FlowMark.CONFIRMED):
+                server = context.table.server(row)
+        if server in refused_by:
+            return None
+        return server
+
+    def _pass_on(self, message: Locate, now_ms: int) -> list[Effect]:
+        context = self._context
+        if message.path:
+            following = Locate(
+                message.asker,
+                message.revision,
+                message.path[1:],
+                message.refused_by,
+                message.datagram,
+            )
+            return [SendToPeer(message.path[0], following)]
+        if context.plan.revision < message.revision:
+            # The asker knows a newer plan; its default counts.
+            return [SendToPeer(message.asker, NotLocated(message.datagram))]
+        effects = self._assume(message.datagram, message.refused_by, now_ms)
+        row = context.table.find(message.datagram.service, message.datagram.flow)
+        if message.asker != context.self_id and row is not None:
+            effects.append(self._guess(message, context.table.server(row)))
+        return effects
+
+    def _guess(self, message: Locate, server: ServerId) -> Effect:
+        datagram = message.datagram
+        located = Located(datagram.service, datagram.flow, server, confirmed=False)
+        return SendToPeer(message.asker, located)
+
+    def _assume(
+        self, datagram: Datagram, refused_by: tuple[ServerId, ...], now_ms: int
+    ) -> list[Effect]:
+        """Go by the default, or ask all servers if it is known to be wrong."""
+        context = self._context
+        if refused_by:
+            return self._search.start(datagram, refused_by, now_ms)
+        if datagram.service not in context.plan.services:
+            code = RefusalCode.UNKNOWN_SERVICE
+            return context.give_up(datagram, code, Reason.FLOW_LOST, now_ms)
+        server = context.placement.default(datagram.service, datagram.flow)
+        if server is None:
+            code = RefusalCode.FLOW_LOST
+            return context.give_up(datagram, code, Reason.FLOW_LOST, now_ms)
+        if context.placement.is_out(server):
+            code = RefusalCode.DATA_CENTRE_OUT
+            return context.give_up(datagram, code, Reason.FLOW_GIVEN_UP, now_ms)
+        context.journal.note(
+            now_ms, Reason.FLOW_UNRECORDED, flow=datagram.flow, server=server
+        )
+        return self._forward_to_default(datagram, server, now_ms)
+
+    def _forward_to_default(
+        self, datagram: Datagram, server: ServerId, now_ms: int
+    ) -> list[Effect]:
+        self._search.keep(datagram)
+        row = self._context.add(datagram, server, now_ms)
+        return self._forward(row, datagram, now_ms)
+
+    def _forward(self, row: int, datagram: Datagram, now_ms: int) -> list[Effect]:
+        context = self._context
+        table = context.table
+        server = table.server(row)
+        if not context.placement.is_reachable(server):
+            return self._give_up(row, datagram, server, now_ms)
+        if not context.placement.serves(server, datagram.service):
+            context.journal.note(
+                now_ms, Reason.DATAGRAM_DROPPED, flow=datagram.flow, server=server
+            )
+            table.remove(row)
+            return []
+        caller = pack_address(datagram.caller)
+        if caller:
+            table.set_caller(row, caller)
+        table.hear_caller(row, now_ms)
+        if datagram.kind is Kind.CLOSE:
+            self.end(row, now_ms)
+        else:
+            self._silence.on_forwarded(row, datagram.kind, now_ms)
+        return [SendToServer(server, datagram)]
+
+    def end(self, row: int, now_ms: int) -> None:
+        """Note that a flow has ended and drop its records."""
+        context = self._context
+        context.table.mark(row, FlowMark.ENDED)
+        context.table.unmark(row, FlowMark.AWAITING)
+        if context.table.has(row, FlowMark.REGISTERED):
+            self._registrar.forget(row, now_ms)
+
+    def _give_up(
+        self, row: int, datagram: Datagram, server: ServerId, now_ms: int
+    ) -> list[Effect]:
+        context = self._context
+        if context.table.has(row, FlowMark.REGISTERED):
+            self._registrar.forget(row, now_ms)
+        context.table.remove(row)
+        code, reason = context.loss_of(server)
+        return context.give_up(datagram, code, reason, now_ms)
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/messages.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/messages.py
@@ -1,7 +1,116 @@
 """Messages between instances about flows."""
 
+from ..datagram import Datagram
 from ..effects import Message
+from ..types import FlowId, InstanceId, Revision, ServerId, ServiceId
 
-__all__ = ["MESSAGES"]
+__all__ = [
+    "MESSAGES",
+    "Forget",
+    "Locate",
+    "Located",
+    "NotLocated",
+    "Register",
+    "Registered",
+    "Release",
+    "Return",
+]
 
-MESSAGES: tuple[type[Message], ...] = ()
+
+class Register(Message, frozen=True, array_like=True, tag=10):
+    """Asks an owner to keep records.
+
+    Parameters
+    ----------
+    serial : int
+        Number of the batch at its sender, for the acknowledgement.
+    records : bytes
+        As from `record_codec.pack_records`.
+    takes_over : bool
+        Whether the owner is to become the way back at once, because the sender
+        stops or gets no answer from the server.
+    silent : bool
+        Whether the sender got no answer from the servers.
+    """
+
+    serial: int
+    records: bytes
+    takes_over: bool = False
+    silent: bool = False
+
+
+class Registered(Message, frozen=True, array_like=True, tag=11):
+    """Acknowledges a batch of records."""
+
+    serial: int
+
+
+class Forget(Message, frozen=True, array_like=True, tag=12):
+    """Says that flows have ended."""
+
+    records: bytes
+
+
+class Release(Message, frozen=True, array_like=True, tag=13):
+    """Tells the previous holder that another instance holds these flows now."""
+
+    records: bytes
+
+
+class Locate(Message, frozen=True, array_like=True, tag=14):
+    """Carries a caller's datagram of an unknown flow through its owners.
+
+    Parameters
+    ----------
+    asker : InstanceId
+        Instance that the caller's datagram reached.
+    revision : Revision
+        Plan of the asker.
+    path : tuple of InstanceId
+        Owners that are still to be asked, after the receiver.
+    refused_by : tuple of ServerId
+        Servers that said that they do not know the flow.
+    datagram : Datagram
+        What the caller sent.
+    """
+
+    asker: InstanceId
+    revision: Revision
+    path: tuple[InstanceId, ...]
+    refused_by: tuple[ServerId, ...]
+    datagram: Datagram
+
+
+class NotLocated(Message, frozen=True, array_like=True, tag=15):
+    """Returns a datagram to an asker whose plan is newer than the owner's."""
+
+    datagram: Datagram
+
+
+class Located(Message, frozen=True, array_like=True, tag=16):
+    """Tells the asker where a flow is."""
+
+    service: ServiceId
+    flow: FlowId
+    server: ServerId
+    confirmed: bool = True
+
+
+class Return(Message, frozen=True, array_like=True, tag=17):
+    """Carries a server's datagram without a caller to an owner that knows it."""
+
+    server: ServerId
+    path: tuple[InstanceId, ...]
+    datagram: Datagram
+
+
+MESSAGES: tuple[type[Message], ...] = (
+    Register,
+    Registered,
+    Forget,
+    Release,
+    Locate,
+    NotLocated,
+    Located,
+    Return,
+)
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/owners.py
@@ -0,0 +1,127 @@
+"""Computes the two instances that keep the record of a flow."""
+
+from collections import deque
+
+import xxhash
+
+from ..fleet.view import FleetView
+from ..plan.model import Plan
+from ..rendezvous import hash_key
+from ..types import DataCentreId, DataCentreState, InstanceId
+
+__all__ = ["N_OWNERS", "OwnerMap", "OwnerHistory"]
+
+N_OWNERS = 2
+_N_BUCKETS = 1 << 14  # bounds the cache; 29 buckets an instance at 557 a site
+
+
+class OwnerMap:
+    """Owners of flows under one membership; never changes.
+
+    Parameters
+    ----------
+    members : dict of DataCentreId to tuple of InstanceId
+        Live instances of the data centres that are in.
+    """
+
+    def __init__(self, members: dict[DataCentreId, tuple[InstanceId, ...]]) -> None:
+        self.members = members
+        self._places = [(hash_key(place), place) for place in members]
+        self._keys = {
+            place: [(hash_key(name), name) for name in names]
+            for place, names in members.items()
+        }
+        self._cache: dict[int, tuple[InstanceId, ...]] = {}
+
+    @classmethod
+    def from_fleet(
+        cls, fleet: FleetView, plan: Plan, without: InstanceId | None = None
+    ) -> "OwnerMap":
+        """Return the owners under the present membership.
+
+        Parameters
+        ----------
+        fleet : FleetView
+            Gives the live instances.
+        plan : Plan
+            Gives the data centres that are out.
+        without : InstanceId or None
+            An instance that is leaving.
+        """
+        found: dict[DataCentreId, list[InstanceId]] = {}
+        for name in fleet.live():
+            place = fleet.data_centre(name)
+            if name != without and place is not None and not _is_out(plan, place):
+                found.setdefault(place, []).append(name)
+        return cls({place: tuple(names) for place, names in found.items()})
+
+    def of(self, key: int) -> tuple[InstanceId, ...]:
+        """Return the owners of a flow's key, the first one first."""
+        bucket = key % _N_BUCKETS
+        owners = self._cache.get(bucket)
+        if owners is None:
+            owners = self._compute(bucket.to_bytes(8, "little"))
+            self._cache[bucket] = owners
+        return owners
+
+    def _compute(self, bucket: bytes) -> tuple[InstanceId, ...]:
+        digest = xxhash.xxh3_64_intdigest
+        places = sorted(
+            ((digest(bucket, seed=key), place) for key, place in self._places),
+            reverse=True,
+        )
+        if len(places) == 1:
+            return self._best(bucket, places[0][1], N_OWNERS)
+        return tuple(self._best(bucket, place, 1)[0] for _, place in places[:N_OWNERS])
+
+    def _best(
+        self, bucket: bytes, place: DataCentreId, n_owners: int
+    ) -> tuple[InstanceId, ...]:
+        digest = xxhash.xxh3_64_intdigest
+        scores = [(digest(bucket, seed=key), name) for key, name in self._keys[place]]
+        if n_owners == 1:
+            return (max(scores)[1],)
+        return tuple(name for _, name in sorted(scores, reverse=True)[:n_owners])
+
+
+class OwnerHistory:
+    """The owners now and those of the last while, which may hold records still.
+
+    Parameters
+    ----------
+    grace_ms : int
+        For how long previous owners are asked too.
+    """
+
+    def __init__(self, grace_ms: int) -> None:
+        self._grace_ms = grace_ms
+        self._previous: deque[tuple[int, OwnerMap]] = deque(maxlen=4)
+        self.now = OwnerMap({})
+
+    def replace(self, owners: OwnerMap, now_ms: int) -> OwnerMap | None:
+        """Set the owners; return the previous ones if they differ."""
+        if owners.members == self.now.members:
+            return None
+        replaced = self.now
+        self._previous.appendleft((now_ms, replaced))
+        self.now = owners
+        return replaced
+
+    def path(self, key: int, now_ms: int) -> tuple[InstanceId, ...]:
+        """Return whom to ask for a flow, present owners first."""
+        path = list(self.now.of(key))
+        alive = self.now.members.values()
+        for replaced_ms, owners in self._previous:
+            if now_ms - replaced_ms > self._grace_ms or not owners.members:
+                continue
+            path.extend(
+                name
+                for name in owners.of(key)
+                if name not in path and any(name in names for names in alive)
+            )
+        return tuple(path)
+
+
+def _is_out(plan: Plan, data_centre: DataCentreId) -> bool:
+    known = plan.data_centres.get(data_centre)
+    return known is not None and known.state is DataCentreState.OUT
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/record_codec.py
@@ -0,0 +1,75 @@
+"""Wire form of flow records: 20 bytes each, without any names."""
+
+import struct
+from collections.abc import Iterable, Iterator
+from typing import NamedTuple
+
+from ..plan.model import Plan
+from ..rendezvous import hash_key
+from ..types import FlowId, ServerId, TrafficClass
+
+__all__ = ["RECORD_BYTES", "FlowRecord", "ServerCodes", "pack_records"]
+
+_FORMAT = struct.Struct("<QQI")
+RECORD_BYTES = _FORMAT.size
+_CODE_BITS = 46
+_CODE_MASK = (1 << _CODE_BITS) - 1
+_CLASS_BITS = 2
+
+
+class FlowRecord(NamedTuple):
+    """Where a flow is, as one instance tells another.
+
+    The service follows from the server, which serves one only.
+    """
+
+    flow: FlowId
+    server: ServerId
+    caller: int
+    traffic_class: TrafficClass
+
+
+def _code(server: ServerId) -> int:
+    return hash_key(server) & _CODE_MASK
+
+
+def pack_records(records: Iterable[FlowRecord]) -> bytes:
+    """Return the wire form of records.
+
+    A record is the flow (64 bits), the caller (48), the class (2) and a hash of
+    the server's name (46).
+    """
+    return b"".join(map(_pack, records))
+
+
+def _pack(record: FlowRecord) -> bytes:
+    tail = record.caller << 48 | record.traffic_class << _CODE_BITS
+    tail |= _code(record.server)
+    return _FORMAT.pack(record.flow, tail & 0xFFFFFFFFFFFFFFFF, tail >> 64)
+
+
+class ServerCodes:
+    """Servers of a plan by the hash that stands for them in records.
+
+    Parameters
+    ----------
+    plan : Plan
+        The plan in force.
+    """
+
+    def __init__(self, plan: Plan) -> None:
+        self._servers = {_code(server): server for server in plan.servers}
+
+    def unpack(self, payload: bytes) -> Iterator[FlowRecord | None]:
+        """Yield the records of a payload; None for a server not in the plan."""
+        whole = len(payload) - len(payload) % RECORD_BYTES
+        for flow, low, high in _FORMAT.iter_unpack(payload[:whole]):
+            tail = high << 64 | low
+            server = self._servers.get(tail & _CODE_MASK)
+            if server is None:
+                yield None
+                continue
+            number = tail >> _CODE_BITS & (1 << _CLASS_BITS) - 1
+            known = number <= TrafficClass.UPLOAD
+            kind = TrafficClass(number) if known else TrafficClass.FEED
+            yield FlowRecord(FlowId(flow), server, tail >> 48, kind)
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/record_store.py
@@ -0,0 +1,86 @@
+"""The records that this instance keeps as an owner of flows."""
+
+from ..types import FlowId, InstanceId, ServerId, ServiceId
+from .context import FlowContext
+from .record_codec import FlowRecord
+
+__all__ = ["RecordStore"]
+
+
+class RecordStore:
+    """Keeps, finds and expires records.
+
+    Parameters
+    ----------
+    context : FlowContext
+        Shared state; the records are in its table ``records``.
+    """
+
+    def __init__(self, context: FlowContext) -> None:
+        self._context = context
+
+    def keep(
+        self, record: FlowRecord, holder: InstanceId, now_ms: int
+    ) -> InstanceId | None:
+        """Keep a record; return the holder that it had before."""
+        server = self._context.plan.servers.get(record.server)
+        if server is None:
+            return None
+        table = self._context.records
+        row = table.find(server.service, record.flow)
+        previous = None
+        if row is None:
+            if table.is_full():
+                self._evict()
+            row = table.insert(server.service, record.flow, record.server, now_ms)
+        else:
+            previous = table.holder(row)
+            table.set_server(row, record.server)
+        table.set_holder(row, holder)
+        table.set_caller(row, record.caller)
+        table.set_traffic_class(row, record.traffic_class)
+        table.hear_caller(row, now_ms)
+        return previous
+
+    def drop(self, record: FlowRecord) -> None:
+        """Drop a record, unless the flow is at another server by now."""
+        server = self._context.plan.servers.get(record.server)
+        if server is None:
+            return
+        table = self._context.records
+        row = table.find(server.service, record.flow)
+        if row is not None and table.server(row) == record.server:
+            table.remove(row)
+
+    def server(self, service: ServiceId, flow: FlowId) -> ServerId | None:
+        """Return where a flow is, or None without a record."""
+        row = self._context.records.find(service, flow)
+        return None if row is None else self._context.records.server(row)
+
+    def read(self, row: int) -> FlowRecord:
+        """Return the record of a row."""
+        table = self._context.records
+        return FlowRecord(
+            table.flow(row),
+            table.server(row),
+            table.caller(row),
+            table.traffic_class(row),
+        )
+
+    def expire(self, now_ms: int, n_records_max: int) -> None:
+        """Drop records that were not refreshed for too long."""
+        table = self._context.records
+        for _ in range(n_records_max):
+            row = table.oldest()
+            if row is None:
+                return
+            if table.caller_idle_ms(row, now_ms) < self._context.config.record_life_ms:
+                return
+            table.remove(row)
+
+    def _evict(self) -> None:
+        table = self._context.records
+        row = table.oldest()
+        if row is not None:
+            table.n_evicted += 1
+            table.remove(row)
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/silence.py
@@ -0,0 +1,185 @@
+"""Notices flows that one side no longer hears, and mends or ends them."""
+
+from collections import OrderedDict, deque
+from typing import NamedTuple
+
+from ..datagram import Kind, RefusalCode
+from ..effects import Effect
+from ..journal import Reason
+from ..types import FlowId, InstanceId, InstanceState, ServiceId, TrafficClass
+from .context import FlowContext
+from .registrar import Registrar
+from .table import FlowMark
+
+__all__ = ["Silence"]
+
+_ANSWERED_KINDS = frozenset({Kind.DATA, Kind.KEEPALIVE})
+_LONG_LIVED = frozenset({TrafficClass.FEED, TrafficClass.UPLOAD})
+
+
+class _Timer(NamedTuple):
+    """When a flow is to be looked at."""
+
+    due_ms: int
+    service: ServiceId
+    flow: FlowId
+
+
+class Silence:
+    """Watches flows, probes them, and sends them over another instance.
+
+    Parameters
+    ----------
+    context : FlowContext
+        Shared state.
+    registrar : Registrar
+        Registers flows that live on, and hands over those that got no answer.
+    """
+
+    def __init__(self, context: FlowContext, registrar: Registrar) -> None:
+        self._context = context
+        self._registrar = registrar
+        self._watched: deque[_Timer] = deque()
+        self._probed: deque[_Timer] = deque()
+        self._detours: OrderedDict[tuple[ServiceId, FlowId], InstanceId] = OrderedDict()
+        self._n_tokens = 0.0
+        self._filled_ms: int | None = None
+        self.n_probes = 0
+        self.n_handed_over = 0
+
+    def detour(self, service: ServiceId, flow: FlowId) -> InstanceId | None:
+        """Return the instance that a silent flow was handed over to."""
+        if not self._detours:
+            return None
+        peer = self._detours.get((service, flow))
+        if peer is not None and self._is_lost(peer):
+            del self._detours[service, flow]
+            return None
+        return peer
+
+    def on_forwarded(self, row: int, kind: Kind, now_ms: int) -> None:
+        """Start to wait for the server after a caller's datagram."""
+        if kind in _ANSWERED_KINDS:
+            self._context.table.mark(row, FlowMark.AWAITING)
+        self.watch(row, now_ms)
+
+    def watch(self, row: int, now_ms: int) -> None:
+        """Look at a flow again after a while."""
+        table = self._context.table
+        if table.has(row, FlowMark.WATCHED):
+            return
+        table.mark(row, FlowMark.WATCHED)
+        due_ms = now_ms + self._context.config.silent_ms
+        self._watched.append(_Timer(due_ms, table.service(row), table.flow(row)))
+
+    def on_server_heard(self, row: int, now_ms: int) -> None:
+        """Note that the server answered."""
+        table = self._context.table
+        table.unmark(row, FlowMark.AWAITING | FlowMark.PROBED | FlowMark.SECOND_PATH)
+        table.hear_server(row, now_ms)
+
+    def probe(self, row: int, now_ms: int) -> list[Effect]:
+        """Send a keepalive of a flow to its server, budget permitting."""
+        if not self._take_token(now_ms):
+            self.watch(row, now_ms)
+            return []
+        self.n_probes += 1
+        self.on_probed(row, now_ms)
+        return [self._context.keepalive(row)]
+
+    def on_probed(self, row: int, now_ms: int) -> None:
+        """Wait for the answer to a keepalive of this instance."""
+        table = self._context.table
+        table.mark(row, FlowMark.PROBED)
+        due_ms = now_ms + self._context.config.probe_timeout_ms
+        self._probed.append(_Timer(due_ms, table.service(row), table.flow(row)))
+
+    def tick(self, now_ms: int) -> list[Effect]:
+        """Look at the flows whose time has come."""
+        effects: list[Effect] = []
+        while self._watched and self._watched[0].due_ms <= now_ms:
+            timer = self._watched.popleft()
+            row = self._context.table.find(timer.service, timer.flow)
+            if row is not None:
+                effects += self._on_watched(row, now_ms)
+        while self._probed and self._probed[0].due_ms <= now_ms:
+            timer = self._probed.popleft()
+            row = self._context.table.find(timer.service, timer.flow)
+            if row is not None and self._context.table.has(row, FlowMark.PROBED):
+                effects += self._on_unanswered(row, now_ms)
+        return effects
+
+    def _on_watched(self, row: int, now_ms: int) -> list[Effect]:
+        table = self._context.table
+        table.unmark(row, FlowMark.WATCHED)
+        if table.has(row, FlowMark.ENDED | FlowMark.PROBED):
+            return []
+        if table.has(row, FlowMark.AWAITING):
+            return self.probe(row, now_ms)
+        if not self._is_unregistered(row):
+            return []
+        if table.caller_idle_ms(row, now_ms) < self._context.config.way_back_after_ms:
+            self.watch(row, now_ms)
+            return []
+        return self._registrar.register(row, now_ms)
+
+    def _is_unregistered(self, row: int) -> bool:
+        table = self._context.table
+        if table.has(row, FlowMark.REGISTERED):
+            return False
+        if not table.has(row, FlowMark.ANSWERING):
+            return False
+        return table.traffic_class(row) in _LONG_LIVED
+
+    def _on_unanswered(self, row: int, now_ms: int) -> list[Effect]:
+        context = self._context
+        table = context.table
+        table.unmark(row, FlowMark.PROBED | FlowMark.AWAITING)
+        peer = None if table.has(row, FlowMark.SECOND_PATH) else self._second_path(row)
+        context.journal.note(
+            now_ms,
+            Reason.FLOW_SILENT,
+            flow=table.flow(row),
+            server=table.server(row),
+            detail="given up" if peer is None else f"handed over to {peer}",
+        )
+        if peer is None:
+            self._registrar.forget(row, now_ms)
+            code = RefusalCode.UNREACHABLE
+            return context.give_up_row(row, code, Reason.FLOW_LOST, now_ms)
+        self.n_handed_over += 1
+        self._registrar.hand_over(peer, context.record(row), silent=True)
+        self._add_detour(row, peer)
+        table.remove(row)
+        return []
+
+    def _second_path(self, row: int) -> InstanceId | None:
+        """Return an instance that may still reach the server."""
+        context = self._context
+        for owner in (*context.owners_of(row), *context.fleet.live()):
+            if owner != context.self_id:
+                return owner
+        return None
+
+    def _add_detour(self, row: int, peer: InstanceId) -> None:
+        table = self._context.table
+        self._detours[table.service(row), table.flow(row)] = peer
+        if len(self._detours) > self._context.config.n_detours_max:
+            self._detours.popitem(last=False)
+
+    def _is_lost(self, instance: InstanceId) -> bool:
+        state = self._context.fleet.state(instance)
+        return state in (InstanceState.DEAD, InstanceState.LEFT)
+
+    def _take_token(self, now_ms: int) -> bool:
+        rate = self._context.config.n_probes_per_s
+        if self._filled_ms is None:
+            self._n_tokens = float(rate)
+        else:
+            self._n_tokens += rate * (now_ms - self._filled_ms) / 1000
+        self._n_tokens = min(self._n_tokens, float(rate))
+        self._filled_ms = now_ms
+        if self._n_tokens < 1.0:
+            return False
+        self._n_tokens -= 1.0
+        return True
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/way_back.py
@@ -0,0 +1,203 @@
+"""Keeps records for other instances and becomes the way back of their flows."""
+
+from collections import deque
+from typing import NamedTuple
+
+from ..effects import Effect, SendToPeer
+from ..journal import Reason
+from ..types import InstanceId, InstanceState
+from .context import FlowContext, keepalive_of
+from .messages import Forget, Register, Registered, Release
+from .owners import OwnerMap
+from .placement import flow_key
+from .record_codec import FlowRecord
+from .record_store import RecordStore
+from .registrar import Registrar
+from .silence import Silence
+from .table import FlowMark
+
+__all__ = ["WayBack"]
+
+_SECOND_OWNER_DELAY_MS = 1_000
+_N_TAKEN_OVER_PER_TICK = 200
+
+
+class _Loss(NamedTuple):
+    """An instance that was lost, and when its flows are to be taken over."""
+
+    due_ms: int
+    instance: InstanceId
+    by_first: bool
+    """Whether the first owners act; else the second ones, on what is left."""
+
+
+class WayBack:
+    """The role of an owner: records of flows that others answer for.
+
+    Parameters
+    ----------
+    context : FlowContext
+        Shared state.
+    store : RecordStore
+        The records.
+    registrar : Registrar
+        Registers flows that are taken over.
+    silence : Silence
+        Waits for the servers' answers.
+    """
+
+    def __init__(
+        self,
+        context: FlowContext,
+        store: RecordStore,
+        registrar: Registrar,
+        silence: Silence,
+    ) -> None:
+        self._context = context
+        self._store = store
+        self._registrar = registrar
+        self._silence = silence
+        self._losses: list[_Loss] = []
+        self._orphans: deque[FlowRecord] = deque()
+
+    @property
+    def n_orphans(self) -> int:
+        """Flows that lost their answering instance and wait for a keepalive."""
+        return len(self._orphans)
+
+    def on_register(
+        self, sender: InstanceId, message: Register, now_ms: int
+    ) -> list[Effect]:
+        """Keep records; acknowledge them if all their servers are known.
+
+        A batch that names a server which this instance's plan does not know yet
+        is not acknowledged, so that it comes again.
+        """
+        effects: list[Effect] = []
+        complete = True
+        for record in self._context.codes.unpack(message.records):
+            if record is None:
+                complete = False
+                continue
+            effects += self._take(sender, record, message, now_ms)
+        if complete:
+            effects.append(SendToPeer(sender, Registered(message.serial)))
+        return effects
+
+    def on_forget(self, message: Forget) -> None:
+        """Drop the records of flows that have ended."""
+        for record in self._context.codes.unpack(message.records):
+            if record is not None:
+                self._store.drop(record)
+
+    def on_release(self, message: Release) -> None:
+        """Stop to answer for flows that another instance answers for."""
+        table = self._context.table
+        for record in self._context.codes.unpack(message.records):
+            if record is None:
+                continue
+            service = self._context.plan.servers[record.server].service
+            row = table.find(service, record.flow)
+            if row is not None:
+                table.unmark(row, FlowMark.REGISTERED | FlowMark.ANSWERING)
+
+    def on_instance_lost(self, instance: InstanceId, now_ms: int) -> None:
+        """Plan to become the way back of the flows of a lost instance."""
+        later_ms = now_ms + _SECOND_OWNER_DELAY_MS
+        self._losses.append(_Loss(now_ms, instance, by_first=True))
+        self._losses.append(_Loss(later_ms, instance, by_first=False))
+
+    def tick(self, now_ms: int) -> list[Effect]:
+        """Take over some of the flows that lost their answering instance."""
+        due = [loss for loss in self._losses if loss.due_ms <= now_ms]
+        self._losses = [loss for loss in self._losses if loss.due_ms > now_ms]
+        for loss in due:
+            self._collect(loss, now_ms)
+        effects: list[Effect] = []
+        for _ in range(min(len(self._orphans), _N_TAKEN_OVER_PER_TICK)):
+            record = self._orphans.popleft()
+            effects += self.take_over(record, now_ms)
+        return effects
+
+    def take_over(
+        self, record: FlowRecord, now_ms: int, marks: int = 0
+    ) -> list[Effect]:
+        """Become the way back of a flow: tell its server and the owners."""
+        context = self._context
+        server = context.plan.servers.get(record.server)
+        if server is None or not context.placement.is_reachable(record.server):
+            return []
+        stub = keepalive_of(record, server.service)
+        marks |= FlowMark.CONFIRMED | FlowMark.ANSWERING
+        row = context.add(stub, record.server, now_ms, marks)
+        context.table.hear_caller(row, now_ms)
+        self._silence.on_probed(row, now_ms)
+        effects = self._registrar.register(row, now_ms)
+        return [*effects, context.keepalive(row)]
+
+    def hand_over_all(self, owners: OwnerMap) -> None:
+        """Give the way back of all flows, and all records, to other instances."""
+        context = self._context
+        table = context.table
+        for row in table.rows(0, table.n_rows):
+            if table.has(row, FlowMark.ENDED):
+                continue
+            if not table.has(row, FlowMark.ANSWERING | FlowMark.REGISTERED):
+                continue
+            record = context.record(row)
+            chosen = owners.of(flow_key(table.service(row), record.flow))
+            for position, owner in enumerate(chosen):
+                if position == 0:
+                    self._registrar.hand_over(owner, record)
+                else:
+                    self._registrar.send_to(owner, record)
+
+    def _take(
+        self,
+        sender: InstanceId,
+        record: FlowRecord,
+        message: Register,
+        now_ms: int,
+    ) -> list[Effect]:
+        previous = self._store.keep(record, sender, now_ms)
+        if message.takes_over:
+            marks = FlowMark.SECOND_PATH if message.silent else 0
+            return self.take_over(record, now_ms, marks)
+        self._release_previous(previous, sender, record)
+        return []
+
+    def _release_previous(
+        self, previous: InstanceId | None, holder: InstanceId, record: FlowRecord
+    ) -> None:
+        if previous is None or previous == holder or not self._is_first(record):
+            return
+        if previous == self._context.self_id:
+            service = self._context.plan.servers[record.server].service
+            row = self._context.table.find(service, record.flow)
+            if row is not None:
+                marks = FlowMark.REGISTERED | FlowMark.ANSWERING
+                self._context.table.unmark(row, marks)
+        elif self._context.fleet.state(previous) is InstanceState.ALIVE:
+            self._registrar.release(previous, record)
+
+    def _is_first(self, record: FlowRecord) -> bool:
+        service = self._context.plan.servers[record.server].service
+        owners = self._context.owners.now.of(flow_key(service, record.flow))
+        return bool(owners) and owners[0] == self._context.self_id
+
+    def _collect(self, loss: _Loss, now_ms: int) -> None:
+        """Queue the flows that a lost instance answered for."""
+        context = self._context
+        n_before = len(self._orphans)
+        for row in context.records.rows_held_by(loss.instance):
+            record = self._store.read(row)
+            known = record.server in context.plan.servers
+            if known and (not loss.by_first or self._is_first(record)):
+                self._orphans.append(record)
+        n_found = len(self._orphans) - n_before
+        if n_found:
+            context.journal.note(
+                now_ms,
+                Reason.FLOW_WAY_BACK,
+                detail=f"takes over {n_found} flows of {loss.instance}",
+            )
--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/__init__.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/__init__.py
@@ -1,5 +1,15 @@
 """The plan: services, backend servers, data centres, and their revisions."""
 
-from .model import DataCentre, Plan, Server, Service
+from .layers import current_layer, next_layers
+from .model import DataCentre, Layer, Plan, Seat, Server, Service
 
-__all__ = ["DataCentre", "Plan", "Server", "Service"]
+__all__ = [
+    "DataCentre",
+    "Layer",
+    "Plan",
+    "Seat",
+    "Server",
+    "Service",
+    "current_layer",
+    "next_layers",
+]
--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/model.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/model.py
@@ -14,7 +14,15 @@
     TenantId,
 )
 
-__all__ = ["EMPTY_PLAN", "DataCentre", "Plan", "Server", "Service"]
+__all__ = [
+    "EMPTY_PLAN",
+    "DataCentre",
+    "Layer",
+    "Plan",
+    "Seat",
+    "Server",
+    "Service",
+]
 
 
 class DataCentre(msgspec.Struct, frozen=True):
@@ -69,6 +77,34 @@
     changed_at: Revision = Revision(0)
 
 
+class Seat(msgspec.Struct, frozen=True, array_like=True):
+    """A hash position of a service and the server that held it."""
+
+    seat: int
+    server: ServerId
+
+
+class Layer(msgspec.Struct, frozen=True, array_like=True):
+    """A membership of a service that flows were opened under.
+
+    Parameters
+    ----------
+    seats : tuple of Seat
+        The servers that accepted new work, in order of their seats.
+    began_at : Revision
+        Revision that brought it.
+    ended_at : Revision
+        Revision that replaced it; 0 while it is in force.
+    ended_ms : int
+        Wall clock of the writer when it was replaced, milliseconds since 1970.
+    """
+
+    seats: tuple[Seat, ...]
+    began_at: Revision = Revision(0)
+    ended_at: Revision = Revision(0)
+    ended_ms: int = 0
+
+
 class Plan(msgspec.Struct, frozen=True, dict=True):
     """A whole plan at one revision; never changed in place.
 
@@ -78,12 +114,17 @@
         Its number; 0 is the empty plan before any sheet.
     data_centres, services, servers
         The parts, by id.
+    layers : dict of ServiceId to tuple of Layer
+        Past memberships of each service, oldest first, as `next_layers` in
+        `sapphirerail_core.plan.layers` computes them; the one in force is not
+        among them.
     """
 
     revision: Revision = Revision(0)
     data_centres: dict[DataCentreId, DataCentre] = {}
     services: dict[ServiceId, Service] = {}
     servers: dict[ServerId, Server] = {}
+    layers: dict[ServiceId, tuple[Layer, ...]] = {}
 
     @cached_property
     def servers_by_service(self) -> dict[ServiceId, tuple[Server, ...]]:
