--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/detector.py
@@ -0,0 +1,123 @@
+"""Notices silent neighbours and probes them before accusing them."""
+
+import random
+from dataclasses import dataclass
+
+from ..effects import Effect, SendToPeer
+from ..types import InstanceId
+from .config import FleetConfig
+from .member import Member
+from .messages import Ping, ProbeRequest
+from .roster import Roster
+
+__all__ = ["Detector"]
+
+N_PROBE_ROUNDS = 2
+
+
+@dataclass(slots=True)
+class _Watch:
+    """A neighbour that is watched; `n_rounds` probes were sent since `probed_ms`."""
+
+    since_ms: int
+    probed_ms: int = 0
+    n_rounds: int = 0
+
+
+class Detector:
+    """Watches the neighbours of this instance.
+
+    Parameters
+    ----------
+    config : FleetConfig
+        Times of silence and of probes.
+    roster : Roster
+        The members.
+    random_state : random.Random
+        Chooses the helpers of indirect probes.
+    """
+
+    def __init__(
+        self, config: FleetConfig, roster: Roster, random_state: random.Random
+    ) -> None:
+        self._config = config
+        self._roster = roster
+        self._random_state = random_state
+        self._watches: dict[InstanceId, _Watch] = {}
+        self.silent: list[Member] = []
+
+    def watched(self) -> tuple[InstanceId, ...]:
+        """Return the neighbours that are watched."""
+        return tuple(self._watches)
+
+    def watches(self, instance: InstanceId) -> bool:
+        """Return whether an instance is watched."""
+        return instance in self._watches
+
+    def probed(self) -> list[InstanceId]:
+        """Return the neighbours that are being probed, sorted."""
+        return sorted(n for n, watch in self._watches.items() if watch.n_rounds)
+
+    def restart(self, now_ms: int) -> None:
+        """Count silence from now on, after a pause of this process."""
+        self._watches = {name: _Watch(now_ms) for name in self._watches}
+
+    def tick(self, now_ms: int) -> list[Effect]:
+        """Probe silent neighbours; those without any answer end up in `silent`."""
+        self._follow_ring(now_ms)
+        self.silent = []
+        effects: list[Effect] = []
+        for name, watch in self._watches.items():
+            member = self._roster.members[name]
+            if self._silence_ms(member, watch, now_ms) <= self._config.suspect_after_ms:
+                watch.n_rounds = 0
+                continue
+            effects.extend(self._probe(member, watch, now_ms))
+        return effects
+
+    def last_heard_ms(self, member: Member) -> int:
+        """Return from when on this instance surely heard nothing of a member."""
+        return max(member.heard_ms, self._watches[member.instance].since_ms)
+
+    def _follow_ring(self, now_ms: int) -> None:
+        names = self._roster.neighbours(self._roster.self_id)
+        if len(names) == len(self._watches) and all(n in self._watches for n in names):
+            return
+        old = self._watches
+        self._watches = {name: old.get(name) or _Watch(now_ms) for name in names}
+
+    def _silence_ms(self, member: Member, watch: _Watch, now_ms: int) -> int:
+        return now_ms - max(member.heard_ms, member.known_ms, watch.since_ms)
+
+    def _probe(self, member: Member, watch: _Watch, now_ms: int) -> list[Effect]:
+        if watch.n_rounds == 0:
+            watch.probed_ms = now_ms
+        waited_ms = now_ms - watch.probed_ms
+        if waited_ms >= self._config.probe_ms:
+            if self._roster.self_id not in member.accusers:
+                self.silent.append(member)
+            return []
+        if waited_ms < watch.n_rounds * self._config.probe_ms // N_PROBE_ROUNDS:
+            return []
+        watch.n_rounds += 1
+        return self._send_probes(member)
+
+    def _send_probes(self, member: Member) -> list[Effect]:
+        effects: list[Effect] = [
+            SendToPeer(member.instance, Ping(self._roster.self_id))
+        ]
+        request = ProbeRequest(member.instance)
+        effects += [SendToPeer(name, request) for name in self._helpers(member)]
+        return effects
+
+    def _helpers(self, member: Member) -> list[InstanceId]:
+        n_helpers = self._config.n_helpers
+        own_data_centre = self._roster.own.data_centre
+        local = self._roster.sample(self._random_state, own_data_centre, n_helpers + 1)
+        helpers = [name for name in local if name != member.instance][:n_helpers]
+        others = [d for d in self._roster.data_centres() if d != own_data_centre]
+        if others and len(helpers) < n_helpers:
+            data_centre = self._random_state.choice(others)
+            n_missing = n_helpers - len(helpers)
+            helpers += self._roster.sample(self._random_state, data_centre, n_missing)
+        return helpers
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/membership.py
@@ -0,0 +1,334 @@
+"""The membership as one instance sees it: heartbeats, suspicion and the peer lease."""
+
+import random
+from collections.abc import Mapping, Sequence
+
+from ..effects import Effect, Message
+from ..journal import Journal, Reason
+from ..types import DataCentreId, InstanceId, InstanceState, Revision
+from . import rounds
+from .config import FleetConfig
+from .handlers import handle
+from .listing import ListedInstance, ListedState
+from .member import Member
+from .messages import MemberRecord
+from .owners import OwnerTable
+from .state import FleetState, StateChangeCallback
+from .status import FleetStatus, MemberStatus
+
+__all__ = ["Membership", "StateChangeCallback"]
+
+ROLE_NEVER_MS = 1 << 62
+"""Time from which the roles of a living instance may be taken over."""
+
+
+class Membership:
+    """Implements `FleetView` by heartbeats among a bounded set of neighbours.
+
+    Parameters
+    ----------
+    config : FleetConfig
+        Times and sizes; the same at all instances.
+    own : MemberRecord
+        This instance.
+    random_state : random.Random
+        Chooses helpers and targets.
+    journal : Journal
+        Receives the decisions.
+    now_ms : int
+        Time of the start.
+    """
+
+    def __init__(
+        self,
+        config: FleetConfig,
+        own: MemberRecord,
+        random_state: random.Random,
+        journal: Journal,
+        now_ms: int = 0,
+    ) -> None:
+        self._fleet = FleetState(config, own, random_state, journal, now_ms)
+        self.on_state_change = self._fleet.on_state_change
+        self._owner_tables: dict[DataCentreId, OwnerTable] = {}
+        self._owner_sets: dict[DataCentreId, tuple[InstanceId, ...]] = {}
+        self._tick_ms: int | None = None
+        self._round_ms = now_ms
+        self._rejoin_ms = now_ms
+        self._lease_was_held = False
+
+    @classmethod
+    def from_config(
+        cls,
+        config: FleetConfig,
+        self_id: InstanceId,
+        self_data_centre: DataCentreId,
+        incarnation: int,
+        random_state: random.Random,
+        journal: Journal,
+        *,
+        peer_address: str = "",
+        api_address: str = "",
+        now_ms: int = 0,
+    ) -> "Membership":
+        """Return the membership of an instance that starts now.
+
+        Parameters
+        ----------
+        config : FleetConfig
+            Times and sizes; the same at all instances.
+        self_id : InstanceId
+            Name of this instance.
+        self_data_centre : DataCentreId
+            Where it stands.
+        incarnation : int
+            Higher than that of any earlier process of this name, such as the
+            start's time.
+        random_state : random.Random
+            Chooses helpers and targets.
+        journal : Journal
+            Receives the decisions.
+        peer_address, api_address : str
+            ``address:port`` that the others are told.
+        now_ms : int
+            Time of the start.
+        """
+        own = MemberRecord(
+            self_id, self_data_centre, peer_address, api_address, incarnation
+        )
+        return cls(config, own, random_state, journal, now_ms)
+
+    # Read access
+
+    @property
+    def self_id(self) -> InstanceId:
+        """Name of the asking instance."""
+        return self._fleet.roster.self_id
+
+    @property
+    def self_data_centre(self) -> DataCentreId:
+        """Where this instance stands."""
+        return self._fleet.roster.own.data_centre
+
+    def live(self, data_centre: DataCentreId | None = None) -> tuple[InstanceId, ...]:
+        """Return the instances believed alive or suspected and reachable, sorted."""
+        if data_centre is None:
+            names = [n for d in self._fleet.roster.data_centres() for n in self.live(d)]
+            return tuple(sorted(names))
+        if self._fleet.reach.is_unreachable(data_centre):
+            return ()
+        return self._fleet.roster.live(data_centre)
+
+    def state(self, instance: InstanceId) -> InstanceState:
+        """Return what is believed of an instance; DEAD if it is unknown."""
+        return self._fleet.state(instance)
+
+    def data_centre(self, instance: InstanceId) -> DataCentreId | None:
+        """Return where an instance stands, or None if it is unknown."""
+        member = self._fleet.roster.get(instance)
+        return None if member is None else member.data_centre
+
+    def owners(
+        self, key: int, n_owners: int, data_centre: DataCentreId
+    ) -> tuple[InstanceId, ...]:
+        """Return the owners of a key among the live instances of a data centre."""
+        live = self.live(data_centre)
+        table = self._owner_tables.get(data_centre)
+        if table is None:
+            table = OwnerTable(live)
+            self._owner_tables[data_centre] = table
+        elif self._owner_sets[data_centre] is not live:
+            table.update(live)
+        self._owner_sets[data_centre] = live
+        return table.owners(key, n_owners)
+
+    def holds_lease(self, now_ms: int) -> bool:
+        """Return whether exclusive decisions of this instance are valid now."""
+        return not self._fleet.leaving and self._fleet.lease.holds(now_ms)
+
+    def role_valid_from_ms(self, instance: InstanceId) -> int:
+        """Return when roles taken over from a lost instance may be used."""
+        lapse_ms = self._fleet.config.lease_ms + self._fleet.config.lease_margin_ms
+        member = self._fleet.roster.get(instance)
+        if member is None:
+            return self._fleet.started_ms + lapse_ms
+        if member.state is InstanceState.LEFT:
+            return member.since_ms
+        if member.state is InstanceState.DEAD:
+            return max(member.last_heard_ms(), self._fleet.started_ms) + lapse_ms
+        return ROLE_NEVER_MS
+
+    def peer_address(self, instance: InstanceId) -> str | None:
+        """Return where an instance takes messages, or None if it is unknown."""
+        member = self._fleet.roster.get(instance)
+        if member is not None:
+            return member.record.peer_address
+        listed = self._fleet.listed.get(instance)
+        return None if listed is None else listed.peer_address
+
+    def api_address(self, instance: InstanceId) -> str | None:
+        """Return where an instance serves HTTP, or None if it is unknown."""
+        member = self._fleet.roster.get(instance)
+        if member is not None:
+            return member.record.api_address
+        listed = self._fleet.listed.get(instance)
+        return None if listed is None else listed.api_address
+
+    def set_revision(self, revision: Revision) -> None:
+        """Tell the others in heartbeats which plan is in force here."""
+        self._fleet.revision = revision
+        self._fleet.roster.own.revision = revision
+
+    def revisions(self) -> Mapping[InstanceId, Revision]:
+        """Return the plan in force at each live instance, as last told by itself.
+
+        At 19 instances each is heard of about once a second; at thousands this
+        instance hears directly of a sample only.
+        """
+        return {
+            name: member.revision
+            for name, member in self._fleet.roster.members.items()
+            if not member.gone
+        }
+
+    def status(self, now_ms: int) -> FleetStatus:
+        """Return what operators are shown."""
+        listed_ms = self._fleet.electorate.listed_ms
+        return FleetStatus(
+            instance=self.self_id,
+            data_centre=self.self_data_centre,
+            lease_held=self.holds_lease(now_ms),
+            counted_lost=self._fleet.electorate.counted_lost(),
+            unreachable=self._fleet.reach.unreachable_for(now_ms),
+            probing=self._fleet.detector.probed(),
+            list_age_ms=None if listed_ms is None else now_ms - listed_ms,
+            members=[
+                self._member_status(self._fleet.roster.members[name], now_ms)
+                for name in sorted(self._fleet.roster.members)
+            ],
+        )
+
+    def _member_status(self, member: Member, now_ms: int) -> MemberStatus:
+        return MemberStatus(
+            instance=member.instance,
+            data_centre=member.data_centre,
+            state=self.state(member.instance),
+            since_ms=now_ms - member.since_ms,
+            incarnation=member.incarnation,
+            revision=member.revision,
+            suspected_by=sorted(member.accusers),
+        )
+
+    # Events
+
+    def on_listing(
+        self, entries: Sequence[ListedInstance], now_ms: int
+    ) -> list[Effect]:
+        """Take in the platform's list: a hint whom to join, never a judgement."""
+        fleet = self._fleet
+        fleet.listed = {
+            entry.instance: entry
+            for entry in entries
+            if entry.instance != self.self_id and entry.state is ListedState.LIVE
+        }
+        fleet.electorate.on_listing(entries, now_ms)
+        return rounds.join_listed(fleet)
+
+    def on_message(
+        self, sender: InstanceId, message: Message, now_ms: int
+    ) -> list[Effect]:
+        """Take in a message of another instance."""
+        fleet = self._fleet
+        member = fleet.roster.get(sender)
+        if member is not None and not member.gone:
+            fleet.reach.hear(member.data_centre, now_ms)
+        effects = handle(message, fleet, sender, now_ms)
+        return effects + fleet.take_callback_effects()
+
+    def tick(self, now_ms: int) -> list[Effect]:
+        """Send what is due, and decide what silence means."""
+        fleet = self._fleet
+        self._notice_pause(now_ms)
+        effects: list[Effect] = []
+        if now_ms - self._round_ms >= fleet.config.heartbeat_ms:
+            self._round_ms = now_ms
+            effects += rounds.heartbeats(fleet, now_ms)
+        effects += self._detect(now_ms)
+        effects += fleet.helper.tick(now_ms)
+        self._update_reach(now_ms)
+        self._update_lease(now_ms)
+        if now_ms - self._rejoin_ms >= fleet.config.rejoin_ms:
+            self._rejoin_ms = now_ms
+            self._forget(now_ms)
+            effects += rounds.rejoin(fleet, now_ms)
+        effects += fleet.requests
+        fleet.requests = []
+        effects += rounds.send_news(fleet, now_ms)
+        return effects + fleet.take_callback_effects()
+
+    def leave(self, now_ms: int) -> list[Effect]:
+        """Give the lease up and tell others that this instance stops."""
+        self._fleet.leaving = True
+        self._fleet.lease.drop(now_ms)
+        return rounds.farewell(self._fleet)
+
+    def _notice_pause(self, now_ms: int) -> None:
+        fleet, last_ms = self._fleet, self._tick_ms
+        self._tick_ms = now_ms
+        if last_ms is None or now_ms - last_ms <= fleet.config.pause_ms:
+            return
+        fleet.lease.drop(now_ms)
+        fleet.detector.restart(now_ms)
+        fleet.reach.restart(now_ms)
+        detail = f"{now_ms - last_ms} ms"
+        fleet.journal.note(now_ms, Reason.PAUSE_NOTICED, detail=detail)
+
+    def _detect(self, now_ms: int) -> list[Effect]:
+        fleet = self._fleet
+        effects = fleet.detector.tick(now_ms)
+        for member in fleet.detector.silent:
+            effects += rounds.accuse(fleet, member, now_ms)
+        for name in list(fleet.roster.accused):
+            fleet.roster.reassess(fleet.roster.members[name], now_ms)
+        return effects
+
+    def _update_reach(self, now_ms: int) -> None:
+        fleet = self._fleet
+        for data_centre in fleet.reach.tick(fleet.roster.data_centres(), now_ms):
+            for name in fleet.roster.live(data_centre):
+                fleet.report(name, now_ms)
+
+    def _update_lease(self, now_ms: int) -> None:
+        fleet = self._fleet
+        fleet.electorate.tick(now_ms)
+        if fleet.joined_ms is None and self._is_alone(now_ms):
+            fleet.note_joined(now_ms)
+        witnesses = fleet.roster.neighbours(self.self_id)
+        fleet.lease.renew(witnesses, self._may_hold(now_ms), now_ms)
+        held = self.holds_lease(now_ms)
+        if held is not self._lease_was_held:
+            self._lease_was_held = held
+            reason = Reason.LEASE_HELD if held else Reason.LEASE_LOST
+            fleet.journal.note(now_ms, reason)
+
+    def _may_hold(self, now_ms: int) -> bool:
+        joined_ms = self._fleet.joined_ms
+        if joined_ms is None or now_ms - joined_ms < self._fleet.config.settle_ms:
+            return False
+        return self._fleet.electorate.has_majority()
+
+    def _is_alone(self, now_ms: int) -> bool:
+        fleet = self._fleet
+        if len(fleet.roster.live(self.self_data_centre)) > 1:
+            return False
+        if fleet.electorate.listed_ms is not None:
+            return not fleet.electorate.counted_lost()
+        return now_ms - fleet.started_ms > fleet.config.alone_ms
+
+    def _forget(self, now_ms: int) -> None:
+        fleet = self._fleet
+        members = fleet.roster.members
+        first_ms = now_ms - fleet.config.forget_after_ms
+        fleet.roster.forget(
+            [name for name in fleet.roster.gone if members[name].since_ms < first_ms]
+        )
+        fleet.echoes = {n: s for n, s in fleet.echoes.items() if n in members}
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/ring.py
@@ -0,0 +1,70 @@
+"""Neighbours on a hashed ring, so that few instances watch each other."""
+
+from bisect import bisect_left
+from collections.abc import Callable, Sequence
+
+from ..rendezvous import hash_key
+from ..types import InstanceId
+
+__all__ = ["Ring"]
+
+
+class Ring:
+    """Orders the instances of a data centre by the hash of their names.
+
+    Parameters
+    ----------
+    instances : sequence of InstanceId
+        The instances on the ring.
+    """
+
+    def __init__(self, instances: Sequence[InstanceId]) -> None:
+        self._places = sorted((hash_key(name), name) for name in instances)
+
+    def neighbours(
+        self,
+        instance: InstanceId,
+        n_side: int,
+        skips: Callable[[InstanceId], bool] = lambda _: False,
+    ) -> tuple[InstanceId, ...]:
+        """Return the nearest instances on both sides.
+
+        Parameters
+        ----------
+        instance : InstanceId
+            The one whose neighbours are wanted; it need not be on the ring.
+        n_side : int
+            How many instances that are not skipped each side has to have.
+        skips : callable
+            Says which instances do not count towards `n_side`; those on the way
+            are returned all the same.
+
+        Returns
+        -------
+        tuple of InstanceId
+            The neighbours, each once, sorted.
+        """
+        found = self._walk(instance, 1, n_side, skips)
+        found |= self._walk(instance, -1, n_side, skips)
+        return tuple(sorted(found))
+
+    def _walk(
+        self,
+        instance: InstanceId,
+        step: int,
+        n_side: int,
+        skips: Callable[[InstanceId], bool],
+    ) -> set[InstanceId]:
+        n_places = len(self._places)
+        start = bisect_left(self._places, (hash_key(instance), instance))
+        on_ring = start < n_places and self._places[start][1] == instance
+        first = start + step if on_ring or step < 0 else start
+        found: set[InstanceId] = set()
+        n_counted = 0
+        for distance in range(n_places - int(on_ring)):
+            name = self._places[(first + step * distance) % n_places][1]
+            found.add(name)
+            n_counted += not skips(name)
+            if n_counted >= n_side:
+                break
+        return found
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/roster.py
@@ -0,0 +1,302 @@
+"""The members, and how news and accusations change what is believed of them."""
+
+import random
+from collections.abc import Callable, Iterable
+from functools import singledispatchmethod
+
+import msgspec
+
+from .. import rendezvous
+from ..types import DataCentreId, InstanceId, InstanceState
+from .config import FleetConfig
+from .member import Member
+from .messages import Accused, Alive, Left, MemberRecord, Rumour
+from .ring import Ring
+
+__all__ = ["Roster"]
+
+N_ACCUSERS = 2
+"""Instances that have to agree before one counts as dead."""
+
+StateCallback = Callable[[Member, int], None]
+
+
+class Roster:
+    """Keeps the members and decides their states.
+
+    Parameters
+    ----------
+    config : FleetConfig
+        Times and sizes.
+    own : MemberRecord
+        This instance.
+    now_ms : int
+        Time of the start.
+    on_state : callable
+        Called with a member whose state has changed and the time.
+    """
+
+    def __init__(
+        self,
+        config: FleetConfig,
+        own: MemberRecord,
+        now_ms: int,
+        on_state: StateCallback,
+    ) -> None:
+        self._config = config
+        self._on_state = on_state
+        self.self_id = own.instance
+        self.members: dict[InstanceId, Member] = {}
+        self.accused: set[InstanceId] = set()
+        self.gone: set[InstanceId] = set()
+        self.version = 0
+        self.digest = 0
+        self._live: dict[DataCentreId, tuple[InstanceId, ...]] = {}
+        self._rings: dict[DataCentreId, Ring] = {}
+        self._add(own, now_ms)
+
+    @property
+    def own(self) -> Member:
+        """The member that stands for the asking instance."""
+        return self.members[self.self_id]
+
+    def get(self, instance: InstanceId) -> Member | None:
+        """Return a member, or None if it is unknown."""
+        return self.members.get(instance)
+
+    def live(self, data_centre: DataCentreId) -> tuple[InstanceId, ...]:
+        """Return the members of a data centre that are not gone, sorted."""
+        found = self._live.get(data_centre)
+        if found is None:
+            found = tuple(
+                sorted(
+                    member.instance
+                    for member in self.members.values()
+                    if member.data_centre == data_centre and not member.gone
+                )
+            )
+            self._live[data_centre] = found
+        return found
+
+    def data_centres(self) -> list[DataCentreId]:
+        """Return the data centres that have live members, sorted."""
+        found = {m.data_centre for m in self.members.values() if not m.gone}
+        return sorted(found)
+
+    def neighbours(self, instance: InstanceId) -> tuple[InstanceId, ...]:
+        """Return who watches an instance: the nearest live ones of its ring."""
+        member = self.members[instance]
+        ring = self._rings.get(member.data_centre)
+        if ring is None:
+            ring = Ring(self.live(member.data_centre))
+            self._rings[member.data_centre] = ring
+        return ring.neighbours(instance, self._config.n_ring, self._is_accused)
+
+    def _is_accused(self, instance: InstanceId) -> bool:
+        return instance in self.accused and instance != self.self_id
+
+    @singledispatchmethod
+    def apply(self, rumour: Rumour, now_ms: int) -> bool:
+        """Take in a rumour; return whether it was news."""
+        raise TypeError(f"unknown rumour {rumour!r}")
+
+    @apply.register
+    def _(self, rumour: Alive, now_ms: int) -> bool:
+        record = rumour.record
+        member = self.members.get(record.instance)
+        if member is None:
+            self._add(record, now_ms)
+            return True
+        if record.incarnation <= member.incarnation or member is self.own:
+            return False
+        self._renew(member, record, now_ms)
+        return True
+
+    @apply.register
+    def _(self, rumour: Accused, now_ms: int) -> bool:
+        member = self.members.get(rumour.instance)
+        if member is None or member is self.own or member.gone:
+            return False
+        if rumour.incarnation != member.incarnation:
+            return False
+        if rumour.accuser in member.accusers:
+            return False
+        self.accuse(member, rumour.accuser, now_ms - rumour.silent_ms, now_ms)
+        return True
+
+    @apply.register
+    def _(self, rumour: Left, now_ms: int) -> bool:
+        member = self.members.get(rumour.instance)
+        if member is None or member is self.own:
+            return False
+        if rumour.incarnation < member.incarnation:
+            return False
+        if member.state is InstanceState.LEFT:
+            return False
+        self._set_record(member, rumour.incarnation)
+        self._set_state(member, InstanceState.LEFT, now_ms)
+        return True
+
+    def accuse(
+        self, member: Member, accuser: InstanceId, heard_ms: int, now_ms: int
+    ) -> None:
+        """Record that an instance got no answer from a member."""
+        if not member.accusers:
+            member.accused_ms = now_ms
+        member.accusers[accuser] = heard_ms
+        self.accused.add(member.instance)
+        self.reassess(member, now_ms)
+
+    def heard(self, instance: InstanceId, incarnation: int, now_ms: int) -> None:
+        """Record a sign of life of this incarnation."""
+        member = self.members.get(instance)
+        if member is None or incarnation < member.incarnation or member.gone:
+            return
+        member.heard_ms = now_ms
+        if member.accusers.pop(self.self_id, None) is not None:
+            self.reassess(member, now_ms)
+
+    def refute(self, incarnation: int) -> None:
+        """Raise the own incarnation above one that is not believed to live."""
+        self._set_record(self.own, max(incarnation, self.own.incarnation) + 1)
+
+    def reassess(self, member: Member, now_ms: int) -> None:
+        """Decide a member's state anew from its accusers."""
+        if member.gone or member is self.own:
+            return
+        if not member.accusers:
+            self.accused.discard(member.instance)
+            self._set_state(member, InstanceState.ALIVE, now_ms)
+        elif self._is_dead(member, now_ms):
+            self._set_state(member, InstanceState.DEAD, now_ms)
+        else:
+            self._set_state(member, InstanceState.SUSPECT, now_ms)
+
+    def _is_dead(self, member: Member, now_ms: int) -> bool:
+        if now_ms - member.heard_ms <= self._config.suspect_after_ms:
+            return False
+        n_needed = self.n_needed(member)
+        if len(member.accusers) < n_needed:
+            return False
+        if n_needed >= N_ACCUSERS or self.self_id in member.accusers:
+            return True
+        return now_ms - member.accused_ms > self._config.verify_ms
+
+    def n_needed(self, member: Member) -> int:
+        """Return how many accusers make a member dead.
+
+        It is two, or one where only one instance of its data centre is left
+        that could accuse it.
+        """
+        n_possible = sum(
+            1
+            for name in self.live(member.data_centre)
+            if name != member.instance and not self._is_accused(name)
+        )
+        return max(1, min(N_ACCUSERS, n_possible))
+
+    def rumour(
+        self, instance: InstanceId, accuser: InstanceId, now_ms: int
+    ) -> Rumour | None:
+        """Return the current news of a member, or None if there is none.
+
+        Parameters
+        ----------
+        instance : InstanceId
+            The member.
+        accuser : InstanceId
+            Whose accusation is wanted; empty for the member's own state.
+        now_ms : int
+            Time of sending.
+        """
+        member = self.members.get(instance)
+        if member is None:
+            return None
+        if member.state is InstanceState.LEFT:
+            return Left(instance, member.incarnation)
+        if not accuser:
+            return Alive(member.record)
+        heard_ms = member.accusers.get(accuser)
+        if heard_ms is None:
+            return None
+        silent_ms = max(0, now_ms - heard_ms)
+        return Accused(instance, member.incarnation, accuser, silent_ms)
+
+    def rumours(self, instance: InstanceId, now_ms: int) -> list[Rumour]:
+        """Return all that is believed of a member, its record first."""
+        member = self.members[instance]
+        found: list[Rumour | None] = [Alive(member.record)]
+        if member.state is InstanceState.LEFT:
+            found.append(Left(instance, member.incarnation))
+        else:
+            accusers = list(member.accusers)[:N_ACCUSERS]
+            found += [self.rumour(instance, name, now_ms) for name in accusers]
+        return [rumour for rumour in found if rumour is not None]
+
+    def forget(self, instances: Iterable[InstanceId]) -> None:
+        """Drop members that are gone for long."""
+        for instance in instances:
+            self.members.pop(instance, None)
+            self.accused.discard(instance)
+            self.gone.discard(instance)
+
+    def sample(
+        self, random_state: random.Random, data_centre: DataCentreId, n_wanted: int
+    ) -> list[InstanceId]:
+        """Return random live members of a data centre, this instance left out."""
+        names = [n for n in self.live(data_centre) if n != self.self_id]
+        return random_state.sample(names, min(n_wanted, len(names)))
+
+    def _renew(self, member: Member, record: MemberRecord, now_ms: int) -> None:
+        """Take over a newer incarnation of a member."""
+        self._changed(member.data_centre)
+        self._toggle(member)
+        member.record = record
+        self._toggle(member)
+        self._changed(member.data_centre)
+        member.known_ms = now_ms
+        member.accusers.clear()
+        self.accused.discard(record.instance)
+        if member.state is InstanceState.ALIVE:
+            self._on_state(member, now_ms)
+        self._set_state(member, InstanceState.ALIVE, now_ms)
+
+    def _set_record(self, member: Member, incarnation: int) -> None:
+        self._toggle(member)
+        member.record = msgspec.structs.replace(member.record, incarnation=incarnation)
+        self._toggle(member)
+
+    def _add(self, record: MemberRecord, now_ms: int) -> None:
+        member = Member(record, known_ms=now_ms, since_ms=now_ms)
+        self.members[record.instance] = member
+        self._toggle(member)
+        self._changed(record.data_centre)
+        self._on_state(member, now_ms)
+
+    def _set_state(self, member: Member, state: InstanceState, now_ms: int) -> None:
+        if member.state is state:
+            return
+        was_gone = member.gone
+        self._toggle(member)
+        member.state = state
+        self._toggle(member)
+        member.since_ms = now_ms
+        if member.gone:
+            self.accused.discard(member.instance)
+            self.gone.add(member.instance)
+        else:
+            self.gone.discard(member.instance)
+        if was_gone != member.gone:
+            self._changed(member.data_centre)
+        self._on_state(member, now_ms)
+
+    def _changed(self, data_centre: DataCentreId) -> None:
+        self.version += 1
+        self._live.pop(data_centre, None)
+        self._rings.pop(data_centre, None)
+
+    def _toggle(self, member: Member) -> None:
+        """Add a live member to the digest, or take it out again."""
+        if not member.gone:
+            text = f"{member.instance} {member.incarnation}"
+            self.digest ^= rendezvous.hash_key(text) & 0xFFFFFFFF
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/rounds.py
@@ -0,0 +1,120 @@
+"""What an instance sends without being asked: heartbeats, news, joins, checks."""
+
+from ..effects import Effect, SendToPeer
+from ..types import InstanceId, InstanceState
+from .member import Member
+from .messages import Join, Left, ProbeRequest, Rumours
+from .state import FleetState
+
+__all__ = ["accuse", "farewell", "heartbeats", "join_listed", "rejoin", "send_news"]
+
+N_JOIN = 3
+N_CONFIRM = 8
+"""Lost instances that are probed through other data centres at a time."""
+
+
+def heartbeats(fleet: FleetState, now_ms: int) -> list[Effect]:
+    """Return a round of heartbeats."""
+    fleet.sequence += 1
+    fleet.lease.note_round(fleet.sequence, now_ms)
+    return [
+        SendToPeer(name, fleet.heartbeat(name, fleet.sequence, now_ms))
+        for name in _round_targets(fleet)
+    ]
+
+
+def _round_targets(fleet: FleetState) -> list[InstanceId]:
+    roster, config = fleet.roster, fleet.config
+    targets = list(roster.neighbours(fleet.self_id))
+    local = roster.sample(fleet.random_state, fleet.data_centre, config.n_random)
+    targets += [name for name in local if name not in targets]
+    others = [d for d in roster.data_centres() if d != fleet.data_centre]
+    for offset in range(min(config.n_remote, len(others))):
+        data_centre = others[(fleet.sequence + offset) % len(others)]
+        targets += roster.sample(fleet.random_state, data_centre, 1)
+    return targets
+
+
+def accuse(fleet: FleetState, member: Member, now_ms: int) -> list[Effect]:
+    """Tell a silent member's neighbours and itself that it gives no answer."""
+    heard_ms = fleet.detector.last_heard_ms(member)
+    fleet.roster.accuse(member, fleet.self_id, heard_ms, now_ms)
+    rumour = fleet.roster.rumour(member.instance, fleet.self_id, now_ms)
+    if rumour is None:
+        return []
+    fleet.news.add(rumour)
+    targets = {member.instance, *fleet.roster.neighbours(member.instance)}
+    targets.discard(fleet.self_id)
+    return [SendToPeer(name, Rumours((rumour,))) for name in sorted(targets)]
+
+
+def send_news(fleet: FleetState, now_ms: int) -> list[Effect]:
+    """Return messages with fresh rumours, the first one to any data centre."""
+    if not len(fleet.news):
+        return []
+    effects: list[Effect] = []
+    for n_sent in range(fleet.config.n_fanout):
+        data_centre = fleet.data_centre
+        if n_sent == 0:
+            data_centre = fleet.random_state.choice(fleet.roster.data_centres())
+        for name in fleet.roster.sample(fleet.random_state, data_centre, 1):
+            rumours = fleet.news.take(fleet.config.n_rumours, now_ms)
+            if rumours:
+                effects.append(SendToPeer(name, Rumours(rumours)))
+    return effects
+
+
+def farewell(fleet: FleetState) -> list[Effect]:
+    """Return the news of a planned stop for neighbours and some others."""
+    news = Rumours((Left(fleet.self_id, fleet.roster.own.incarnation),))
+    targets = {*fleet.roster.neighbours(fleet.self_id)}
+    for data_centre in fleet.roster.data_centres():
+        n_wanted = fleet.config.n_fanout
+        targets.update(fleet.roster.sample(fleet.random_state, data_centre, n_wanted))
+    return [SendToPeer(name, news) for name in sorted(targets)]
+
+
+def join_listed(fleet: FleetState) -> list[Effect]:
+    """Ask a few listed but unknown instances for the members.
+
+    Until this instance has joined, those of its own data centre are asked first.
+    """
+    unknown = sorted(n for n in fleet.listed if n not in fleet.roster.members)
+    pool = unknown
+    if fleet.joined_ms is None:
+        own = fleet.data_centre
+        local = [n for n in unknown if fleet.listed[n].data_centre == own]
+        pool = local or unknown
+    chosen = fleet.random_state.sample(pool, min(N_JOIN, len(pool)))
+    return [SendToPeer(name, Join(fleet.roster.own.record)) for name in chosen]
+
+
+def rejoin(fleet: FleetState, now_ms: int) -> list[Effect]:
+    """Try to reach those that are listed or dead, a few at a time."""
+    effects = join_listed(fleet)
+    dead = sorted(
+        name
+        for name in fleet.roster.gone
+        if fleet.roster.members[name].state is InstanceState.DEAD
+    )
+    if dead:
+        name = fleet.random_state.choice(dead)
+        heartbeat = fleet.heartbeat(name, fleet.sequence, now_ms)
+        effects.append(SendToPeer(name, heartbeat))
+    if not fleet.electorate.has_majority():
+        effects += _confirm_lost(fleet)
+    return effects
+
+
+def _confirm_lost(fleet: FleetState) -> list[Effect]:
+    """Ask other data centres whether they reach those that are lost here."""
+    roster, random_state = fleet.roster, fleet.random_state
+    others = [d for d in roster.data_centres() if d != fleet.data_centre]
+    n_asked = min(fleet.config.n_helpers, len(others))
+    effects: list[Effect] = []
+    for subject in fleet.electorate.counted_lost()[:N_CONFIRM]:
+        for data_centre in random_state.sample(others, n_asked):
+            helpers = roster.sample(random_state, data_centre, 1)
+            request = ProbeRequest(subject)
+            effects += [SendToPeer(name, request) for name in helpers]
+    return effects
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/sync.py
@@ -0,0 +1,93 @@
+"""Compares members with a peer, page by page, for newcomers and after cuts."""
+
+from ..effects import Effect, SendToPeer
+from ..types import DataCentreId, InstanceId
+from .config import FleetConfig
+from .messages import MembersPage, Rumour, SyncRequest
+from .roster import Roster
+
+__all__ = ["MemberSync"]
+
+SLACK_MS = 10_000
+GROWTH = 8
+"""Factor by which the compared time grows while digests go on to differ."""
+ALL_AFTER_MS = 4_000_000
+PAUSE_BETWEEN_MS = 1000
+
+
+class MemberSync:
+    """Asks a peer for its members when digests differ for too long.
+
+    Parameters
+    ----------
+    config : FleetConfig
+        Page size and patience.
+    roster : Roster
+        The members.
+    now_ms : int
+        Time of the start.
+    """
+
+    def __init__(self, config: FleetConfig, roster: Roster, now_ms: int) -> None:
+        self._config = config
+        self._roster = roster
+        self._start_ms = now_ms
+        self._matched_ms: dict[DataCentreId, int] = {}
+        self._asked_ms = now_ms
+        self._window_ms = 0
+
+    def on_digest(self, sender: InstanceId, digest: int, now_ms: int) -> list[Effect]:
+        """Compare a peer's digest with the own one."""
+        member = self._roster.get(sender)
+        if member is None:
+            return []
+        if digest == self._roster.digest:
+            self._matched_ms[member.data_centre] = now_ms
+            self._window_ms = 0
+            return []
+        matched_ms = self._matched_ms.setdefault(member.data_centre, now_ms)
+        differs_ms = now_ms - matched_ms
+        if differs_ms <= self._config.sync_after_ms:
+            return []
+        if now_ms - self._asked_ms < PAUSE_BETWEEN_MS:
+            return []
+        self._asked_ms = now_ms
+        self._window_ms = max(self._window_ms * GROWTH, differs_ms + SLACK_MS)
+        window_ms = 0 if self._window_ms > ALL_AFTER_MS else self._window_ms
+        return [SendToPeer(sender, SyncRequest(InstanceId(""), window_ms))]
+
+    def page(
+        self, sender: InstanceId, request: SyncRequest, now_ms: int
+    ) -> MembersPage:
+        """Return the page that a peer asks for; its own data centre comes first."""
+        asking = self._roster.get(sender)
+        data_centre = None if asking is None else asking.data_centre
+        first = self._order(request.after, data_centre)
+        names = [n for n in self._roster.members if self._order(n, data_centre) > first]
+        if request.changed_within_ms:
+            from_ms = now_ms - request.changed_within_ms
+            names = [n for n in names if self._changed_ms(n) >= from_ms]
+        names.sort(key=lambda name: self._order(name, data_centre))
+        chosen = names[: self._config.n_page]
+        rumours: list[Rumour] = []
+        for name in chosen:
+            rumours.extend(self._roster.rumours(name, now_ms))
+        after = chosen[-1] if len(names) > len(chosen) else InstanceId("")
+        return MembersPage(tuple(rumours), after, request.changed_within_ms)
+
+    def next_request(self, page: MembersPage) -> SyncRequest | None:
+        """Return the request for the page that follows, or None."""
+        if not page.after:
+            return None
+        return SyncRequest(page.after, page.changed_within_ms)
+
+    def _changed_ms(self, instance: InstanceId) -> int:
+        member = self._roster.members[instance]
+        return max(member.since_ms, member.known_ms)
+
+    def _order(
+        self, instance: InstanceId, data_centre: DataCentreId | None
+    ) -> tuple[bool, InstanceId]:
+        member = self._roster.get(instance)
+        is_other = member is not None and member.data_centre != data_centre
+        return is_other, instance
--- a/packages/sapphirerail-core/src/sapphirerail_core/journal.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/journal.py
@@ -13,12 +13,30 @@
 class Reason(Enum):
     """Why a decision was taken."""
 
+    # Fleet
+    INSTANCE_ALIVE = "instance.alive"
+    INSTANCE_SUSPECT = "instance.suspect"
+    INSTANCE_UNREACHABLE = "instance.unreachable"
+    INSTANCE_DEAD = "instance.dead"
+    INSTANCE_LEFT = "instance.left"
+    INSTANCE_REFUTED = "instance.refuted"
+    LEASE_HELD = "lease.held"
+    LEASE_LOST = "lease.lost"
+    PAUSE_NOTICED = "pause.noticed"
+
+    # Flow
     FLOW_OPENED = "flow.opened"
     FLOW_CLOSED = "flow.closed"
     FLOW_LOST = "flow.lost"
+
+    # Request
     REQUEST_REFUSED = "request.refused"
+
+    # Plan
     PLAN_APPLIED = "plan.applied"
     PLAN_STALE = "plan.stale"
+
+    # Edge
     DATAGRAM_DROPPED = "datagram.dropped"
 
 
--- a/packages/sapphirerail-core/src/sapphirerail_core/types.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/types.py
@@ -60,5 +60,6 @@
 
     ALIVE = "alive"
     SUSPECT = "suspect"
+    UNREACHABLE = "unreachable"
     DEAD = "dead"
     LEFT = "left"
