--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/owners.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/owners.py
@@ -4,6 +4,7 @@
 
 import xxhash
 
+from ..fleet.owners import OwnerTable, slot_of
 from ..fleet.view import FleetView
 from ..plan.model import Plan
 from ..rendezvous import hash_key
@@ -12,7 +13,6 @@
 __all__ = ["N_OWNERS", "OwnerMap", "OwnerHistory"]
 
 N_OWNERS = 2
-_N_BUCKETS = 1 << 14  # bounds the cache; 29 buckets an instance at 557 a site
 
 
 class OwnerMap:
@@ -27,10 +27,7 @@
     def __init__(self, members: dict[DataCentreId, tuple[InstanceId, ...]]) -> None:
         self.members = members
         self._places = [(hash_key(place), place) for place in members]
-        self._keys = {
-            place: [(hash_key(name), name) for name in names]
-            for place, names in members.items()
-        }
+        self._tables = {place: OwnerTable(names) for place, names in members.items()}
         self._cache: dict[int, tuple[InstanceId, ...]] = {}
 
     @classmethod
@@ -57,31 +54,21 @@
 
     def of(self, key: int) -> tuple[InstanceId, ...]:
         """Return the owners of a flow's key, the first one first."""
-        bucket = key % _N_BUCKETS
-        owners = self._cache.get(bucket)
+        slot = slot_of(key)
+        owners = self._cache.get(slot)
         if owners is None:
-            owners = self._compute(bucket.to_bytes(8, "little"))
-            self._cache[bucket] = owners
+            owners = self._compute(key, slot.to_bytes(8, "little"))
+            self._cache[slot] = owners
         return owners
 
-    def _compute(self, bucket: bytes) -> tuple[InstanceId, ...]:
+    def _compute(self, key: int, slot: bytes) -> tuple[InstanceId, ...]:
         digest = xxhash.xxh3_64_intdigest
-        places = sorted(
-            ((digest(bucket, seed=key), place) for key, place in self._places),
-            reverse=True,
-        )
+        scores = [(digest(slot, seed=seed), place) for seed, place in self._places]
+        places = [place for _, place in sorted(scores, reverse=True)]
         if len(places) == 1:
-            return self._best(bucket, places[0][1], N_OWNERS)
-        return tuple(self._best(bucket, place, 1)[0] for _, place in places[:N_OWNERS])
-
-    def _best(
-        self, bucket: bytes, place: DataCentreId, n_owners: int
-    ) -> tuple[InstanceId, ...]:
-        digest = xxhash.xxh3_64_intdigest
-        scores = [(digest(bucket, seed=key), name) for key, name in self._keys[place]]
-        if n_owners == 1:
-            return (max(scores)[1],)
-        return tuple(name for _, name in sorted(scores, reverse=True)[:n_owners])
+            return self._tables[places[0]].owners(key, N_OWNERS)
+        first = (self._tables[place].owners(key, 1) for place in places[:N_OWNERS])
+        return tuple(owner for owners in first for owner in owners)
 
 
 class OwnerHistory:
