--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/__init__.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/__init__.py
@@ -1,5 +1,5 @@
 """The plan: services, backend servers, data centres, and their revisions."""
 
-from .model import DataCentre, Plan, Server, Service
+from .model import EMPTY_PLAN, DataCentre, Plan, Server, Service
 
-__all__ = ["DataCentre", "Plan", "Server", "Service"]
+__all__ = ["EMPTY_PLAN", "DataCentre", "Plan", "Server", "Service"]
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/digest.py
@@ -0,0 +1,39 @@
+"""Digest of a plan's content that can be updated part by part."""
+
+from collections.abc import Iterable
+
+import msgspec
+import xxhash
+
+from .model import DataCentre, Plan, Server, Service
+
+__all__ = ["Part", "content_digest", "part_digest", "parts"]
+
+Part = DataCentre | Service | Server
+
+
+def part_digest(part: Part) -> int:
+    """Return the digest of one part; the digest of a plan is the XOR of them all."""
+    payload = msgspec.json.encode((type(part).__name__, part))
+    return xxhash.xxh3_64_intdigest(payload)
+
+
+def parts(plan: Plan) -> Iterable[Part]:
+    """Yield every part of a plan."""
+    yield from plan.data_centres.values()
+    yield from plan.services.values()
+    yield from plan.servers.values()
+
+
+def content_digest(plan: Plan) -> int:
+    """Return the digest of all parts of a plan.
+
+    Examples
+    --------
+    >>> content_digest(Plan())
+    0
+    """
+    digest = 0
+    for part in parts(plan):
+        digest ^= part_digest(part)
+    return digest
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/draft.py
@@ -0,0 +1,345 @@
+"""Sheet lines applied to a plan: the next plan, and an answer for each line."""
+
+from collections.abc import Iterable
+from enum import Enum
+from functools import singledispatchmethod
+
+import msgspec
+
+from ..types import (
+    DataCentreState,
+    Revision,
+    ServerId,
+    ServerState,
+    ServiceId,
+)
+from .digest import Part, part_digest
+from .model import DataCentre, Plan, Server, Service
+from .retention import forget_left, forgotten_at
+from .sheet_line import (
+    DataCentreLine,
+    LineError,
+    Refusal,
+    RefusalReason,
+    ServerLine,
+    ServiceLine,
+    SheetLine,
+)
+
+__all__ = ["Change", "LineResult", "Outcome", "apply_lines", "refused_result"]
+
+
+class Outcome(Enum):
+    """What became of a sheet line."""
+
+    CHANGED = "changed"
+    UNCHANGED = "unchanged"
+    REFUSED = "refused"
+
+
+class LineResult(msgspec.Struct, frozen=True, kw_only=True):
+    """The answer for one sheet line.
+
+    Parameters
+    ----------
+    number : int
+        Line of the file.
+    name : str
+        What the line is about.
+    outcome : Outcome
+        Whether the plan changed, already said so, or the line was refused.
+    revision : Revision
+        Revision from which on the line is part of the plan; 0 if refused.
+    code, reason : str
+        Why it was refused; empty otherwise.
+    """
+
+    number: int
+    name: str
+    outcome: Outcome
+    revision: Revision = Revision(0)
+    code: str = ""
+    reason: str = ""
+
+
+class Change(msgspec.Struct, frozen=True):
+    """The outcome of applying lines to a plan.
+
+    Parameters
+    ----------
+    plan : Plan
+        The next plan, or the given one if nothing changes.
+    results : tuple of LineResult
+        One for each line, in the order of the file.
+    n_changed : int
+        Parts of the plan that differ.
+    """
+
+    plan: Plan
+    results: tuple[LineResult, ...]
+    n_changed: int
+
+
+def apply_lines(plan: Plan, lines: Iterable[SheetLine], base: Revision) -> Change:
+    """Return the plan that follows when the lines are applied.
+
+    Data centres come first, then services, servers that leave, and other servers,
+    whatever their order in the file: a sheet is a set of statements.
+
+    Parameters
+    ----------
+    plan : Plan
+        The plan in the store.
+    lines : iterable of SheetLine
+        Lines without contradictions.
+    base : Revision
+        The revision that the operator knew. A line that would alter a part that
+        changed since is refused with ``sheet.race``.
+
+    Returns
+    -------
+    Change
+        The next plan at ``plan.revision + 1``, and the result of each line.
+    """
+    draft = _Draft(plan, base)
+    results = [draft.apply(line) for line in sorted(lines, key=_order)]
+    results.sort(key=lambda result: result.number)
+    if draft.n_changed == 0:
+        return Change(plan, tuple(results), 0)
+    return Change(draft.finish(), tuple(results), draft.n_changed)
+
+
+def refused_result(refusal: Refusal) -> LineResult:
+    """Return the result of a line that the sheet's reader refused."""
+    return LineResult(
+        number=refusal.number,
+        name=refusal.name,
+        outcome=Outcome.REFUSED,
+        code=refusal.code.value,
+        reason=refusal.reason,
+    )
+
+
+def _order(line: SheetLine) -> tuple[int, int]:
+    if isinstance(line, DataCentreLine):
+        return 0, line.number
+    if isinstance(line, ServiceLine):
+        return 1, line.number
+    leaves = line.state in (ServerState.LEFT, ServerState.DRAINING)
+    return (2 if leaves else 3), line.number
+
+
+class _Draft:
+    """A plan that is being changed."""
+
+    def __init__(self, plan: Plan, base: Revision) -> None:
+        self.n_changed = 0
+        self._plan = plan
+        self._base = base
+        self._revision = Revision(plan.revision + 1)
+        self._digest = plan.digest
+        self._data_centres = dict(plan.data_centres)
+        self._services = dict(plan.services)
+        self._servers = dict(plan.servers)
+        self._addresses: dict[str, ServerId] = {}
+        self._seats: dict[ServiceId, dict[int, list[ServerId]]] = {}
+        for server in plan.servers.values():
+            self._index(server)
+
+    def apply(self, line: SheetLine) -> LineResult:
+        """Apply one line, or refuse it and leave the draft as it is."""
+        try:
+            known, wanted = self._wanted(line)
+            if known == wanted and known is not None:
+                return self._result(line, Outcome.UNCHANGED, known.changed_at)
+            self._check_race(known)
+        except LineError as error:
+            refusal = Refusal(line.number, line.name, error.code, error.reason)
+            return refused_result(refusal)
+        self._replace(known, msgspec.structs.replace(wanted, changed_at=self._revision))
+        return self._result(line, Outcome.CHANGED, self._revision)
+
+    def finish(self) -> Plan:
+        """Return the changed plan; its history is written by who commits it."""
+        changed = msgspec.structs.replace(
+            self._plan,
+            revision=self._revision,
+            data_centres=self._data_centres,
+            services=self._services,
+            servers=self._servers,
+            digest=self._digest,
+        )
+        return forget_left(changed, forgotten_at(changed))
+
+    def _result(
+        self, line: SheetLine, outcome: Outcome, revision: Revision
+    ) -> LineResult:
+        return LineResult(
+            number=line.number, name=line.name, outcome=outcome, revision=revision
+        )
+
+    def _check_race(self, known: Part | None) -> None:
+        if known is None or known.changed_at == self._revision:
+            return
+        if known.changed_at > self._base:
+            raise LineError(
+                RefusalReason.RACE,
+                f"revision {known.changed_at} changed it after revision {self._base}, "
+                "which this sheet was applied to; look at it and apply again",
+            )
+
+    @singledispatchmethod
+    def _wanted(self, line: SheetLine) -> tuple[Part | None, Part]:
+        """Return the part that the plan has and the one that the line asks for."""
+        raise NotImplementedError(type(line).__name__)
+
+    @_wanted.register
+    def _(self, line: DataCentreLine) -> tuple[Part | None, Part]:
+        known = self._data_centres.get(line.name)
+        if known is None:
+            return None, DataCentre(line.name, line.state or DataCentreState.IN)
+        return known, msgspec.structs.replace(known, state=line.state or known.state)
+
+    @_wanted.register
+    def _(self, line: ServiceLine) -> tuple[Part | None, Part]:
+        known = self._services.get(line.name)
+        if known is None:
+            return None, Service(line.name, line.tenant)
+        if known.tenant != line.tenant:
+            reason = f"it belongs to {known.tenant!r}; give the service another name"
+            raise LineError(RefusalReason.TENANT_FIXED, reason)
+        return known, known
+
+    @_wanted.register
+    def _(self, line: ServerLine) -> tuple[Part | None, Part]:
+        known = self._servers.get(line.name)
+        wanted = _new_server(line) if known is None else _changed_server(known, line)
+        if wanted.service not in self._services:
+            reason = f"service {wanted.service!r} is in neither the sheet nor the plan"
+            raise LineError(RefusalReason.UNKNOWN_SERVICE, reason)
+        if wanted.data_centre not in self._data_centres:
+            reason = (
+                f"data centre {wanted.data_centre!r} is in neither the sheet "
+                "nor the plan"
+            )
+            raise LineError(RefusalReason.UNKNOWN_DATA_CENTRE, reason)
+        if wanted.state is not ServerState.LEFT:
+            self._check_address(wanted)
+            wanted = self._seated(known, line, wanted)
+        return known, wanted
+
+    def _check_address(self, wanted: Server) -> None:
+        holder = self._addresses.get(wanted.address, wanted.server)
+        if holder != wanted.server:
+            reason = f"{wanted.address} belongs to {holder!r}, which has not left"
+            raise LineError(RefusalReason.ADDRESS_TAKEN, reason)
+
+    def _seated(self, known: Server | None, line: ServerLine, wanted: Server) -> Server:
+        """Return the server with its seat; it shares one only with a draining one."""
+        seats = self._seats.setdefault(wanted.service, {})
+        if line.seat is not None:
+            seat = line.seat
+        elif known is not None and known.state is not ServerState.LEFT:
+            seat = known.seat
+        else:
+            seat = next(n for n in range(len(seats) + 1) if not seats.get(n))
+        if wanted.state is not ServerState.DRAINING:
+            self._check_seat(wanted.server, seat, seats.get(seat, []))
+        return msgspec.structs.replace(wanted, seat=seat)
+
+    def _check_seat(self, server: ServerId, seat: int, holders: list[ServerId]) -> None:
+        for holder in holders:
+            state = self._servers[holder].state
+            if holder != server and state is not ServerState.DRAINING:
+                reason = f"seat {seat} belongs to {holder!r}; let it drain first"
+                raise LineError(RefusalReason.SEAT_TAKEN, reason)
+
+    def _replace(self, known: Part | None, wanted: Part) -> None:
+        """Put a part into the draft."""
+        # A part that two equal lines of one sheet name counts once.
+        if known is None or known.changed_at != self._revision:
+            self.n_changed += 1
+        if known is not None:
+            self._digest ^= part_digest(known)
+        self._digest ^= part_digest(wanted)
+        if isinstance(wanted, DataCentre):
+            self._data_centres[wanted.data_centre] = wanted
+        elif isinstance(wanted, Service):
+            self._services[wanted.service] = wanted
+        else:
+            if isinstance(known, Server):
+                self._unindex(known)
+            self._servers[wanted.server] = wanted
+            self._index(wanted)
+
+    def _index(self, server: Server) -> None:
+        if server.state is ServerState.LEFT:
+            return
+        self._addresses[server.address] = server.server
+        seats = self._seats.setdefault(server.service, {})
+        seats.setdefault(server.seat, []).append(server.server)
+
+    def _unindex(self, server: Server) -> None:
+        if server.state is ServerState.LEFT:
+            return
+        del self._addresses[server.address]
+        seats = self._seats[server.service]
+        seats[server.seat].remove(server.server)
+
+
+def _new_server(line: ServerLine) -> Server:
+    missing = [
+        column
+        for column, value in (
+            ("service", line.service),
+            ("data_centre", line.data_centre),
+            ("address", line.address),
+            ("state", line.state),
+        )
+        if value is None
+    ]
+    if missing:
+        reason = f"the plan has no such server yet, so {', '.join(missing)} must be set"
+        raise LineError(RefusalReason.MISSING_FIELD, reason)
+    assert line.service is not None
+    assert line.data_centre is not None
+    assert line.address is not None
+    assert line.state is not None
+    server = Server(
+        server=line.name,
+        service=line.service,
+        data_centre=line.data_centre,
+        address=line.address,
+        state=line.state,
+    )
+    return _with_limits(server, line)
+
+
+def _changed_server(known: Server, line: ServerLine) -> Server:
+    wanted = msgspec.structs.replace(
+        known,
+        service=line.service or known.service,
+        data_centre=line.data_centre or known.data_centre,
+        address=line.address or known.address,
+        state=line.state or known.state,
+    )
+    moved = (wanted.service, wanted.data_centre, wanted.address) != (
+        known.service,
+        known.data_centre,
+        known.address,
+    )
+    if moved and known.state is not ServerState.LEFT:
+        raise LineError(
+            RefusalReason.SERVER_IN_USE,
+            f"it is {known.state.value} as {known.service!r} in {known.data_centre!r} "
+            f"at {known.address}; let it leave first, or use another name",
+        )
+    return _with_limits(wanted, line)
+
+
+def _with_limits(server: Server, line: ServerLine) -> Server:
+    return msgspec.structs.replace(
+        server,
+        n_slots=line.n_slots or server.n_slots,
+        n_flows_max=line.n_flows_max or server.n_flows_max,
+    )
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/layout.py
@@ -0,0 +1,258 @@
+"""How a plan lies in the store: a small root and shards under the value limit."""
+
+import base64
+import zlib
+from collections.abc import Iterable, Mapping
+
+import msgspec
+
+from ..errors import InputError
+from ..rendezvous import hash_key
+from ..types import Revision, ServiceId
+from .digest import content_digest
+from .model import DataCentre, Plan, Server, Service, Write, WriteId
+from .store import Version
+
+__all__ = [
+    "HISTORY_LENGTH",
+    "N_SHARDS",
+    "ROOT_KEY",
+    "Garbage",
+    "Root",
+    "Shard",
+    "ShardRef",
+    "StoredShard",
+    "assemble",
+    "checksum",
+    "decode_root",
+    "decode_shard",
+    "encode_root",
+    "encode_shard",
+    "pack",
+    "root_of",
+    "shard_index",
+    "shard_key",
+    "split",
+    "unpack",
+]
+
+ROOT_KEY = "plan-root"
+ROOT_FORMAT = 1
+N_SHARDS = 64
+HISTORY_LENGTH = 64
+COMPRESSION_LEVEL = 6
+
+
+class ShardRef(msgspec.Struct, frozen=True):
+    """Where the content of one shard lies.
+
+    Parameters
+    ----------
+    generation : int
+        Part of the key; never used by two writes that both took effect.
+    version : Version
+        Version of the key, for its deletion.
+    checksum : int
+        CRC-32 of the packed content.
+    """
+
+    generation: int
+    version: Version
+    checksum: int
+
+
+class Garbage(msgspec.Struct, frozen=True):
+    """A shard that no root names any more, to be deleted by the next write."""
+
+    key: str
+    version: Version
+
+
+class Root(msgspec.Struct, frozen=True, kw_only=True):
+    """The one value that is replaced by compare-and-swap.
+
+    Parameters
+    ----------
+    revision : Revision
+        Revision of the plan.
+    digest : int
+        Digest of the plan's content.
+    data_centres : tuple of DataCentre
+        All data centres: taking one out writes nothing but the root.
+    shards : dict of int to ShardRef
+        Where the shards lie; an empty shard has no entry.
+    history : tuple of Write
+        The newest writes, oldest first.
+    forgotten_at : Revision
+        As in `Plan`.
+    garbage : tuple of Garbage
+        Shards to delete.
+    """
+
+    revision: Revision
+    digest: int
+    data_centres: tuple[DataCentre, ...] = ()
+    shards: dict[int, ShardRef] = {}
+    history: tuple[Write, ...] = ()
+    forgotten_at: Revision = Revision(0)
+    garbage: tuple[Garbage, ...] = ()
+    format: int = ROOT_FORMAT
+
+
+class Shard(msgspec.Struct, frozen=True, array_like=True):
+    """The services whose names hash to one number, with their servers."""
+
+    services: tuple[Service, ...] = ()
+    servers: tuple[Server, ...] = ()
+
+
+class StoredShard(msgspec.Struct, frozen=True):
+    """A shard's value: who wrote it, and the packed content."""
+
+    write_id: WriteId
+    packed: str
+
+
+_root_decoder = msgspec.json.Decoder(Root)
+_shard_decoder = msgspec.json.Decoder(Shard)
+_stored_decoder = msgspec.json.Decoder(StoredShard)
+
+
+def shard_index(service: ServiceId) -> int:
+    """Return the shard that a service and its servers lie in."""
+    return hash_key(service) % N_SHARDS
+
+
+def shard_key(index: int, generation: int) -> str:
+    """Return the key of a shard.
+
+    Examples
+    --------
+    >>> shard_key(3, 12)
+    'plan-shard-3-12'
+    """
+    return f"plan-shard-{index}-{generation}"
+
+
+def split(plan: Plan) -> dict[int, Shard]:
+    """Return the shards of a plan that hold something, sorted inside."""
+    services: dict[int, list[Service]] = {}
+    servers: dict[int, list[Server]] = {}
+    for service in plan.services.values():
+        services.setdefault(shard_index(service.service), []).append(service)
+    for server in plan.servers.values():
+        servers.setdefault(shard_index(server.service), []).append(server)
+    return {
+        index: Shard(
+            tuple(sorted(services.get(index, []), key=lambda part: part.service)),
+            tuple(sorted(servers.get(index, []), key=lambda part: part.server)),
+        )
+        for index in sorted(services.keys() | servers.keys())
+    }
+
+
+def assemble(root: Root, shards: Iterable[Shard]) -> Plan:
+    """Return the plan of a root and its shards.
+
+    Raises
+    ------
+    InputError
+        ``plan.digest_mismatch`` if the shards are not those that the root was
+        written with.
+    """
+    found = tuple(shards)
+    plan = Plan(
+        revision=root.revision,
+        data_centres={part.data_centre: part for part in root.data_centres},
+        services={part.service: part for shard in found for part in shard.services},
+        servers={part.server: part for shard in found for part in shard.servers},
+        digest=root.digest,
+        forgotten_at=root.forgotten_at,
+        history=root.history,
+    )
+    if content_digest(plan) != root.digest:
+        text = f"the shards of revision {root.revision} don't belong to its root"
+        raise InputError("plan.digest_mismatch", text)
+    return plan
+
+
+def root_of(
+    plan: Plan, shards: Mapping[int, ShardRef], garbage: Iterable[Garbage]
+) -> Root:
+    """Return the root that names a plan's shards."""
+    return Root(
+        revision=plan.revision,
+        digest=plan.digest,
+        data_centres=tuple(plan.data_centres.values()),
+        shards=dict(shards),
+        history=plan.history,
+        forgotten_at=plan.forgotten_at,
+        garbage=tuple(garbage),
+    )
+
+
+def encode_root(root: Root) -> str:
+    """Return the text of a root."""
+    return msgspec.json.encode(root).decode()
+
+
+def decode_root(text: str) -> Root:
+    """Return the root in a value.
+
+    Raises
+    ------
+    InputError
+        ``plan.malformed_root`` or ``plan.unknown_format``.
+    """
+    try:
+        root = _root_decoder.decode(text)
+    except msgspec.MsgspecError as error:
+        raise InputError("plan.malformed_root", str(error)) from error
+    if root.format != ROOT_FORMAT:
+        text = f"format {root.format}; this version reads {ROOT_FORMAT}"
+        raise InputError("plan.unknown_format", text)
+    return root
+
+
+def pack(shard: Shard) -> str:
+    """Return the compressed text of a shard."""
+    payload = zlib.compress(msgspec.json.encode(shard), COMPRESSION_LEVEL)
+    return base64.b64encode(payload).decode()
+
+
+def unpack(packed: str) -> Shard:
+    """Return the shard in a compressed text.
+
+    Raises
+    ------
+    InputError
+        ``plan.malformed_shard``.
+    """
+    try:
+        return _shard_decoder.decode(zlib.decompress(base64.b64decode(packed)))
+    except (ValueError, zlib.error, msgspec.MsgspecError) as error:
+        raise InputError("plan.malformed_shard", str(error)) from error
+
+
+def encode_shard(write_id: WriteId, packed: str) -> str:
+    """Return the value of a shard."""
+    return msgspec.json.encode(StoredShard(write_id, packed)).decode()
+
+
+def decode_shard(text: str) -> StoredShard:
+    """Return the shard's value with its writer.
+
+    Raises
+    ------
+    InputError
+        ``plan.malformed_shard``.
+    """
+    try:
+        return _stored_decoder.decode(text)
+    except msgspec.MsgspecError as error:
+        raise InputError("plan.malformed_shard", str(error)) from error
+
+
+def checksum(packed: str) -> int:
+    """Return the CRC-32 of a packed shard."""
+    return zlib.crc32(packed.encode())
--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/model.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/model.py
@@ -1,6 +1,7 @@
 """An immutable snapshot of what the operators configured."""
 
 from functools import cached_property
+from typing import NewType
 
 import msgspec
 
@@ -14,7 +15,18 @@
     TenantId,
 )
 
-__all__ = ["EMPTY_PLAN", "DataCentre", "Plan", "Server", "Service"]
+__all__ = [
+    "EMPTY_PLAN",
+    "DataCentre",
+    "Plan",
+    "Server",
+    "Service",
+    "Write",
+    "WriteId",
+]
+
+WriteId = NewType("WriteId", str)
+"""Unique name of one attempt to change the plan, chosen by who writes."""
 
 
 class DataCentre(msgspec.Struct, frozen=True):
@@ -30,6 +42,7 @@
 
     service: ServiceId
     tenant: TenantId
+    changed_at: Revision = Revision(0)
 
 
 class Server(msgspec.Struct, frozen=True, kw_only=True):
@@ -69,6 +82,33 @@
     changed_at: Revision = Revision(0)
 
 
+class Write(msgspec.Struct, frozen=True, kw_only=True):
+    """One change of the plan, as the history keeps it.
+
+    Parameters
+    ----------
+    revision : Revision
+        The revision that it made.
+    write_id : WriteId
+        Its unique name.
+    operator : str
+        Who made it.
+    at_ms : int
+        When, in milliseconds since the epoch, by the operator's clock.
+    sheet_digest : str
+        Digest of the sheet's bytes; empty for single changes.
+    n_changed : int
+        Number of parts of the plan that it changed.
+    """
+
+    revision: Revision
+    write_id: WriteId
+    operator: str = ""
+    at_ms: int = 0
+    sheet_digest: str = ""
+    n_changed: int = 0
+
+
 class Plan(msgspec.Struct, frozen=True, dict=True):
     """A whole plan at one revision; never changed in place.
 
@@ -78,12 +118,23 @@
         Its number; 0 is the empty plan before any sheet.
     data_centres, services, servers
         The parts, by id.
+    digest : int
+        Digest of all parts, as `content_digest` computes it; 0 if nobody computed
+        it.
+    forgotten_at : Revision
+        Highest revision of a change whose part is no longer kept; a delta since an
+        older revision cannot be made.
+    history : tuple of Write
+        The newest writes, oldest first.
     """
 
     revision: Revision = Revision(0)
     data_centres: dict[DataCentreId, DataCentre] = {}
     services: dict[ServiceId, Service] = {}
     servers: dict[ServerId, Server] = {}
+    digest: int = 0
+    forgotten_at: Revision = Revision(0)
+    history: tuple[Write, ...] = ()
 
     @cached_property
     def servers_by_service(self) -> dict[ServiceId, tuple[Server, ...]]:
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/sheet.py
@@ -0,0 +1,160 @@
+"""Reading the operators' sheet: CSV to typed lines and refusals."""
+
+import csv
+import hashlib
+import unicodedata
+
+import msgspec
+
+from ..errors import InputError
+from .sheet_field import parse_line
+from .sheet_line import (
+    COLUMNS,
+    LineError,
+    Refusal,
+    RefusalReason,
+    Sheet,
+    SheetLine,
+)
+
+__all__ = ["SHEET_MAX_BYTES", "parse_sheet"]
+
+SHEET_MAX_BYTES = 64 * 1024 * 1024
+
+
+def parse_sheet(payload: bytes) -> Sheet:
+    r"""Return the lines of a sheet.
+
+    Every physical line stands alone: a quote that is never closed spoils its own
+    line only.
+
+    Parameters
+    ----------
+    payload : bytes
+        The file: UTF-8 with or without a byte-order mark, LF or CRLF.
+
+    Returns
+    -------
+    Sheet
+        Accepted lines and refusals.
+
+    Raises
+    ------
+    InputError
+        ``sheet.empty``, ``sheet.too_large``, ``sheet.not_utf8`` or
+        ``sheet.bad_header``: nothing of the file can be used.
+
+    Examples
+    --------
+    >>> sheet = parse_sheet(b"kind,name,state\ndata_centre,Osu,out\n")
+    >>> sheet.lines[0].name
+    'Osu'
+    """
+    rows = _decode(payload).split("\n")
+    columns = _parse_header(rows[0].removesuffix("\r"))
+    reader = _Reader(columns)
+    for number, row in enumerate(rows[1:-1], start=2):
+        reader.read(number, row.removesuffix("\r"))
+    if rows[-1]:
+        reader.refuse_cut(len(rows), rows[-1])
+    digest = hashlib.sha256(payload).hexdigest()
+    return Sheet(reader.lines(), reader.refusals(), digest)
+
+
+def _decode(payload: bytes) -> str:
+    if len(payload) > SHEET_MAX_BYTES:
+        text = f"{len(payload)} bytes; at most {SHEET_MAX_BYTES} are allowed"
+        raise InputError("sheet.too_large", text)
+    try:
+        text = payload.decode("utf-8-sig")
+    except UnicodeDecodeError as error:
+        raise InputError("sheet.not_utf8", f"save it as UTF-8: {error}") from error
+    if not text.strip():
+        raise InputError("sheet.empty", "the file holds nothing; export it again")
+    return text
+
+
+def _parse_header(row: str) -> list[str]:
+    columns = [name.strip() for name in next(csv.reader([row]), [])]
+    unknown = sorted(set(columns) - set(COLUMNS))
+    missing = [name for name in ("kind", "name") if name not in columns]
+    if unknown or missing or len(set(columns)) != len(columns):
+        raise InputError(
+            "sheet.bad_header",
+            f"the first line must name columns of {','.join(COLUMNS)}, each once, "
+            f"with kind and name; unknown: {unknown}, missing: {missing}",
+        )
+    return columns
+
+
+class _Reader:
+    """Collects the lines of one sheet."""
+
+    def __init__(self, columns: list[str]) -> None:
+        self._columns = columns
+        self._by_key: dict[tuple[type, str], list[SheetLine]] = {}
+        self._refusals: list[Refusal] = []
+
+    def read(self, number: int, row: str) -> None:
+        """Take one line of the file."""
+        if not row.strip():
+            return
+        name = ""
+        try:
+            fields = self._fields(row)
+            name = fields["name"]
+            line = parse_line(number, fields)
+        except LineError as error:
+            self._refusals.append(Refusal(number, name, error.code, error.reason))
+            return
+        self._by_key.setdefault((type(line), line.name), []).append(line)
+
+    def refuse_cut(self, number: int, row: str) -> None:
+        """Refuse a last line without a line break: the file may be cut inside it."""
+        reason = "the file ends inside this line; end it with a line break"
+        self._refusals.append(Refusal(number, row[:80], RefusalReason.CUT, reason))
+
+    def lines(self) -> tuple[SheetLine, ...]:
+        """Return the accepted lines; repeated equal lines stay."""
+        found: list[SheetLine] = []
+        for lines in self._by_key.values():
+            if _all_equal(lines):
+                found.extend(lines)
+        return tuple(sorted(found, key=lambda line: line.number))
+
+    def refusals(self) -> tuple[Refusal, ...]:
+        """Return the refused lines, contradicting ones included."""
+        found = list(self._refusals)
+        for lines in self._by_key.values():
+            if not _all_equal(lines):
+                found.extend(_contradictions(lines))
+        return tuple(sorted(found, key=lambda refusal: refusal.number))
+
+    def _fields(self, row: str) -> dict[str, str]:
+        try:
+            cells = next(csv.reader([row], strict=True))
+        except csv.Error as error:
+            raise LineError(RefusalReason.MALFORMED, str(error)) from error
+        if len(cells) != len(self._columns):
+            raise LineError(
+                RefusalReason.MALFORMED,
+                f"{len(cells)} fields; the header has {len(self._columns)}",
+            )
+        texts = [unicodedata.normalize("NFC", cell.strip()) for cell in cells]
+        return dict.fromkeys(COLUMNS, "") | dict(zip(self._columns, texts, strict=True))
+
+
+def _all_equal(lines: list[SheetLine]) -> bool:
+    first = lines[0]
+    return all(
+        msgspec.structs.replace(line, number=first.number) == first for line in lines
+    )
+
+
+def _contradictions(lines: list[SheetLine]) -> list[Refusal]:
+    numbers = ", ".join(str(line.number) for line in lines)
+    reason = f"lines {numbers} say different things; keep one of them"
+    return [
+        Refusal(line.number, line.name, RefusalReason.CONTRADICTION, reason)
+        for line in lines
+    ]
