--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/delta.py
@@ -0,0 +1,165 @@
+"""What changed between two revisions of a plan, and whole plans on the wire."""
+
+from collections.abc import Iterable
+from typing import TypeVar
+
+import msgspec
+
+from ..errors import InputError
+from ..types import Revision
+from . import layout
+from .digest import Part, part_digest
+from .layout import Root
+from .model import DataCentre, Plan, Server, Service, Write
+from .retention import forget_left
+
+__all__ = ["FullPlan", "PlanAnswer", "PlanDelta", "delta_since", "merge"]
+
+PartT = TypeVar("PartT", DataCentre, Service, Server)
+
+
+class PlanDelta(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """The parts that changed after one revision, up to another.
+
+    Parameters
+    ----------
+    since, revision : Revision
+        Both ends.
+    digest : int
+        Digest of the plan at the newer end.
+    data_centres, services, servers : tuple
+        Changed parts; servers that left are among them.
+    history : tuple of Write
+        The writes that made the changes, as far as the giver keeps them.
+    forgotten_at : Revision
+        As in `Plan`.
+    """
+
+    since: Revision
+    revision: Revision
+    digest: int
+    data_centres: tuple[DataCentre, ...] = ()
+    services: tuple[Service, ...] = ()
+    servers: tuple[Server, ...] = ()
+    history: tuple[Write, ...] = ()
+    forgotten_at: Revision = Revision(0)
+
+
+class FullPlan(msgspec.Struct, frozen=True):
+    """A whole plan: its root, without keys of the store, and packed shards."""
+
+    root: Root
+    shards: tuple[str, ...]
+
+    def plan(self) -> Plan:
+        """Return the plan.
+
+        Raises
+        ------
+        InputError
+            ``plan.malformed_shard`` or ``plan.digest_mismatch``.
+        """
+        return layout.assemble(self.root, [layout.unpack(text) for text in self.shards])
+
+
+class PlanAnswer(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Answer of one instance to another that asks for its plan.
+
+    Parameters
+    ----------
+    revision : Revision
+        Revision of the giver's plan.
+    contact_age_ms : int
+        As in `PlanNews`.
+    delta : PlanDelta or None
+        What changed, if that can be told.
+    full : FullPlan or None
+        The whole plan, if it can't; both are None if the giver has nothing newer.
+    """
+
+    revision: Revision
+    contact_age_ms: int
+    delta: PlanDelta | None = None
+    full: FullPlan | None = None
+
+
+def delta_since(plan: Plan, since: Revision) -> PlanDelta | None:
+    """Return what changed after a revision, or None if that is not known any more."""
+    if since < plan.forgotten_at or since > plan.revision:
+        return None
+    return PlanDelta(
+        since=since,
+        revision=plan.revision,
+        digest=plan.digest,
+        data_centres=_changed(plan.data_centres.values(), since),
+        services=_changed(plan.services.values(), since),
+        servers=_changed(plan.servers.values(), since),
+        history=tuple(write for write in plan.history if write.revision > since),
+        forgotten_at=plan.forgotten_at,
+    )
+
+
+def merge(plan: Plan, delta: PlanDelta) -> Plan:
+    """Return the newer plan that a delta leads to.
+
+    Parameters
+    ----------
+    plan : Plan
+        The plan that is held; at least at the delta's older end.
+    delta : PlanDelta
+        The changes.
+
+    Returns
+    -------
+    Plan
+        The plan at the delta's newer end, or the given one if that is not older.
+
+    Raises
+    ------
+    InputError
+        ``plan.gap`` if changes in between are missing; ``plan.digest_mismatch`` if
+        the result is not what the giver holds, as after a store that lost writes.
+    """
+    if delta.revision <= plan.revision:
+        return plan
+    if delta.since > plan.revision:
+        text = f"changes from {plan.revision} to {delta.since} are missing"
+        raise InputError("plan.gap", text)
+    merged = msgspec.structs.replace(
+        plan,
+        revision=delta.revision,
+        data_centres=plan.data_centres | {p.data_centre: p for p in delta.data_centres},
+        services=plan.services | {p.service: p for p in delta.services},
+        servers=plan.servers | {p.server: p for p in delta.servers},
+        digest=_merged_digest(plan, delta),
+        history=_joined(plan.history, delta.history),
+    )
+    merged = forget_left(merged, delta.forgotten_at)
+    if merged.digest != delta.digest:
+        text = f"revision {delta.revision} does not follow from {plan.revision}"
+        raise InputError("plan.digest_mismatch", text)
+    return merged
+
+
+def _changed(parts: Iterable[PartT], since: Revision) -> tuple[PartT, ...]:
+    return tuple(part for part in parts if part.changed_at > since)
+
+
+def _merged_digest(plan: Plan, delta: PlanDelta) -> int:
+    digest = plan.digest
+    pairs: list[tuple[Part | None, Part]] = []
+    pairs += [(plan.data_centres.get(p.data_centre), p) for p in delta.data_centres]
+    pairs += [(plan.services.get(p.service), p) for p in delta.services]
+    pairs += [(plan.servers.get(p.server), p) for p in delta.servers]
+    for old, new in pairs:
+        if old is not None:
+            digest ^= part_digest(old)
+        digest ^= part_digest(new)
+    return digest
+
+
+def _joined(old: tuple[Write, ...], new: tuple[Write, ...]) -> tuple[Write, ...]:
+    if not new:
+        return old
+    kept = tuple(write for write in old if write.revision < new[0].revision)
+    return (kept + new)[-layout.HISTORY_LENGTH :]
--- /dev/null
+++ b/packages/sapphirerail-node/src/sapphirerail_node/plan_answers.py
@@ -0,0 +1,68 @@
+"""Answers to peers that ask for the plan: deltas and whole plans, kept ready."""
+
+import asyncio
+
+from sapphirerail_core.plan import Plan, layout
+from sapphirerail_core.plan.delta import FullPlan, PlanAnswer, PlanDelta, delta_since
+from sapphirerail_core.plan.layout import Shard
+from sapphirerail_core.types import Revision
+
+__all__ = ["PlanAnswers"]
+
+N_DELTAS_MAX = 16
+
+
+class PlanAnswers:
+    """Makes answers, and keeps those that the next peers will ask for too."""
+
+    def __init__(self) -> None:
+        self._revision = Revision(0)
+        self._deltas: dict[Revision, PlanDelta | None] = {}
+        self._packed: dict[int, tuple[Shard, str]] = {}
+
+    async def answer(self, plan: Plan, since: Revision, age_ms: int) -> PlanAnswer:
+        """Return the answer for a peer that holds a revision.
+
+        Parameters
+        ----------
+        plan : Plan
+            The plan in force.
+        since : Revision
+            Revision of the peer; 0 asks for the whole plan.
+        age_ms : int
+            Age of the news from the store.
+
+        Returns
+        -------
+        PlanAnswer
+            With a delta, the whole plan, or neither if the peer lacks nothing.
+        """
+        if since >= plan.revision:
+            return PlanAnswer(plan.revision, age_ms)
+        delta = self._delta(plan, since) if since > 0 else None
+        if delta is not None:
+            return PlanAnswer(plan.revision, age_ms, delta=delta)
+        full = await self._full(plan)
+        return PlanAnswer(plan.revision, age_ms, full=full)
+
+    def _delta(self, plan: Plan, since: Revision) -> PlanDelta | None:
+        if self._revision != plan.revision:
+            self._revision = plan.revision
+            self._deltas.clear()
+        if since not in self._deltas:
+            if len(self._deltas) >= N_DELTAS_MAX:
+                self._deltas.clear()
+            self._deltas[since] = delta_since(plan, since)
+        return self._deltas[since]
+
+    async def _full(self, plan: Plan) -> FullPlan:
+        """Pack the shards that changed, one at a time between other work."""
+        texts = []
+        for index, shard in layout.split(plan).items():
+            known = self._packed.get(index)
+            if known is None or known[0] != shard:
+                known = (shard, layout.pack(shard))
+                self._packed[index] = known
+                await asyncio.sleep(0)
+            texts.append(known[1])
+        return FullPlan(layout.root_of(plan, {}, ()), tuple(texts))
--- /dev/null
+++ b/packages/sapphirerail-node/src/sapphirerail_node/plan_service.py
@@ -0,0 +1,311 @@
+"""The plan of one instance: reads the store, asks peers, answers them."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+import msgspec
+
+from sapphirerail_core.effects import Effect, Message
+from sapphirerail_core.errors import InputError, SapphirerailError
+from sapphirerail_core.fleet.view import FleetView
+from sapphirerail_core.journal import Journal
+from sapphirerail_core.plan import Plan
+from sapphirerail_core.plan.delta import PlanAnswer
+from sapphirerail_core.plan.layout import ROOT_KEY
+from sapphirerail_core.plan.messages import PlanNews
+from sapphirerail_core.plan.repository import PlanRepository
+from sapphirerail_core.plan.store import ABSENT, Store, Version
+from sapphirerail_core.plan.sync import (
+    FetchPlan,
+    PlanSync,
+    ReadStore,
+    SyncAction,
+    SyncConfig,
+)
+from sapphirerail_core.types import InstanceId, Revision
+from sapphirerail_transport.http import HttpClient, HttpRequest, HttpResponse
+from sapphirerail_transport.signature import Signer
+from sapphirerail_transport.store import HttpStore
+from sapphirerail_transport.udp import parse_address
+
+from .clock import monotonic_ms
+from .plan_answers import PlanAnswers
+from .settings import Settings
+
+__all__ = ["PeerDirectory", "PlanService", "PlanStatus"]
+
+_log = logging.getLogger(__name__)
+
+WATCH_TIMEOUT_MS = 25_000
+WATCH_PAUSE_MS = 500
+FETCH_TIMEOUT_MS = 3000
+
+
+class PeerDirectory(FleetView, Protocol):
+    """A membership that also knows where the API of an instance listens."""
+
+    def api_address(self, instance: InstanceId) -> str | None:
+        """Return ``address:port``, or None if it is not known."""
+        ...
+
+
+class PlanStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """What an instance says of its plan.
+
+    Parameters
+    ----------
+    revision : Revision
+        The plan in force here; 0 while there is none and all work is refused.
+    digest : int
+        Digest of its content.
+    source : str
+        Where it came from: ``store``, the name of an instance, or ``none``.
+    taken_age_ms : int or None
+        Time since it was taken.
+    is_reader : bool
+        Whether this instance reads the store for its data centre.
+    contact_age_ms : int
+        Time since the store is known to have held no higher revision; -1 if never.
+    store_revision : Revision or None
+        Revision that this instance itself last read in the store.
+    is_store_behind : bool
+        Whether that is lower than the plan in force.
+    store_error : str
+        Code of the last failed call to the store since its last success.
+    n_store_calls, n_store_errors, n_stale, n_mismatches : int
+        Counts since the start.
+    """
+
+    revision: Revision
+    digest: int
+    source: str
+    taken_age_ms: int | None
+    is_reader: bool
+    contact_age_ms: int
+    store_revision: Revision | None
+    is_store_behind: bool
+    store_error: str
+    n_store_calls: int
+    n_store_errors: int
+    n_stale: int
+    n_mismatches: int
+
+
+class PlanService:
+    """Carries out what `PlanSync` decides.
+
+    Parameters
+    ----------
+    store : Store
+        The platform's key-value service.
+    peers : PeerDirectory
+        Who is alive and where.
+    sync : PlanSync
+        Decides.
+    signer : Signer
+        Signs calls to peers.
+    """
+
+    def __init__(
+        self, store: Store, peers: PeerDirectory, sync: PlanSync, signer: Signer
+    ) -> None:
+        self.on_plan: list[Callable[[Plan], None]] = []
+        self._store = store
+        self._repository = PlanRepository(store)
+        self._peers = peers
+        self._sync = sync
+        self._signer = signer
+        self._answers = PlanAnswers()
+        self._outbox: list[Effect] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._reading = False
+        self._root_version: Version | None = None
+        self._store_error = ""
+        self._n_store_calls = 0
+        self._n_store_errors = 0
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: Settings,
+        peers: PeerDirectory,
+        journal: Journal,
+        signer: Signer,
+    ) -> "PlanService":
+        """Return the service of an instance with these settings."""
+        random_state = random.Random(f"{settings.seed}/{settings.instance}/plan")
+        sync = PlanSync(SyncConfig(), peers, journal, random_state)
+        return cls(HttpStore(settings.platform_address), peers, sync, signer)
+
+    @property
+    def plan(self) -> Plan:
+        """The plan in force; never changed in place."""
+        return self._sync.plan
+
+    async def start(self) -> None:
+        """Start watching the store."""
+        self._start_task(self._watch())
+
+    async def close(self) -> None:
+        """End all calls."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def on_message(
+        self, sender: InstanceId, message: Message, now_ms: int
+    ) -> list[Effect]:
+        """Take a message of the plan's kind."""
+        if not isinstance(message, PlanNews):
+            return []
+        return self._carry_out(self._sync.on_message(sender, message, now_ms))
+
+    def on_peer_revision(
+        self, sender: InstanceId, revision: Revision, now_ms: int
+    ) -> list[Effect]:
+        """Take the revision that a peer's heartbeat named."""
+        actions = self._sync.on_peer_revision(sender, revision, now_ms)
+        return self._carry_out(actions)
+
+    def tick(self, now_ms: int) -> list[Effect]:
+        """Do what is due."""
+        effects, self._outbox = self._outbox, []
+        return effects + self._carry_out(self._sync.tick(now_ms))
+
+    async def handle_plan(self, request: HttpRequest) -> HttpResponse:
+        """Answer a peer's or an operator's question for the plan."""
+        try:
+            since = Revision(int(request.query.get("since", "0")))
+        except ValueError as error:
+            raise InputError("plan.bad_since", "since must be a number") from error
+        age_ms = self._sync.contact_age_ms(monotonic_ms())
+        return HttpResponse(await self._answers.answer(self.plan, since, age_ms))
+
+    def status(self) -> PlanStatus:
+        """Return what operators may want to know."""
+        now_ms = monotonic_ms()
+        sync = self._sync
+        source = sync.source
+        name = "none" if source is None else source.instance or "store"
+        return PlanStatus(
+            revision=sync.plan.revision,
+            digest=sync.plan.digest,
+            source=name,
+            taken_age_ms=None if source is None else now_ms - source.at_ms,
+            is_reader=sync.is_reader,
+            contact_age_ms=sync.contact_age_ms(now_ms),
+            store_revision=sync.store_revision,
+            is_store_behind=sync.is_store_behind,
+            store_error=self._store_error,
+            n_store_calls=self._n_store_calls,
+            n_store_errors=self._n_store_errors,
+            n_stale=sync.n_stale,
+            n_mismatches=sync.n_mismatches,
+        )
+
+    def _carry_out(self, actions: list[SyncAction]) -> list[Effect]:
+        """Start the calls among the actions and return the rest."""
+        effects: list[Effect] = []
+        for action in actions:
+            if isinstance(action, FetchPlan):
+                self._start_task(self._fetch(action))
+            elif isinstance(action, ReadStore):
+                self._start_task(self._read())
+            else:
+                effects.append(action)
+        return effects
+
+    def _apply(self, decide: Callable[[], list[SyncAction]]) -> None:
+        """Let the decision change the plan, tell of it, and keep its effects."""
+        before = self.plan
+        actions = decide()
+        if self.plan is not before:
+            _log.info("plan taken", extra={"revision": self.plan.revision})
+            for callback in self.on_plan:
+                callback(self.plan)
+        self._outbox += self._carry_out(actions)
+
+    def _start_task(self, work) -> None:  # type: ignore[no-untyped-def]
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _fetch(self, request: FetchPlan) -> None:
+        """Ask a peer and pass its answer on."""
+        peer = request.instance
+        try:
+            answer = await self._ask(request)
+        except SapphirerailError as error:
+            _log.debug("no plan from a peer", extra={"peer": peer, "error": error.code})
+            self._apply(lambda: self._sync.on_fetch_failed(peer, monotonic_ms()))
+            return
+        self._apply(lambda: self._sync.on_answer(peer, answer, monotonic_ms()))
+
+    async def _ask(self, request: FetchPlan) -> PlanAnswer:
+        address = self._peers.api_address(request.instance)
+        if address is None:
+            raise InputError("plan.no_address", f"{request.instance} has no address")
+        client = HttpClient(parse_address(address), self._signer)
+        target = f"/plan?since={request.since}"
+        body = await client.call("GET", target, timeout_ms=FETCH_TIMEOUT_MS)
+        try:
+            return msgspec.json.decode(body, type=PlanAnswer)
+        except msgspec.MsgspecError as error:
+            raise InputError("plan.bad_answer", str(error)) from error
+
+    async def _read(self) -> None:
+        """Read the root, and the shards only if it has a higher revision."""
+        if self._reading:
+            return
+        self._reading = True
+        try:
+            await self._read_newer()
+        finally:
+            self._reading = False
+
+    async def _read_newer(self) -> None:
+        self._n_store_calls += 1
+        try:
+            found = await self._repository.read_root()
+            revision = Revision(0) if found.root is None else found.root.revision
+            if revision > self.plan.revision:
+                found = await self._repository.read()
+        except SapphirerailError as error:
+            self._on_store_error(error)
+            return
+        self._store_error = ""
+        self._root_version = found.version
+        plan = found.plan
+        if revision == self.plan.revision:
+            plan = self.plan
+        elif found.root is not None:
+            plan = msgspec.structs.replace(plan, revision=found.root.revision)
+        self._apply(lambda: self._sync.on_store_plan(plan, monotonic_ms()))
+
+    async def _watch(self) -> None:
+        """Hold a watch on the root while this instance is a reader.
+
+        `PlanSync` has the root read regularly as well, so that a watch that stays
+        open and silent delays a change by one such reading at most.
+        """
+        while True:
+            if not self._sync.is_reader or self._root_version is None:
+                await asyncio.sleep(WATCH_PAUSE_MS / 1000)
+                continue
+            self._n_store_calls += 1
+            version = self._root_version
+            try:
+                value = await self._store.watch(ROOT_KEY, version, WATCH_TIMEOUT_MS)
+            except SapphirerailError as error:
+                self._on_store_error(error)
+                await asyncio.sleep(WATCH_PAUSE_MS / 1000)
+                continue
+            if value is not None or version != ABSENT:
+                await self._read()
+
+    def _on_store_error(self, error: SapphirerailError) -> None:
+        self._store_error = error.code
+        self._n_store_errors += 1
