--- /dev/null
+++ b/packages/sapphirerail-cli/src/sapphirerail_cli/operator.py
@@ -0,0 +1,157 @@
+"""What operators can ask for, behind one object."""
+
+import time
+import uuid
+from collections.abc import Sequence
+
+import msgspec
+
+from sapphirerail_core.plan import Plan
+from sapphirerail_core.plan.draft import (
+    Change,
+    LineResult,
+    Outcome,
+    apply_lines,
+    refused_result,
+)
+from sapphirerail_core.plan.model import Write, WriteId
+from sapphirerail_core.plan.repository import PlanRepository
+from sapphirerail_core.plan.sheet_line import Sheet, SheetLine
+from sapphirerail_core.plan.store import Store
+from sapphirerail_core.types import Revision
+
+__all__ = ["ApplyOptions", "Operator", "SheetReport"]
+
+
+class ApplyOptions(msgspec.Struct, frozen=True, kw_only=True):
+    """How a sheet is applied.
+
+    Parameters
+    ----------
+    base : Revision or None
+        Revision that the sheet was made for: lines about parts that changed since
+        are refused. None takes the revision at the start of the call.
+    all_or_nothing : bool
+        Apply nothing if any line is refused.
+    """
+
+    base: Revision | None = None
+    all_or_nothing: bool = False
+
+
+class SheetReport(msgspec.Struct, frozen=True, kw_only=True):
+    """The answer for a sheet.
+
+    Parameters
+    ----------
+    revision : Revision
+        Revision of the plan that holds the accepted lines.
+    write_id : WriteId
+        Name of the write; empty if nothing was written.
+    applied : bool
+        Whether this call changed the plan.
+    withheld : bool
+        Whether lines could have been applied, but were not.
+    n_changed, n_unchanged, n_refused : int
+        Counts of lines.
+    others : tuple of Write
+        Writes of others that came first, while this one was on its way.
+    lines : tuple of LineResult
+        The answer for each line.
+    """
+
+    revision: Revision
+    write_id: WriteId
+    applied: bool
+    withheld: bool
+    n_changed: int
+    n_unchanged: int
+    n_refused: int
+    others: tuple[Write, ...]
+    lines: tuple[LineResult, ...]
+
+
+class Operator:
+    """The facade of the command line.
+
+    Parameters
+    ----------
+    store : Store
+        The platform's key-value service.
+    name : str
+        Who makes the changes.
+    """
+
+    def __init__(self, store: Store, name: str) -> None:
+        self._repository = PlanRepository(store)
+        self._name = name
+
+    async def diff(self, sheet: Sheet, options: ApplyOptions) -> SheetReport:
+        """Return what `apply` would answer now, and change nothing."""
+        plan = (await self._repository.read()).plan
+        change = _decide(plan, sheet.lines, options, plan.revision)
+        return _report(sheet, change, (), WriteId(""))
+
+    async def apply(self, sheet: Sheet, options: ApplyOptions) -> SheetReport:
+        """Apply a sheet's lines in one revision.
+
+        Raises
+        ------
+        PlanWriteError
+            Nothing was written, or the outcome is not known.
+        """
+        first: list[Revision] = []
+
+        def decide(plan: Plan) -> Change:
+            first.append(plan.revision)
+            change = _decide(plan, sheet.lines, options, first[0])
+            if options.all_or_nothing and _n_refused(sheet, change):
+                return Change(plan, change.results, 0)
+            return change
+
+        write = Write(
+            revision=Revision(0),
+            write_id=WriteId(uuid.uuid4().hex),
+            operator=self._name,
+            at_ms=time.time_ns() // 1_000_000,
+            sheet_digest=sheet.digest,
+        )
+        committed = await self._repository.commit(decide, write)
+        is_written = any(
+            known.write_id == write.write_id for known in committed.change.plan.history
+        )
+        write_id = write.write_id if is_written else WriteId("")
+        return _report(sheet, committed.change, committed.others, write_id)
+
+
+def _decide(
+    plan: Plan, lines: Sequence[SheetLine], options: ApplyOptions, first: Revision
+) -> Change:
+    base = first if options.base is None else options.base
+    return apply_lines(plan, lines, base)
+
+
+def _n_refused(sheet: Sheet, change: Change) -> int:
+    refused = [line for line in change.results if line.outcome is Outcome.REFUSED]
+    return len(sheet.refusals) + len(refused)
+
+
+def _report(
+    sheet: Sheet, change: Change, others: tuple[Write, ...], write_id: WriteId
+) -> SheetReport:
+    lines = [*change.results, *(refused_result(refusal) for refusal in sheet.refusals)]
+    lines.sort(key=lambda line: line.number)
+    counts = {outcome: 0 for outcome in Outcome}
+    for line in lines:
+        counts[line.outcome] += 1
+    return SheetReport(
+        revision=change.plan.revision,
+        write_id=write_id,
+        applied=bool(write_id),
+        withheld=counts[Outcome.CHANGED] > 0 and not write_id,
+        n_changed=counts[Outcome.CHANGED],
+        n_unchanged=counts[Outcome.UNCHANGED],
+        n_refused=counts[Outcome.REFUSED],
+        others=others,
+        lines=tuple(lines),
+    )
--- /dev/null
+++ b/packages/sapphirerail-cli/src/sapphirerail_cli/settings.py
@@ -0,0 +1,75 @@
+"""Settings of the operators' command."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+
+from sapphirerail_core.errors import InputError
+from sapphirerail_transport.udp import Address, parse_address
+
+__all__ = ["KEY_FILE_VARIABLE", "KEY_VARIABLE", "CliSettings"]
+
+KEY_VARIABLE = "SAPPHIRERAIL_KEY"
+KEY_FILE_VARIABLE = "SAPPHIRERAIL_KEY_FILE"
+
+
+@dataclass(frozen=True, slots=True)
+class CliSettings:
+    """Where the platform is, who asks, and the key that proves it.
+
+    Parameters
+    ----------
+    platform : Address
+        The platform's key-value service and instance list.
+    operator : str
+        Name that the plan's history keeps for a change.
+    key : str
+        Shared key of instances and operators; empty if none was given, and never
+        shown.
+    """
+
+    platform: Address
+    operator: str
+    key: str
+
+    @classmethod
+    def from_config(
+        cls, platform: str, operator: str, environment: Mapping[str, str]
+    ) -> "CliSettings":
+        """Return checked settings.
+
+        Parameters
+        ----------
+        platform : str
+            ``address:port``.
+        operator : str
+            Who asks.
+        environment : mapping of str to str
+            Holds the key, or the name of the file that does.
+
+        Raises
+        ------
+        InputError
+            ``settings.invalid``.
+        """
+        try:
+            address = parse_address(platform)
+        except ValueError as error:
+            text = "give --platform or SAPPHIRERAIL_PLATFORM as address:port"
+            raise InputError("settings.invalid", text) from error
+        return cls(address, operator, _key(environment))
+
+    def __repr__(self) -> str:
+        """Return the settings without the key."""
+        return f"CliSettings({self.platform}, {self.operator!r}, key=(hidden))"
+
+
+def _key(environment: Mapping[str, str]) -> str:
+    path = environment.get(KEY_FILE_VARIABLE)
+    if not path:
+        return environment.get(KEY_VARIABLE, "")
+    try:
+        return Path(path).read_text(encoding="utf-8").strip()
+    except OSError as error:
+        text = f"{KEY_FILE_VARIABLE}: {error.strerror}"
+        raise InputError("settings.invalid", text) from error
--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/sheet.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/sheet.py
@@ -75,7 +75,10 @@
 
 
 def _parse_header(row: str) -> list[str]:
-    columns = [name.strip() for name in next(csv.reader([row]), [])]
+    try:
+        columns = [name.strip() for name in next(csv.reader([row], strict=True), [])]
+    except csv.Error as error:
+        raise InputError("sheet.bad_header", f"the first line: {error}") from error
     unknown = sorted(set(columns) - set(COLUMNS))
     missing = [name for name in ("kind", "name") if name not in columns]
     if unknown or missing or len(set(columns)) != len(columns):
--- /dev/null
+++ b/packages/sapphirerail-core/tests/plan/test_repository.py
@@ -0,0 +1,331 @@
+import asyncio
+
+import pytest
+
+from sapphirerail_core.errors import InputError
+from sapphirerail_core.plan import layout
+from sapphirerail_core.plan.digest import content_digest
+from sapphirerail_core.plan.draft import Outcome, apply_lines
+from sapphirerail_core.plan.model import Write
+from sapphirerail_core.plan.repository import PlanRepository, PlanWriteError
+from sapphirerail_core.plan.sheet import parse_sheet
+from sapphirerail_core.plan.sheet_line import COLUMNS
+from sapphirerail_core.plan.store import StoredValue
+from sapphirerail_standins.memory_store import MemoryStore
+
+SERVICES = [f"service,s{n},adwinsa,,,,,,," for n in range(8)]
+
+
+async def _no_pause(pause_ms):
+    await asyncio.sleep(0)
+
+
+def _lines(*rows):
+    text = "\n".join((",".join(COLUMNS), *rows, ""))
+    return parse_sheet(text.encode()).lines
+
+
+class _Operator:
+    """Commits lines, as the command line does."""
+
+    def __init__(self, store, name="ama"):
+        self.repository = PlanRepository(store, _no_pause)
+        self.name = name
+        self.n_writes = 0
+
+    async def commit(self, *rows):
+        base = (await self.repository.read()).plan.revision
+        return await self.commit_from(base, *rows)
+
+    async def commit_from(self, base, *rows):
+        self.n_writes += 1
+        lines = _lines(*rows)
+        write = Write(
+            revision=0, write_id=f"{self.name}-{self.n_writes}", operator=self.name
+        )
+        return await self.repository.commit(
+            lambda plan: apply_lines(plan, lines, base), write
+        )
+
+
+async def _plan(store):
+    return (await PlanRepository(store, _no_pause).read()).plan
+
+
+def _live_keys(store):
+    root = layout.decode_root(store.values[layout.ROOT_KEY].value)
+    keys = {layout.shard_key(i, ref.generation) for i, ref in root.shards.items()}
+    return keys | {layout.ROOT_KEY}
+
+
+def _run(scenario):
+    return asyncio.run(scenario)
+
+
+def test_empty_store_holds_the_empty_plan():
+    assert _run(_plan(MemoryStore())).revision == 0
+
+
+def test_commit_is_read_back_whole():
+    async def scenario():
+        store = MemoryStore()
+        committed = await _Operator(store).commit(
+            "data_centre,Osu,,,,,in,,,",
+            *SERVICES,
+            "server,b1,,s1,Osu,10.0.0.1:1,active,,,",
+        )
+        plan = await _plan(store)
+        assert plan == committed.change.plan
+        assert plan.digest == content_digest(plan)
+        assert [write.write_id for write in plan.history] == ["ama-1"]
+        assert plan.history[0].n_changed == 10
+
+    _run(scenario())
+
+
+def test_unchanged_commit_writes_nothing():
+    async def scenario():
+        store = MemoryStore()
+        operator = _Operator(store)
+        await operator.commit(*SERVICES)
+        n_puts = store.n_calls["put"]
+        committed = await operator.commit(*SERVICES)
+        assert committed.change.n_changed == 0
+        assert store.n_calls["put"] == n_puts
+
+    _run(scenario())
+
+
+def test_small_change_writes_one_shard_and_the_root():
+    async def scenario():
+        store = MemoryStore()
+        operator = _Operator(store)
+        await operator.commit("data_centre,Osu,,,,,in,,,", *SERVICES)
+        before = store.n_calls.copy()
+        await operator.commit("server,b1,,s1,Osu,10.0.0.1:1,active,,,")
+        assert store.n_calls["put"] - before["put"] == 2
+        before = store.n_calls.copy()
+        await operator.commit("data_centre,Osu,,,,,out,,,")
+        assert store.n_calls["put"] - before["put"] == 1
+
+    _run(scenario())
+
+
+def test_replaced_shards_are_collected():
+    async def scenario():
+        store = MemoryStore()
+        operator = _Operator(store)
+        await operator.commit("data_centre,Osu,,,,,in,,,", *SERVICES)
+        states = ("active", "draining", "left")
+        for number in range(30):
+            state = states[number % 3]
+            await operator.commit(f"server,b1,,s1,Osu,10.0.0.1:1,{state},,,")
+        # What the last write replaced is deleted by the next one.
+        assert len(set(store.values) - _live_keys(store)) == 1
+
+    _run(scenario())
+
+
+def test_lost_answer_of_any_write_is_recognised():
+    async def scenario(n_before):
+        store = MemoryStore()
+        operator = _Operator(store)
+        await operator.commit("data_centre,Osu,,,,,in,,,", *SERVICES)
+        n_puts = store.n_calls["put"]
+
+        real = store.compare_and_swap
+
+        async def lossy(*arguments):
+            if store.n_calls["put"] - n_puts == n_before:
+                store.n_lost_answers = 1
+            return await real(*arguments)
+
+        store.compare_and_swap = lossy
+        committed = await operator.commit("server,b1,,s1,Osu,10.0.0.1:1,active,,,")
+        assert committed.change.results[0].outcome is Outcome.CHANGED
+        assert committed.change.results[0].revision == 2
+        assert committed.others == ()
+        plan = await _plan(store)
+        assert plan.revision == 2
+        assert [write.write_id for write in plan.history] == ["ama-1", "ama-2"]
+        assert set(store.values) >= _live_keys(store)
+
+    for n_before in range(2):
+        _run(scenario(n_before))
+
+
+def test_lost_write_is_repeated():
+    async def scenario():
+        store = MemoryStore(n_lost_writes=2)
+        committed = await _Operator(store).commit(*SERVICES)
+        assert committed.change.plan.revision == 1
+        assert await _plan(store) == committed.change.plan
+
+    _run(scenario())
+
+
+def test_store_that_is_down_writes_nothing():
+    async def scenario():
+        store = MemoryStore()
+        operator = _Operator(store)
+        await operator.commit(*SERVICES)
+        store.down = True
+        with pytest.raises(PlanWriteError) as failed:
+            await operator.commit_from(1, "data_centre,Osu,,,,,in,,,")
+        assert failed.value.code == "plan.not_written"
+        store.down = False
+        assert (await _plan(store)).revision == 1
+
+    _run(scenario())
+
+
+def test_store_that_goes_silent_on_the_root_leaves_the_outcome_unknown():
+    async def scenario():
+        store = MemoryStore()
+        operator = _Operator(store)
+        await operator.commit(*SERVICES)
+        real = store.compare_and_swap
+
+        async def silent(key, *arguments):
+            store.n_lost_answers = int(key == layout.ROOT_KEY)
+            try:
+                return await real(key, *arguments)
+            finally:
+                store.down = key == layout.ROOT_KEY
+
+        store.compare_and_swap = silent
+        with pytest.raises(PlanWriteError) as failed:
+            await operator.commit_from(1, "data_centre,Osu,,,,,in,,,")
+        assert failed.value.code == "plan.unknown_outcome"
+        assert "ama-2" in failed.value.message
+        store.down = False
+        store.compare_and_swap = real
+        again = await operator.commit("data_centre,Osu,,,,,in,,,")
+        assert again.change.results[0].outcome is Outcome.UNCHANGED
+
+    _run(scenario())
+
+
+class _Interleaved(MemoryStore):
+    """Lets a rival commit between the shards and the root of a write."""
+
+    rival = None
+
+    async def compare_and_swap(self, key, version, value, lease=None):
+        if key == layout.ROOT_KEY and self.rival is not None:
+            rival, self.rival = self.rival, None
+            await rival()
+        return await super().compare_and_swap(key, version, value, lease)
+
+
+@pytest.mark.parametrize(
+    ("own", "rival", "outcome", "code"),
+    [
+        ("data_centre,Osu,,,,,out,,,", "service,t1,c,,,,,,,", Outcome.CHANGED, ""),
+        ("service,t2,c,,,,,,,", "service,t3,c,,,,,,,", Outcome.CHANGED, ""),
+        ("service,t1,c,,,,,,,", "service,t1,c,,,,,,,", Outcome.UNCHANGED, ""),
+        (
+            "data_centre,Osu,,,,,out,,,",
+            "data_centre,Osu,,,,,out,,,",
+            Outcome.UNCHANGED,
+            "",
+        ),
+        (
+            "server,b1,,,,,draining,,,",
+            "server,b1,,,,,left,,,",
+            Outcome.REFUSED,
+            "sheet.race",
+        ),
+    ],
+)
+def test_racing_commits_end_in_one_order(own, rival, outcome, code):
+    async def scenario():
+        store = _Interleaved()
+        ama, kofi = _Operator(store), _Operator(store, "kofi")
+        await ama.commit(
+            "data_centre,Osu,,,,,in,,,",
+            *SERVICES,
+            "server,b1,,s1,Osu,10.0.0.1:1,active,,,",
+        )
+        store.rival = lambda: kofi.commit(rival)
+        committed = await ama.commit(own)
+        (result,) = committed.change.results
+        assert (result.outcome, result.code) == (outcome, code)
+        assert [write.write_id for write in committed.others] == ["kofi-1"]
+        plan = await _plan(store)
+        assert [w.revision for w in plan.history] == list(range(1, plan.revision + 1))
+        assert plan == committed.change.plan
+
+    _run(scenario())
+
+
+def test_two_writers_that_made_the_same_shard_keep_the_winners():
+    async def scenario():
+        store = _Interleaved()
+        ama, kofi = _Operator(store), _Operator(store, "kofi")
+        await ama.commit("data_centre,Osu,,,,,in,,,", *SERVICES)
+        row = "server,b1,,s1,Osu,10.0.0.1:1,active,,,"
+        store.rival = lambda: kofi.commit(row)
+        committed = await ama.commit(row)
+        assert committed.change.results[0].outcome is Outcome.UNCHANGED
+        assert (await _plan(store)).servers["b1"].changed_at == 2
+        # The loser's shards are deleted, or listed for the next write.
+        await ama.commit("server,b1,,,,,draining,,,")
+        await ama.commit("server,b1,,,,,left,,,")
+        assert len(set(store.values) - _live_keys(store)) <= 1
+
+    _run(scenario())
+
+
+def test_shards_of_a_writer_that_died_are_collected():
+    async def scenario():
+        store = _Interleaved()
+        ama, kofi = _Operator(store), _Operator(store, "kofi")
+        await ama.commit("data_centre,Osu,,,,,in,,,", *SERVICES)
+
+        async def die():
+            raise KeyboardInterrupt
+
+        store.rival = die
+        with pytest.raises(KeyboardInterrupt):
+            await kofi.commit("server,b1,,s1,Osu,10.0.0.1:1,active,,,")
+        assert len(set(store.values) - _live_keys(store)) == 1
+        await ama.commit("server,b1,,s1,Osu,10.0.0.2:1,active,,,")
+        await ama.commit("data_centre,Osu,,,,,out,,,")
+        assert set(store.values) == _live_keys(store)
+        assert (await _plan(store)).servers["b1"].address == "10.0.0.2:1"
+
+    _run(scenario())
+
+
+def test_late_write_after_a_lost_call_does_not_revert():
+    """A root that was given up as lost arrives after another write."""
+
+    async def scenario():
+        store = MemoryStore()
+        ama, kofi = _Operator(store), _Operator(store, "kofi")
+        await ama.commit("data_centre,Osu,,,,,in,,,")
+        stale_version = store.values[layout.ROOT_KEY].version
+        stale = store.values[layout.ROOT_KEY].value
+        await kofi.commit("data_centre,Osu,,,,,out,,,")
+        with pytest.raises(Exception, match="kv.conflict"):
+            await store.compare_and_swap(layout.ROOT_KEY, stale_version, stale)
+        assert (await _plan(store)).revision == 2
+
+    _run(scenario())
+
+
+def test_shard_that_does_not_belong_to_the_root_is_refused():
+    async def scenario():
+        store = MemoryStore()
+        await _Operator(store).commit(*SERVICES)
+        key = next(key for key in store.values if key != layout.ROOT_KEY)
+        value = store.values[key]
+        store.values[key] = StoredValue(
+            '{"write_id":"x","packed":"eA=="}', value.version
+        )
+        with pytest.raises(InputError) as failed:
+            await _plan(store)
+        assert failed.value.code == "plan.shard_missing"
+
+    _run(scenario())
--- a/packages/sapphirerail-node/src/sapphirerail_node/plan_service.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/plan_service.py
@@ -3,8 +3,8 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable
-from typing import Protocol
+from collections.abc import Callable, Coroutine
+from typing import Any, Protocol
 
 import msgspec
 
@@ -16,8 +16,8 @@
 from sapphirerail_core.plan.delta import PlanAnswer
 from sapphirerail_core.plan.layout import ROOT_KEY
 from sapphirerail_core.plan.messages import PlanNews
-from sapphirerail_core.plan.repository import PlanRepository
-from sapphirerail_core.plan.store import ABSENT, Store, Version
+from sapphirerail_core.plan.repository import PlanRepository, StoredPlan
+from sapphirerail_core.plan.store import Store, Version
 from sapphirerail_core.plan.sync import (
     FetchPlan,
     PlanSync,
@@ -228,7 +228,7 @@
                 callback(self.plan)
         self._outbox += self._carry_out(actions)
 
-    def _start_task(self, work) -> None:  # type: ignore[no-untyped-def]
+    def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -270,21 +270,23 @@
         self._n_store_calls += 1
         try:
             found = await self._repository.read_root()
-            revision = Revision(0) if found.root is None else found.root.revision
-            if revision > self.plan.revision:
-                found = await self._repository.read()
+            plan = await self._plan_of(found)
         except SapphirerailError as error:
             self._on_store_error(error)
             return
         self._store_error = ""
         self._root_version = found.version
-        plan = found.plan
-        if revision == self.plan.revision:
-            plan = self.plan
-        elif found.root is not None:
-            plan = msgspec.structs.replace(plan, revision=found.root.revision)
         self._apply(lambda: self._sync.on_store_plan(plan, monotonic_ms()))
 
+    async def _plan_of(self, found: StoredPlan) -> Plan:
+        """Return the stored plan; one that is not newer needs its revision only."""
+        revision = Revision(0) if found.root is None else found.root.revision
+        if revision > self.plan.revision:
+            return (await self._repository.read()).plan
+        if revision == self.plan.revision:
+            return self.plan
+        return Plan(revision=revision)
+
     async def _watch(self) -> None:
         """Hold a watch on the root while this instance is a reader.
 
@@ -303,8 +305,11 @@
                 self._on_store_error(error)
                 await asyncio.sleep(WATCH_PAUSE_MS / 1000)
                 continue
-            if value is not None or version != ABSENT:
+            if value is not None:
                 await self._read()
+            if self._root_version == version and value is not None:
+                # The reading failed; without a pause the watch would spin.
+                await asyncio.sleep(WATCH_PAUSE_MS / 1000)
 
     def _on_store_error(self, error: SapphirerailError) -> None:
         self._store_error = error.code
