--- a/packages/sapphirerail-cli/src/sapphirerail_cli/operator.py
+++ b/packages/sapphirerail-cli/src/sapphirerail_cli/operator.py
@@ -113,7 +113,7 @@
             revision=Revision(0),
             write_id=WriteId(uuid.uuid4().hex),
             operator=self._name,
-            at_ms=time.time_ns() // 1_000_000,
+            at_ms=_now_ms(),
             sheet_digest=sheet.digest,
         )
         committed = await self._repository.commit(decide, write)
@@ -124,11 +124,15 @@
         return _report(sheet, committed.change, committed.others, write_id)
 
 
+def _now_ms() -> int:
+    return time.time_ns() // 1_000_000
+
+
 def _decide(
     plan: Plan, lines: Sequence[SheetLine], options: ApplyOptions, first: Revision
 ) -> Change:
     base = first if options.base is None else options.base
-    return apply_lines(plan, lines, base)
+    return apply_lines(plan, lines, base, _now_ms())
 
 
 def _n_refused(sheet: Sheet, change: Change) -> int:
--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/delta.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/delta.py
@@ -6,11 +6,11 @@
 import msgspec
 
 from ..errors import InputError
-from ..types import Revision
+from ..types import Revision, ServiceId
 from . import layout
 from .digest import Part, part_digest
 from .layout import Root
-from .model import DataCentre, Plan, Server, Service, Write
+from .model import DataCentre, Layer, Plan, Server, Service, ServiceLayers, Write
 from .retention import forget_left
 
 __all__ = ["FullPlan", "PlanAnswer", "PlanDelta", "delta_since", "merge"]
@@ -29,6 +29,8 @@
         Digest of the plan at the newer end.
     data_centres, services, servers : tuple
         Changed parts; servers that left are among them.
+    layers : tuple of ServiceLayers
+        Layers of the changed services that have any.
     history : tuple of Write
         The writes that made the changes, as far as the giver keeps them.
     forgotten_at : Revision
@@ -41,6 +43,7 @@
     data_centres: tuple[DataCentre, ...] = ()
     services: tuple[Service, ...] = ()
     servers: tuple[Server, ...] = ()
+    layers: tuple[ServiceLayers, ...] = ()
     history: tuple[Write, ...] = ()
     forgotten_at: Revision = Revision(0)
 
@@ -87,13 +90,19 @@
     """Return what changed after a revision, or None if that is not known any more."""
     if since < plan.forgotten_at or since > plan.revision:
         return None
+    services = _changed(plan.services.values(), since)
     return PlanDelta(
         since=since,
         revision=plan.revision,
         digest=plan.digest,
         data_centres=_changed(plan.data_centres.values(), since),
-        services=_changed(plan.services.values(), since),
+        services=services,
         servers=_changed(plan.servers.values(), since),
+        layers=tuple(
+            ServiceLayers(part.service, plan.layers[part.service])
+            for part in services
+            if part.service in plan.layers
+        ),
         history=tuple(write for write in plan.history if write.revision > since),
         forgotten_at=plan.forgotten_at,
     )
@@ -131,6 +140,7 @@
         data_centres=plan.data_centres | {p.data_centre: p for p in delta.data_centres},
         services=plan.services | {p.service: p for p in delta.services},
         servers=plan.servers | {p.server: p for p in delta.servers},
+        layers=_merged_layers(plan, delta),
         digest=_merged_digest(plan, delta),
         history=_joined(plan.history, delta.history),
     )
@@ -145,12 +155,24 @@
     return tuple(part for part in parts if part.changed_at > since)
 
 
+def _merged_layers(plan: Plan, delta: PlanDelta) -> dict[ServiceId, tuple[Layer, ...]]:
+    """Return the layers: a changed service without layers in the delta has none."""
+    changed = {part.service for part in delta.services}
+    kept = {k: v for k, v in plan.layers.items() if k not in changed}
+    return kept | {part.service: part.layers for part in delta.layers}
+
+
 def _merged_digest(plan: Plan, delta: PlanDelta) -> int:
     digest = plan.digest
     pairs: list[tuple[Part | None, Part]] = []
     pairs += [(plan.data_centres.get(p.data_centre), p) for p in delta.data_centres]
     pairs += [(plan.services.get(p.service), p) for p in delta.services]
     pairs += [(plan.servers.get(p.server), p) for p in delta.servers]
+    for service in delta.services:
+        layers = plan.layers.get(service.service)
+        if layers is not None:
+            digest ^= part_digest(ServiceLayers(service.service, layers))
+    pairs += [(None, part) for part in delta.layers]
     for old, new in pairs:
         if old is not None:
             digest ^= part_digest(old)
--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/digest.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/digest.py
@@ -5,11 +5,11 @@
 import msgspec
 import xxhash
 
-from .model import DataCentre, Plan, Server, Service
+from .model import DataCentre, Plan, Server, Service, ServiceLayers
 
 __all__ = ["Part", "content_digest", "part_digest", "parts"]
 
-Part = DataCentre | Service | Server
+Part = DataCentre | Service | Server | ServiceLayers
 
 
 def part_digest(part: Part) -> int:
@@ -23,6 +23,8 @@
     yield from plan.data_centres.values()
     yield from plan.services.values()
     yield from plan.servers.values()
+    for service, layers in plan.layers.items():
+        yield ServiceLayers(service, layers)
 
 
 def content_digest(plan: Plan) -> int:
--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/draft.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/draft.py
@@ -13,8 +13,9 @@
     ServerState,
     ServiceId,
 )
-from .digest import Part, part_digest
-from .model import DataCentre, Plan, Server, Service
+from .digest import part_digest
+from .layers import next_layers
+from .model import DataCentre, Layer, Plan, Server, Service, ServiceLayers
 from .retention import forget_left, forgotten_at
 from .sheet_line import (
     DataCentreLine,
@@ -28,6 +29,8 @@
 
 __all__ = ["Change", "LineResult", "Outcome", "apply_lines", "refused_result"]
 
+Statement = DataCentre | Service | Server
+
 
 class Outcome(Enum):
     """What became of a sheet line."""
@@ -80,7 +83,9 @@
     n_changed: int
 
 
-def apply_lines(plan: Plan, lines: Iterable[SheetLine], base: Revision) -> Change:
+def apply_lines(
+    plan: Plan, lines: Iterable[SheetLine], base: Revision, now_ms: int
+) -> Change:
     """Return the plan that follows when the lines are applied.
 
     Data centres come first, then services, servers that leave, and other servers,
@@ -95,6 +100,8 @@
     base : Revision
         The revision that the operator knew. A line that would alter a part that
         changed since is refused with ``sheet.race``.
+    now_ms : int
+        Wall clock of the writer, in milliseconds since 1970; layers go by it.
 
     Returns
     -------
@@ -106,7 +113,7 @@
     results.sort(key=lambda result: result.number)
     if draft.n_changed == 0:
         return Change(plan, tuple(results), 0)
-    return Change(draft.finish(), tuple(results), draft.n_changed)
+    return Change(draft.finish(now_ms), tuple(results), draft.n_changed)
 
 
 def refused_result(refusal: Refusal) -> LineResult:
@@ -159,7 +166,7 @@
         self._replace(known, msgspec.structs.replace(wanted, changed_at=self._revision))
         return self._result(line, Outcome.CHANGED, self._revision)
 
-    def finish(self) -> Plan:
+    def finish(self, now_ms: int) -> Plan:
         """Return the changed plan; its history is written by who commits it."""
         changed = msgspec.structs.replace(
             self._plan,
@@ -167,10 +174,26 @@
             data_centres=self._data_centres,
             services=self._services,
             servers=self._servers,
-            digest=self._digest,
         )
+        layers = next_layers(self._plan, changed, now_ms)
+        self._stamp_layers(layers)
+        changed = msgspec.structs.replace(changed, digest=self._digest, layers=layers)
         return forget_left(changed, forgotten_at(changed))
 
+    def _stamp_layers(self, layers: dict[ServiceId, tuple[Layer, ...]]) -> None:
+        """Let a service whose layers differ count as changed, so that deltas tell."""
+        old = self._plan.layers
+        for name in old.keys() | layers.keys():
+            if old.get(name) == layers.get(name):
+                continue
+            for found in (old.get(name), layers.get(name)):
+                if found is not None:
+                    self._digest ^= part_digest(ServiceLayers(name, found))
+            known = self._services[name]
+            stamped = msgspec.structs.replace(known, changed_at=self._revision)
+            self._digest ^= part_digest(known) ^ part_digest(stamped)
+            self._services[name] = stamped
+
     def _result(
         self, line: SheetLine, outcome: Outcome, revision: Revision
     ) -> LineResult:
@@ -178,7 +201,7 @@
             number=line.number, name=line.name, outcome=outcome, revision=revision
         )
 
-    def _check_race(self, known: Part | None) -> None:
+    def _check_race(self, known: Statement | None) -> None:
         if known is None or known.changed_at == self._revision:
             return
         if known.changed_at > self._base:
@@ -189,19 +212,19 @@
             )
 
     @singledispatchmethod
-    def _wanted(self, line: SheetLine) -> tuple[Part | None, Part]:
+    def _wanted(self, line: SheetLine) -> tuple[Statement | None, Statement]:
         """Return the part that the plan has and the one that the line asks for."""
         raise NotImplementedError(type(line).__name__)
 
     @_wanted.register
-    def _(self, line: DataCentreLine) -> tuple[Part | None, Part]:
+    def _(self, line: DataCentreLine) -> tuple[Statement | None, Statement]:
         known = self._data_centres.get(line.name)
         if known is None:
             return None, DataCentre(line.name, line.state or DataCentreState.IN)
         return known, msgspec.structs.replace(known, state=line.state or known.state)
 
     @_wanted.register
-    def _(self, line: ServiceLine) -> tuple[Part | None, Part]:
+    def _(self, line: ServiceLine) -> tuple[Statement | None, Statement]:
         known = self._services.get(line.name)
         if known is None:
             return None, Service(line.name, line.tenant)
@@ -211,7 +234,7 @@
         return known, known
 
     @_wanted.register
-    def _(self, line: ServerLine) -> tuple[Part | None, Part]:
+    def _(self, line: ServerLine) -> tuple[Statement | None, Statement]:
         known = self._servers.get(line.name)
         wanted = _new_server(line) if known is None else _changed_server(known, line)
         if wanted.service not in self._services:
@@ -254,7 +277,7 @@
                 reason = f"seat {seat} belongs to {holder!r}; let it drain first"
                 raise LineError(RefusalReason.SEAT_TAKEN, reason)
 
-    def _replace(self, known: Part | None, wanted: Part) -> None:
+    def _replace(self, known: Statement | None, wanted: Statement) -> None:
         """Put a part into the draft."""
         # A part that two equal lines of one sheet name counts once.
         if known is None or known.changed_at != self._revision:
@@ -316,23 +339,22 @@
 
 
 def _changed_server(known: Server, line: ServerLine) -> Server:
+    if line.service not in (None, known.service):
+        # Layers of the old service may still name this server.
+        reason = f"it belongs to service {known.service!r}; use another name"
+        raise LineError(RefusalReason.SERVICE_FIXED, reason)
     wanted = msgspec.structs.replace(
         known,
-        service=line.service or known.service,
         data_centre=line.data_centre or known.data_centre,
         address=line.address or known.address,
         state=line.state or known.state,
     )
-    moved = (wanted.service, wanted.data_centre, wanted.address) != (
-        known.service,
-        known.data_centre,
-        known.address,
-    )
+    moved = (wanted.data_centre, wanted.address) != (known.data_centre, known.address)
     if moved and known.state is not ServerState.LEFT:
         raise LineError(
             RefusalReason.SERVER_IN_USE,
-            f"it is {known.state.value} as {known.service!r} in {known.data_centre!r} "
-            f"at {known.address}; let it leave first, or use another name",
+            f"it is {known.state.value} in {known.data_centre!r} at {known.address}; "
+            "let it leave first, or use another name",
         )
     return _with_limits(wanted, line)
 
--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/layout.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/layout.py
@@ -10,7 +10,7 @@
 from ..rendezvous import hash_key
 from ..types import Revision, ServiceId
 from .digest import content_digest
-from .model import DataCentre, Plan, Server, Service, Write, WriteId
+from .model import DataCentre, Plan, Server, Service, ServiceLayers, Write, WriteId
 from .store import Version
 
 __all__ = [
@@ -100,10 +100,11 @@
 
 
 class Shard(msgspec.Struct, frozen=True, array_like=True):
-    """The services whose names hash to one number, with their servers."""
+    """The services whose names hash to one number, with servers and layers."""
 
     services: tuple[Service, ...] = ()
     servers: tuple[Server, ...] = ()
+    layers: tuple[ServiceLayers, ...] = ()
 
 
 class StoredShard(msgspec.Struct, frozen=True):
@@ -142,15 +143,26 @@
         services.setdefault(shard_index(service.service), []).append(service)
     for server in plan.servers.values():
         servers.setdefault(shard_index(server.service), []).append(server)
+    indices = sorted(services.keys() | servers.keys())
     return {
-        index: Shard(
-            tuple(sorted(services.get(index, []), key=lambda part: part.service)),
-            tuple(sorted(servers.get(index, []), key=lambda part: part.server)),
-        )
-        for index in sorted(services.keys() | servers.keys())
+        index: _shard(plan, services.get(index, []), servers.get(index, []))
+        for index in indices
     }
 
 
+def _shard(plan: Plan, services: list[Service], servers: list[Server]) -> Shard:
+    services = sorted(services, key=lambda part: part.service)
+    return Shard(
+        tuple(services),
+        tuple(sorted(servers, key=lambda part: part.server)),
+        tuple(
+            ServiceLayers(part.service, plan.layers[part.service])
+            for part in services
+            if part.service in plan.layers
+        ),
+    )
+
+
 def assemble(root: Root, shards: Iterable[Shard]) -> Plan:
     """Return the plan of a root and its shards.
 
@@ -166,6 +178,7 @@
         data_centres={part.data_centre: part for part in root.data_centres},
         services={part.service: part for shard in found for part in shard.services},
         servers={part.server: part for shard in found for part in shard.servers},
+        layers={part.service: part.layers for shard in found for part in shard.layers},
         digest=root.digest,
         forgotten_at=root.forgotten_at,
         history=root.history,
--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/model.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/model.py
@@ -18,9 +18,12 @@
 __all__ = [
     "EMPTY_PLAN",
     "DataCentre",
+    "Layer",
     "Plan",
+    "Seat",
     "Server",
     "Service",
+    "ServiceLayers",
     "Write",
     "WriteId",
 ]
@@ -38,7 +41,17 @@
 
 
 class Service(msgspec.Struct, frozen=True):
-    """A service of one tenant."""
+    """A service of one tenant.
+
+    Parameters
+    ----------
+    service : ServiceId
+        Its name.
+    tenant : TenantId
+        Whose it is.
+    changed_at : Revision
+        Revision of the last change of the service or of its layers.
+    """
 
     service: ServiceId
     tenant: TenantId
@@ -109,6 +122,41 @@
     n_changed: int = 0
 
 
+class Seat(msgspec.Struct, frozen=True, array_like=True):
+    """A hash position of a service and the server that held it."""
+
+    seat: int
+    server: ServerId
+
+
+class Layer(msgspec.Struct, frozen=True, array_like=True):
+    """A membership of a service that flows were opened under.
+
+    Parameters
+    ----------
+    seats : tuple of Seat
+        The servers that accepted new work, in order of their seats.
+    began_at : Revision
+        Revision that brought it.
+    ended_at : Revision
+        Revision that replaced it; 0 while it is in force.
+    ended_ms : int
+        Wall clock of the writer when it was replaced, milliseconds since 1970.
+    """
+
+    seats: tuple[Seat, ...]
+    began_at: Revision = Revision(0)
+    ended_at: Revision = Revision(0)
+    ended_ms: int = 0
+
+
+class ServiceLayers(msgspec.Struct, frozen=True, array_like=True):
+    """The layers of one service, as they are stored and sent."""
+
+    service: ServiceId
+    layers: tuple[Layer, ...]
+
+
 class Plan(msgspec.Struct, frozen=True, dict=True):
     """A whole plan at one revision; never changed in place.
 
@@ -126,6 +174,10 @@
         older revision cannot be made.
     history : tuple of Write
         The newest writes, oldest first.
+    layers : dict of ServiceId to tuple of Layer
+        Past memberships of each service, oldest first, as `next_layers` in
+        `sapphirerail_core.plan.layers` computes them; the one in force is not
+        among them.
     """
 
     revision: Revision = Revision(0)
@@ -135,6 +187,7 @@
     digest: int = 0
     forgotten_at: Revision = Revision(0)
     history: tuple[Write, ...] = ()
+    layers: dict[ServiceId, tuple[Layer, ...]] = {}
 
     @cached_property
     def servers_by_service(self) -> dict[ServiceId, tuple[Server, ...]]:
--- a/packages/sapphirerail-node/src/sapphirerail_node/plan_service.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/plan_service.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Mapping
 from typing import Any, Protocol
 
 import msgspec
@@ -42,6 +42,7 @@
 WATCH_TIMEOUT_MS = 25_000
 WATCH_PAUSE_MS = 500
 FETCH_TIMEOUT_MS = 3000
+HEARTBEATS_INTERVAL_MS = 1000
 
 
 class PeerDirectory(FleetView, Protocol):
@@ -51,6 +52,10 @@
         """Return ``address:port``, or None if it is not known."""
         ...
 
+    def revisions(self) -> Mapping[InstanceId, Revision]:
+        """Return the revisions that live instances told in their heartbeats."""
+        ...
+
 
 class PlanStatus(msgspec.Struct, frozen=True, kw_only=True):
     """What an instance says of its plan.
@@ -121,6 +126,7 @@
         self._answers = PlanAnswers()
         self._outbox: list[Effect] = []
         self._tasks: set[asyncio.Task[None]] = set()
+        self._next_heartbeats_ms = 0
         self._reading = False
         self._root_version: Version | None = None
         self._store_error = ""
@@ -163,17 +169,15 @@
             return []
         return self._carry_out(self._sync.on_message(sender, message, now_ms))
 
-    def on_peer_revision(
-        self, sender: InstanceId, revision: Revision, now_ms: int
-    ) -> list[Effect]:
-        """Take the revision that a peer's heartbeat named."""
-        actions = self._sync.on_peer_revision(sender, revision, now_ms)
-        return self._carry_out(actions)
-
     def tick(self, now_ms: int) -> list[Effect]:
         """Do what is due."""
+        actions = self._sync.tick(now_ms)
+        if now_ms >= self._next_heartbeats_ms:
+            self._next_heartbeats_ms = now_ms + HEARTBEATS_INTERVAL_MS
+            for peer, revision in self._peers.revisions().items():
+                actions += self._sync.on_peer_revision(peer, revision, now_ms)
         effects, self._outbox = self._outbox, []
-        return effects + self._carry_out(self._sync.tick(now_ms))
+        return effects + self._carry_out(actions)
 
     async def handle_plan(self, request: HttpRequest) -> HttpResponse:
         """Answer a peer's or an operator's question for the plan."""
