--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/model.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/model.py
@@ -1,6 +1,7 @@
 """An immutable snapshot of what the operators configured."""
 
 from functools import cached_property
+from typing import NewType
 
 import msgspec
 
@@ -22,8 +23,14 @@
     "Seat",
     "Server",
     "Service",
+    "ServiceLayers",
+    "Write",
+    "WriteId",
 ]
 
+WriteId = NewType("WriteId", str)
+"""Unique name of one attempt to change the plan, chosen by who writes."""
+
 
 class DataCentre(msgspec.Struct, frozen=True):
     """A data centre and whether it may receive packets."""
@@ -34,10 +41,21 @@
 
 
 class Service(msgspec.Struct, frozen=True):
-    """A service of one tenant."""
+    """A service of one tenant.
+
+    Parameters
+    ----------
+    service : ServiceId
+        Its name.
+    tenant : TenantId
+        Whose it is.
+    changed_at : Revision
+        Revision of the last change of the service or of its layers.
+    """
 
     service: ServiceId
     tenant: TenantId
+    changed_at: Revision = Revision(0)
 
 
 class Server(msgspec.Struct, frozen=True, kw_only=True):
@@ -77,6 +95,33 @@
     changed_at: Revision = Revision(0)
 
 
+class Write(msgspec.Struct, frozen=True, kw_only=True):
+    """One change of the plan, as the history keeps it.
+
+    Parameters
+    ----------
+    revision : Revision
+        The revision that it made.
+    write_id : WriteId
+        Its unique name.
+    operator : str
+        Who made it.
+    at_ms : int
+        When, in milliseconds since the epoch, by the operator's clock.
+    sheet_digest : str
+        Digest of the sheet's bytes; empty for single changes.
+    n_changed : int
+        Number of parts of the plan that it changed.
+    """
+
+    revision: Revision
+    write_id: WriteId
+    operator: str = ""
+    at_ms: int = 0
+    sheet_digest: str = ""
+    n_changed: int = 0
+
+
 class Seat(msgspec.Struct, frozen=True, array_like=True):
     """A hash position of a service and the server that held it."""
 
@@ -105,6 +150,13 @@
     ended_ms: int = 0
 
 
+class ServiceLayers(msgspec.Struct, frozen=True, array_like=True):
+    """The layers of one service, as they are stored and sent."""
+
+    service: ServiceId
+    layers: tuple[Layer, ...]
+
+
 class Plan(msgspec.Struct, frozen=True, dict=True):
     """A whole plan at one revision; never changed in place.
 
@@ -114,6 +166,14 @@
         Its number; 0 is the empty plan before any sheet.
     data_centres, services, servers
         The parts, by id.
+    digest : int
+        Digest of all parts, as `content_digest` computes it; 0 if nobody computed
+        it.
+    forgotten_at : Revision
+        Highest revision of a change whose part is no longer kept; a delta since an
+        older revision cannot be made.
+    history : tuple of Write
+        The newest writes, oldest first.
     layers : dict of ServiceId to tuple of Layer
         Past memberships of each service, oldest first, as `next_layers` in
         `sapphirerail_core.plan.layers` computes them; the one in force is not
@@ -124,6 +184,9 @@
     data_centres: dict[DataCentreId, DataCentre] = {}
     services: dict[ServiceId, Service] = {}
     servers: dict[ServerId, Server] = {}
+    digest: int = 0
+    forgotten_at: Revision = Revision(0)
+    history: tuple[Write, ...] = ()
     layers: dict[ServiceId, tuple[Layer, ...]] = {}
 
     @cached_property
