--- a/packages/sapphirerail-core/src/sapphirerail_core/load/gate.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/load/gate.py
@@ -1,5 +1,6 @@
 """Admission to one backend server: what waits, what is in flight, the limit."""
 
+import math
 from dataclasses import dataclass
 
 from ..datagram import HealthReport
@@ -79,10 +80,9 @@
 
     def remaining_ms(self, now_ms: int) -> int:
         """Return the time until the last request in flight has surely ended."""
-        ends = [work.deadline_at_ms for work in self.in_flight.values()]
+        ends = [self._ended_at_ms(work) for work in self.in_flight.values()]
         ends += [p.until_ms for p in self._inherited.values() if p.n_in_flight]
-        grace_ms = self._config.silence_grace_ms
-        return max(0, max(ends) + grace_ms - now_ms) if ends else 0
+        return max(0, math.ceil(max(ends)) - now_ms) if ends else 0
 
     def has_room(self, now_ms: int) -> bool:
         """Return whether one more request may be sent."""
@@ -105,6 +105,16 @@
         n_ahead = self.queue.n_ahead(item.traffic_class)
         return usual_ms * (n_ahead + 1) / max(1, self.limit.limit)
 
+    def is_hopeless(self, remaining_ms: int) -> bool:
+        """Return whether a request would surely miss its deadline.
+
+        Without another one that waits, it is sent all the same: its latency may
+        show that the usual one has changed.
+        """
+        if not len(self.queue):
+            return False
+        return remaining_ms < self.limit.latency.expected_ms(0) / 2
+
     def inherit(self, holder: str, n_in_flight: int, until_ms: int) -> None:
         """Count the requests that another owner has in flight at the server."""
         self._inherited[holder] = Inherited(n_in_flight, until_ms)
@@ -144,7 +154,11 @@
         return overdue
 
     def _free_ended(self, now_ms: int) -> None:
-        latest_ms = now_ms - self._config.silence_grace_ms
         for key, work in list(self.in_flight.items()):
-            if work.is_overdue and work.deadline_at_ms <= latest_ms:
+            if work.is_overdue and self._ended_at_ms(work) <= now_ms:
                 del self.in_flight[key]
+
+    def _ended_at_ms(self, work: InFlight) -> float:
+        # A server may check the deadline only before it starts to run a request.
+        usual_end_ms = work.sent_at_ms + self.limit.stall_age_ms()
+        return max(work.deadline_at_ms, usual_end_ms) + self._config.silence_grace_ms
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/admission.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/admission.py
@@ -265,7 +265,7 @@
 
     def _claim(self, work: Work, now_ms: int) -> list[Effect]:
         work.state = WorkState.CLAIMING
-        is_first = work.datagram.attempt == 0
+        is_first = not work.is_uncertain
         effects = self._claimant.start(work.key, is_first, work.deadline_at_ms, now_ms)
         return effects + self.on_claims_decided(now_ms)
 
@@ -299,7 +299,8 @@
         return effects + self.pump(gate, now_ms)
 
     def _send(self, work: Work, gate: ServerGate, now_ms: int) -> list[Effect]:
-        if work.deadline_at_ms <= now_ms:
+        remaining_ms = work.deadline_at_ms - now_ms
+        if remaining_ms <= 0 or gate.is_hopeless(remaining_ms):
             return self.refuse(work, RefusalCode.DEADLINE_EXCEEDED, now_ms)
         if self._context.plan.is_out(
             self._context.plan.servers[work.server].data_centre
