Repeat further transmissions until the claim's holder received them

Cause: a retransmission that met a dead holder was lost without an outcome, and drained instances and those with an older view passed requests to and fro. Conclusion: an instance takes over what its supposed owner passes to it.

--- a/packages/sapphirerail-core/src/sapphirerail_core/request/admission.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/admission.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from ..datagram import Datagram, Kind, RefusalCode, Run
-from ..effects import Effect, SendToCaller, SendToPeer, SendToServer
+from ..effects import Effect, SendToCaller, SendToServer
 from ..journal import Reason
 from ..load.gate import ServerGate
 from ..types import InstanceId, InstanceState, ServerId
@@ -16,7 +16,7 @@
 from .keeper import NOBODY
 from .keys import request_key
 from .ledger import Ledger
-from .messages import Attach, Forward
+from .messages import Forward
 from .outcome import Outcome, OutcomeKind
 from .replies import refusal
 from .retry import RetryBudget
@@ -118,14 +118,18 @@
             return self._retry_stalled(work, now_ms)
         return []
 
-    def on_attach(self, datagram: Datagram, hop: int, now_ms: int) -> list[Effect]:
+    def on_attached(self, forward: Forward, now_ms: int) -> list[Effect]:
         """Handle a further transmission that met this instance's claim."""
-        work = self.ledger.get(request_key(datagram))
+        work = self.ledger.get(request_key(forward.datagram))
         if work is None:
-            # This instance no longer knows whether it ran the request.
-            reply = refusal(datagram, RefusalCode.DUPLICATE, Run.UNKNOWN)
-            return [SendToCaller(reply)]
-        return self.repeat(work, datagram, now_ms, hop)
+            return self.refuse_attached(forward.datagram)
+        return self.repeat(work, forward.datagram, now_ms, forward.hop)
+
+    @staticmethod
+    def refuse_attached(datagram: Datagram) -> list[Effect]:
+        """Answer a further transmission whose claim's holder knows nothing."""
+        reply = refusal(datagram, RefusalCode.DUPLICATE, Run.UNKNOWN)
+        return [SendToCaller(reply)]
 
     def cancel(self, work: Work, cancel: Datagram, now_ms: int) -> list[Effect]:
         """Stop a request, as far as it has come."""
@@ -371,16 +375,17 @@
     def _attach(self, work: Work, hop: int, now_ms: int) -> list[Effect]:
         holder = work.holder
         fleet = self._context.fleet
-        lost = (InstanceState.DEAD, InstanceState.LEFT)
         if holder is None or holder in (NOBODY, fleet.self_id):
             return self._unknown(work)
-        if fleet.state(holder) in lost:
+        if fleet.state(holder) is InstanceState.DEAD:
             return self._unknown(work)
         if work.state is WorkState.MOVED and not work.is_claimed:
             return self._forward(work, holder, now_ms)
         if hop >= self._context.config.n_hops_max:
             return []
-        return [SendToPeer(holder, Attach(self._outgoing(work, now_ms), hop + 1))]
+        outgoing = self._outgoing(work, now_ms)
+        forward = Forward(outgoing, work.server, hop=hop + 1, is_attached=True)
+        return self._forwarder.send(forward, holder, now_ms)
 
     @staticmethod
     def _unknown(work: Work) -> list[Effect]:
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/dispatcher.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/dispatcher.py
@@ -22,7 +22,6 @@
 from .keeper import ClaimKeeper
 from .keys import request_key
 from .messages import (
-    Attach,
     Claim,
     ClaimHandover,
     Forward,
@@ -232,6 +231,7 @@
             hop=message.hop,
             server=message.server,
             n_waiting=gate.n_waiting() if gate is not None else 0,
+            is_attached=message.is_attached,
         )
         return [SendToPeer(sender, taken), *effects]
 
@@ -259,10 +259,6 @@
         self._keeper.withdraw(sender, message)
         return []
 
-    @_on_message.register
-    def _(self, message: Attach, sender: InstanceId, now_ms: int) -> list[Effect]:
-        return self._admission.on_attach(message.datagram, message.hop, now_ms)
-
     @_on_message.register
     def _(
         self, message: ClaimHandover, sender: InstanceId, now_ms: int
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/forwarder.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/forwarder.py
@@ -15,6 +15,9 @@
 __all__ = ["Forwarder"]
 
 
+_PendingKey = tuple[RequestKey, int, bool]
+
+
 @dataclass(slots=True)
 class _Pending:
     forward: Forward
@@ -35,7 +38,7 @@
 
     def __init__(self, context: Context) -> None:
         self._config = context.config
-        self._pending: dict[tuple[RequestKey, int], _Pending] = {}
+        self._pending: dict[_PendingKey, _Pending] = {}
 
     def __len__(self) -> int:
         return len(self._pending)
@@ -44,7 +47,7 @@
         """Send a forward; requests and openings are repeated until received."""
         if forward.datagram.kind is not Kind.CANCEL:
             key = request_key(forward.datagram)
-            self._pending[key, forward.hop] = _Pending(
+            self._pending[key, forward.hop, forward.is_attached] = _Pending(
                 forward=forward,
                 target=target,
                 deadline_at_ms=now_ms + forward.datagram.deadline_ms,
@@ -54,9 +57,10 @@
 
     def on_taken(self, sender: InstanceId, taken: Taken) -> None:
         """Stop repeating a forward that was received."""
-        pending = self._pending.get((taken.key, taken.hop))
+        key = (taken.key, taken.hop, taken.is_attached)
+        pending = self._pending.get(key)
         if pending is not None and pending.target == sender:
-            del self._pending[taken.key, taken.hop]
+            del self._pending[key]
 
     def tick(self, now_ms: int) -> tuple[list[Effect], list[Forward]]:
         """Repeat what is due.
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/ingress.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/ingress.py
@@ -85,18 +85,22 @@
         """Handle a request that another instance forwarded."""
         if forward.datagram.kind is Kind.CANCEL:
             return self._cancel_here(forward.datagram, now_ms)
+        if forward.is_attached:
+            return self._admission.on_attached(forward, now_ms)
         work = self._admission.ledger.get(request_key(forward.datagram))
         if work is None:
-            return self._take(forward, now_ms)
+            return self._take(sender, forward, now_ms)
         if forward.is_claimed and (forward.hop > work.hop or not work.is_claimed):
-            return self._take(forward, now_ms)
+            return self._take(sender, forward, now_ms)
         came_round = forward.hop > work.hop and not work.is_claimed
         if came_round and work.state is WorkState.MOVED:
-            return self._take(forward, now_ms)
+            return self._take(sender, forward, now_ms)
         return self._admission.repeat(work, forward.datagram, now_ms, forward.hop)
 
     def on_unreceived(self, forward: Forward, now_ms: int) -> list[Effect]:
         """Go on with a request whose forward was not received."""
+        if forward.is_attached:
+            return self._admission.refuse_attached(forward.datagram)
         work = self._admission.ledger.get(request_key(forward.datagram))
         if work is not None:
             if work.state is WorkState.MOVED and work.hop == forward.hop:
@@ -118,12 +122,13 @@
         self._forwarder.on_taken(sender, taken)
         self._hints[taken.server] = (taken.n_waiting, now_ms)
 
-    def _take(self, forward: Forward, now_ms: int) -> list[Effect]:
+    def _take(self, sender: InstanceId, forward: Forward, now_ms: int) -> list[Effect]:
         if forward.server not in self._context.plan.servers:
             code = RefusalCode.NO_SERVER
             return self._admission.refuse_unplaced(forward, code, now_ms)
         target = self._roles.holder_of(forward.server, now_ms)
-        if target == self._context.fleet.self_id:
+        if target in (self._context.fleet.self_id, sender):
+            # A sender that this instance takes for the owner knows better.
             return self._admission.admit(forward, now_ms)
         return self._admission.relay(forward, now_ms)
 
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/messages.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/messages.py
@@ -6,7 +6,6 @@
 from .keys import RequestKey
 
 __all__ = [
-    "Attach",
     "Claim",
     "ClaimEntry",
     "ClaimHandover",
@@ -40,6 +39,8 @@
         Whether the sender's claim goes with it; the sender will not run it.
     is_uncertain : bool
         Whether an earlier transmission may have reached a server.
+    is_attached : bool
+        Whether it is a further transmission for the holder of its claim.
     """
 
     datagram: Datagram
@@ -49,6 +50,7 @@
     revision: Revision = Revision(0)
     is_claimed: bool = False
     is_uncertain: bool = False
+    is_attached: bool = False
 
 
 class Taken(Message, frozen=True, array_like=True, tag=31):
@@ -58,6 +60,7 @@
     hop: int
     server: ServerId
     n_waiting: int
+    is_attached: bool = False
 
 
 class Claim(Message, frozen=True, array_like=True, tag=32):
@@ -86,13 +89,6 @@
     epoch: int
 
 
-class Attach(Message, frozen=True, array_like=True, tag=35):
-    """A further transmission of a request, for the holder of its claim."""
-
-    datagram: Datagram
-    hop: int = 0
-
-
 class ClaimEntry(Message, frozen=True, array_like=True, tag=36):
     """A remembered claim."""
 
@@ -152,7 +148,6 @@
     Claim,
     Grant,
     Withdraw,
-    Attach,
     ClaimHandover,
     RoleClaim,
     RoleRelease,
