Count only keepers that may know a claim, and tell a lost request from a cold server

Cause: retransmissions were answered as unknown whenever one keeper of a small data centre was dead, and one lost datagram cooled a warm server down. Conclusion: the rule asks for the keepers that were there when the claim may have been made, less those that died since.

--- a/bench/request_world.py
+++ b/bench/request_world.py
@@ -34,6 +34,7 @@
     TrafficClass,
 )
 
+from .alone import AloneDispatcher
 from .fake_fleet import LEASE_MS, LaggingFleet
 from .fake_server import FakeServer, RunKey, run_key
 
@@ -105,7 +106,7 @@
 class Node:
     """One instance and what the world does to it."""
 
-    dispatcher: Dispatcher
+    dispatcher: Dispatcher | AloneDispatcher
     fleet: LaggingFleet
     place: DataCentreId
     flows: Flows
@@ -129,6 +130,8 @@
         Seed of all random choices.
     config : DispatcherConfig
         Settings of every dispatcher.
+    is_alone : bool
+        Whether the baseline runs in place of the dispatcher.
     """
 
     def __init__(
@@ -137,8 +140,11 @@
         n_instances: int = 2,
         seed: int = 1,
         config: DispatcherConfig | None = None,
+        *,
+        is_alone: bool = False,
     ) -> None:
         self.plan = plan
+        self.is_alone = is_alone
         self.config = config or DispatcherConfig()
         self.random = random.Random(seed)
         self.now_ms = 0
@@ -151,6 +157,8 @@
         self.nodes: dict[InstanceId, Node] = {}
         self.answers: dict[RunKey, list[Datagram]] = {}
         self.refusals: dict[RunKey, list[Datagram]] = {}
+        self.sent_at_ms: dict[RunKey, int] = {}
+        self.latencies_ms: dict[RunKey, int] = {}
         self.n_messages: Counter[str] = Counter()
         self.n_message_bytes = 0
         self._heap: list[tuple[int, int, Callable[[], None]]] = []
@@ -170,14 +178,8 @@
         fleet = LaggingFleet(name, live | {name: place})
         fleet.lease_until_ms = self.now_ms + LEASE_MS
         flows = Flows(self.plan)
-        dispatcher = Dispatcher.from_config(
-            self.config,
-            fleet,
-            flows,
-            Journal(name),
-            random.Random(self.random.random()),
-            self.now_ms,
-        )
+        started_at_ms = -60_000 if is_known else self.now_ms
+        dispatcher = self._dispatcher(name, fleet, flows, started_at_ms)
         dispatcher.on_plan(self.plan, self.now_ms)
         node = Node(dispatcher, fleet, place, flows, heard_at_ms=self.now_ms)
         for other, known in self.nodes.items():
@@ -188,6 +190,16 @@
         self.nodes[name] = node
         self._at(self.random.randrange(TICK_MS), lambda: self._tick_node(name))
 
+    def _dispatcher(
+        self, name: InstanceId, fleet: LaggingFleet, flows: Flows, started_at_ms: int
+    ) -> Dispatcher | AloneDispatcher:
+        random_state = random.Random(self.random.random())
+        if self.is_alone:
+            return AloneDispatcher(flows, random_state)
+        return Dispatcher.from_config(
+            self.config, fleet, flows, Journal(name), random_state, started_at_ms
+        )
+
     def kill(self, name: InstanceId) -> None:
         """End an instance without notice."""
         self.nodes[name].is_dead = True
@@ -214,6 +226,13 @@
             lag_ms = self.random.randrange(300)
             self._at(lag_ms, lambda o=other: self._unlearn(o, name, InstanceState.LEFT))
 
+    def stop_when_idle(self, name: InstanceId) -> None:
+        """End a leaving instance as soon as it owes no outcome."""
+        if self.nodes[name].dispatcher.n_in_flight:
+            self._at(100, lambda: self.stop_when_idle(name))
+        else:
+            self.kill(name)
+
     def set_plan(self, plan: Plan) -> None:
         """Put a plan in force; instances get it with a lag of their own."""
         self.plan = plan
@@ -251,6 +270,7 @@
             caller=f"caller:{flow}",
             body=b"%d/%d" % (flow, request),
         )
+        self.sent_at_ms.setdefault((flow, request), self.now_ms)
         live = [n for n, node in self.nodes.items() if not node.is_dead]
         self.submit(name or self.random.choice(sorted(live)), datagram)
 
@@ -382,7 +402,10 @@
     def _to_caller(self, datagram: Datagram) -> None:
         assert datagram.caller == f"caller:{datagram.flow}"
         box = self.refusals if datagram.kind is Kind.REFUSAL else self.answers
-        box.setdefault(run_key(datagram), []).append(datagram)
+        key = run_key(datagram)
+        box.setdefault(key, []).append(datagram)
+        if datagram.kind is Kind.ANSWER and key in self.sent_at_ms:
+            self.latencies_ms.setdefault(key, self.now_ms - self.sent_at_ms[key])
 
     def _to_peer(self, name: InstanceId, target: InstanceId, message: Message) -> None:
         self.n_messages[type(message).__name__] += 1
--- /dev/null
+++ b/bench/requests.py
@@ -0,0 +1,109 @@
+"""Outcomes of requests: double runs, refusals, messages and added latency."""
+
+import random
+from collections.abc import Iterator
+from statistics import fmean
+
+from sapphirerail_core.types import TrafficClass
+
+from .request_storm import Storm, StormResult
+from .request_world import RequestWorld, small_plan
+from .result import Baseline, Figure
+
+__all__ = ["figures"]
+
+_SEEDS = range(100, 108)
+_N_REQUESTS = 300
+_WORK_MS = 50
+
+
+def figures() -> Iterator[Figure]:
+    """Yield the figures of requests under storms and in calm."""
+    yield from _storm_figures()
+    yield from _calm_figures()
+
+
+def _storms(*, is_alone: bool) -> StormResult:
+    total = StormResult()
+    for seed in _SEEDS:
+        storm = Storm(seed, n_requests=_N_REQUESTS, is_cold=False, is_alone=is_alone)
+        total.add(storm.run())
+    return total
+
+
+def _storm_figures() -> Iterator[Figure]:
+    ours = _storms(is_alone=False)
+    alone = _storms(is_alone=True)
+    yield Figure.at_most(
+        "requests_double_runs",
+        ours.n_double_runs,
+        "1",
+        0,
+        Baseline("no_claims", alone.n_double_runs),
+    )
+    yield Figure.at_most(
+        "requests_false_not_run",
+        ours.n_false_refusals,
+        "1",
+        0,
+        Baseline("no_claims", alone.n_false_refusals),
+    )
+    yield Figure(
+        "requests_answered_in_storms_share",
+        ours.n_answered / ours.n_requests,
+        "1",
+        baseline=Baseline("no_claims", alone.n_answered / alone.n_requests),
+    )
+    yield Figure(
+        "requests_without_outcome_in_storms_share",
+        ours.n_without_outcome / ours.n_requests,
+        "1",
+        baseline=Baseline("no_claims", alone.n_without_outcome / alone.n_requests),
+    )
+
+
+def _calm_world(*, idempotent: bool, is_alone: bool = False) -> RequestWorld:
+    world = RequestWorld(small_plan(), n_instances=5, seed=7, is_alone=is_alone)
+    world.faults.delay_max_ms = 1
+    for server in world.servers.values():
+        server.work_ms = _WORK_MS
+    rng = random.Random(7)
+    world.run(1_000)
+    at_ms = 0.0
+    for flow in range(1, 1_001):
+        at_ms += rng.expovariate(0.06)
+        traffic_class = TrafficClass.FEED if idempotent else TrafficClass.TRANSACTION
+        world.at(
+            int(at_ms),
+            lambda f=flow, c=traffic_class: world.request(
+                f, traffic_class=c, idempotent=idempotent
+            ),
+        )
+    world.run(int(at_ms) + 5_000)
+    return world
+
+
+def _calm_figures() -> Iterator[Figure]:
+    for name, idempotent in (("idempotent", True), ("claimed", False)):
+        world = _calm_world(idempotent=idempotent)
+        n_answered = len(world.answers)
+        yield Figure(
+            f"requests_{name}_messages_each",
+            sum(world.n_messages.values()) / n_answered,
+            "messages",
+        )
+        yield Figure(
+            f"requests_{name}_message_bytes_each",
+            world.n_message_bytes / n_answered,
+            "B",
+        )
+        yield Figure(
+            f"requests_{name}_forwards_each",
+            world.n_messages["Forward"] / n_answered,
+            "hops",
+        )
+        yield Figure(
+            f"requests_{name}_added_latency_mean_ms",
+            fmean(world.latencies_ms.values()) - _WORK_MS,
+            "ms",
+        )
--- a/packages/sapphirerail-core/src/sapphirerail_core/load/gate.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/load/gate.py
@@ -19,6 +19,7 @@
     sent_at_ms: int
     deadline_at_ms: int
     is_overdue: bool = False
+    is_lost: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +62,7 @@
         self.queue = AdmissionQueue(config.n_queued_per_slot * max(1, n_slots))
         self.in_flight: dict[int, InFlight] = {}
         self._config = config
+        self._proven_at_ms = -1
         self._inherited: dict[str, Inherited] = {}
 
     def n_in_flight(self, now_ms: int) -> int:
@@ -70,7 +72,8 @@
             for part in self._inherited.values()
             if part.until_ms > now_ms
         ]
-        return len(self.in_flight) + sum(inherited)
+        n_own = sum(not work.is_lost for work in self.in_flight.values())
+        return n_own + sum(inherited)
 
     def n_waiting(self) -> int:
         """Return a figure of load that other instances can compare."""
@@ -132,6 +135,7 @@
         """Free the slot of a request that was answered."""
         work = self.in_flight.pop(key, None)
         if work is not None:
+            self._proven_at_ms = max(self._proven_at_ms, work.sent_at_ms)
             self.limit.on_answer(now_ms - work.sent_at_ms, now_ms)
 
     def on_refusal(self, key: int, is_shed: bool, now_ms: int) -> None:
@@ -144,12 +148,19 @@
         """Return the keys whose deadline passed since the last call."""
         overdue = []
         for key, work in list(self.in_flight.items()):
+            # An answer to a later request shows that only this one was lost.
+            is_lost_alone = work.sent_at_ms < self._proven_at_ms
             if work.deadline_at_ms <= now_ms and not work.is_overdue:
                 work.is_overdue = True
-                self.limit.on_silence(now_ms)
                 overdue.append(key)
+                if not is_lost_alone:
+                    self.limit.on_silence(now_ms)
             elif now_ms - work.sent_at_ms > self.limit.stall_age_ms():
-                self.limit.on_stall(now_ms)
+                if not is_lost_alone:
+                    self.limit.on_stall(now_ms)
+                elif self.limit.state is LimitState.WARM:
+                    # A warm server bears it, should the request run after all.
+                    work.is_lost = True
         self._free_ended(now_ms)
         return overdue
 
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/claimant.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/claimant.py
@@ -7,10 +7,16 @@
 from ..rendezvous import hash_key
 from ..types import DataCentreId, InstanceId
 from .context import Context
+from .history import MembershipHistory
 from .keeper import NOBODY, ClaimKeeper
 from .keys import RequestKey, claim_data_centres
 from .messages import Claim, Grant, Withdraw
-from .panel import Panel, quorum_first, quorum_retransmission
+from .panel import (
+    Panel,
+    n_missing_allowed,
+    quorum_first,
+    quorum_retransmission,
+)
 
 __all__ = ["ClaimDecision", "ClaimResult", "Claimant"]
 
@@ -40,6 +46,7 @@
     deadline_at_ms: int
     panels: list[Panel]
     ask_again_at_ms: int
+    silent_at_ms: int
     fail_at_ms: int
     n_homes_passed: int = 0
 
@@ -53,10 +60,15 @@
         Plan, fleet and settings.
     keeper : ClaimKeeper
         This instance's own memory, asked without a message.
+    history : MembershipHistory
+        Who joined and died of late.
     """
 
-    def __init__(self, context: Context, keeper: ClaimKeeper) -> None:
+    def __init__(
+        self, context: Context, keeper: ClaimKeeper, history: MembershipHistory
+    ) -> None:
         self._context = context
+        self._history = history
         self._keeper = keeper
         self._attempts: dict[RequestKey, _Attempt] = {}
         self._decided: list[ClaimResult] = []
@@ -82,6 +94,7 @@
             deadline_at_ms=deadline_at_ms,
             panels=[],
             ask_again_at_ms=now_ms + config.claim_resend_ms,
+            silent_at_ms=now_ms + config.claim_silence_ms,
             fail_at_ms=now_ms + config.claim_timeout_ms,
         )
         attempt.panels = self._panels(attempt, now_ms)
@@ -106,6 +119,8 @@
         for attempt in list(self._attempts.values()):
             if now_ms >= attempt.fail_at_ms:
                 effects += self._time_out(attempt, now_ms)
+            elif self._is_home_silent(attempt, now_ms):
+                effects += self._next_home(attempt, now_ms)
             elif now_ms >= attempt.ask_again_at_ms:
                 attempt.ask_again_at_ms = now_ms + self._context.config.claim_resend_ms
                 effects += self._ask(attempt, now_ms, is_again=True)
@@ -121,11 +136,11 @@
         former = self._former if now_ms < self._former_until_ms else []
         former = [place for place in former if place not in places]
         if not attempt.is_first:
-            return [self._panel(attempt, place) for place in places + former]
+            return [self._panel(attempt, place, now_ms) for place in places + former]
         home = self._home(places, attempt.n_homes_passed)
-        panels = [self._panel(attempt, home)] if home is not None else []
+        panels = [self._panel(attempt, home, now_ms)] if home is not None else []
         for place in former:
-            panel = self._panel(attempt, place)
+            panel = self._panel(attempt, place, now_ms)
             panel.is_optional = True
             panels.append(panel)
         return panels
@@ -137,17 +152,26 @@
             live.append(fleet.self_data_centre)
         return live[n_passed] if n_passed < len(live) else None
 
-    def _panel(self, attempt: _Attempt, place: DataCentreId) -> Panel:
+    def _panel(self, attempt: _Attempt, place: DataCentreId, now_ms: int) -> Panel:
         config = self._context.config
-        n_keepers = config.n_keepers
-        if not attempt.is_first:
-            n_keepers = config.n_keepers_retransmission
+        if attempt.is_first:
+            n_keepers = config.n_keepers
+            keepers = self._context.fleet.owners(attempt.key, n_keepers, place)
+            return Panel(place, keepers, quorum_first(len(keepers)))
+        n_keepers = config.n_keepers_retransmission
         keepers = self._context.fleet.owners(attempt.key, n_keepers, place)
-        n_keepers = len(keepers)
-        quorum = quorum_first(n_keepers)
-        if not attempt.is_first:
-            quorum = quorum_retransmission(n_keepers)
-        return Panel(place, keepers, quorum)
+        if not self._history.is_complete(now_ms):
+            return Panel(place, keepers, quorum_retransmission(len(keepers)))
+        seasoned = self._history.seasoned(keepers, now_ms)
+        n_dead = self._history.n_dead_keepers(attempt.key, keepers, now_ms)
+        n_missing = n_missing_allowed(len(seasoned), n_dead, config.n_keepers)
+        return Panel(
+            place,
+            keepers,
+            quorum_first(len(keepers)),
+            seasoned,
+            len(seasoned) - n_missing,
+        )
 
     def _ask(self, attempt: _Attempt, now_ms: int, *, is_again: bool) -> list[Effect]:
         effects: list[Effect] = []
@@ -220,22 +244,25 @@
         if denials:
             self._end(attempt, ClaimDecision.HELD, max(denials))
             return self._withdraw(attempt)
-        config = self._context.config
-        silent = all(panel.is_silent() for panel in attempt.panels)
-        passed_ms = now_ms + config.claim_timeout_ms
-        if attempt.is_first and silent and passed_ms < attempt.deadline_at_ms:
-            return self._next_home(attempt, now_ms)
         self._end(attempt, ClaimDecision.FAILED)
         return self._withdraw(attempt)
 
+    def _is_home_silent(self, attempt: _Attempt, now_ms: int) -> bool:
+        """Return whether no keeper of a first transmission can be reached."""
+        if not attempt.is_first or now_ms < attempt.silent_at_ms:
+            return False
+        return all(panel.is_silent() for panel in attempt.panels)
+
     def _next_home(self, attempt: _Attempt, now_ms: int) -> list[Effect]:
         attempt.n_homes_passed += 1
         attempt.panels = self._panels(attempt, now_ms)
         if not attempt.panels:
             self._end(attempt, ClaimDecision.FAILED)
             return []
-        attempt.ask_again_at_ms = now_ms + self._context.config.claim_resend_ms
-        attempt.fail_at_ms = now_ms + self._context.config.claim_timeout_ms
+        config = self._context.config
+        attempt.ask_again_at_ms = now_ms + config.claim_resend_ms
+        attempt.silent_at_ms = now_ms + config.claim_silence_ms
+        attempt.fail_at_ms = now_ms + config.claim_timeout_ms
         return self._ask(attempt, now_ms, is_again=False)
 
     def _end(
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/config.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/config.py
@@ -22,6 +22,8 @@
         Transmissions of a forward before its target counts as unreachable.
     claim_resend_ms, claim_timeout_ms : int
         Wait before unanswered keepers are asked again, and before the claim fails.
+    claim_silence_ms : int
+        Silence of all keepers after which the next data centre is asked.
     claim_margin_ms : int
         How long keepers remember a claim beyond the deadline of its request.
     n_keepers, n_keepers_retransmission : int
@@ -54,9 +56,10 @@
     n_forward_sends: int = 3
     claim_resend_ms: int = 40
     claim_timeout_ms: int = 400
+    claim_silence_ms: int = 120
     claim_margin_ms: int = 10_000
     n_keepers: int = 4
-    n_keepers_retransmission: int = 6
+    n_keepers_retransmission: int = 8
     n_claims_max: int = 50_000
     answer_kept_bytes: int = 2_048
     answers_kept_bytes: int = 1_048_576
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/dispatcher.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/dispatcher.py
@@ -18,6 +18,7 @@
 from .forwarder import Forwarder
 from .gates import GateTable
 from .handover import claim_handovers
+from .history import MembershipHistory
 from .ingress import Ingress
 from .keeper import ClaimKeeper
 from .keys import request_key
@@ -60,7 +61,8 @@
         self._context = context
         self._routes = Routes(context)
         self._keeper = ClaimKeeper(config.claim_margin_ms, config.n_claims_max)
-        self._claimant = Claimant(context, self._keeper)
+        self._history = MembershipHistory(context, started_at_ms)
+        self._claimant = Claimant(context, self._keeper, self._history)
         self._forwarder = Forwarder(context)
         self._roles = RoleTable(context, self._routes, started_at_ms)
         self._gates = GateTable(context, self._roles)
@@ -152,6 +154,7 @@
     ) -> list[Effect]:
         """Take in a change of the membership."""
         self._routes.forget()
+        self._history.on_state(instance, state, now_ms)
         if state in (InstanceState.DEAD, InstanceState.LEFT):
             self._roles.on_lost(instance, now_ms)
         elif state is InstanceState.ALIVE:
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/history.py
@@ -0,0 +1,68 @@
+"""Recent changes of the membership that the keepers of open claims went through."""
+
+from ..rendezvous import top
+from ..types import InstanceId, InstanceState
+from .context import Context
+from .keys import RequestKey
+
+__all__ = ["MembershipHistory"]
+
+
+class MembershipHistory:
+    """Remembers who joined or died while claims that are still open were made.
+
+    Parameters
+    ----------
+    context : Context
+        Fleet and settings.
+    started_at_ms : int
+        When this instance started; what was before, it does not know.
+    """
+
+    def __init__(self, context: Context, started_at_ms: int) -> None:
+        config = context.config
+        self._context = context
+        self._memory_ms = config.deadline_max_ms + config.claim_margin_ms
+        self._started_at_ms = started_at_ms
+        self._joined_at_ms: dict[InstanceId, int] = {}
+        self._died_at_ms: dict[InstanceId, int] = {}
+
+    def on_state(self, instance: InstanceId, state: InstanceState, now_ms: int) -> None:
+        """Take in a change of the membership."""
+        if state is InstanceState.DEAD:
+            self._died_at_ms[instance] = now_ms
+        elif state is InstanceState.ALIVE:
+            came_back = self._died_at_ms.pop(instance, None) is not None
+            if not came_back:
+                self._joined_at_ms.setdefault(instance, now_ms)
+
+    def is_complete(self, now_ms: int) -> bool:
+        """Return whether this instance saw all changes that matter."""
+        return now_ms >= self._started_at_ms + self._memory_ms
+
+    def seasoned(self, keepers: tuple[InstanceId, ...], now_ms: int) -> set[InstanceId]:
+        """Return the keepers that have been there for as long as any open claim."""
+        oldest_ms = now_ms - self._memory_ms
+        return {
+            name
+            for name in keepers
+            if self._joined_at_ms.get(name, oldest_ms) <= oldest_ms
+        }
+
+    def n_dead_keepers(
+        self, key: RequestKey, keepers: tuple[InstanceId, ...], now_ms: int
+    ) -> int:
+        """Return how many keepers of a claim may have died since it was made."""
+        oldest_ms = now_ms - self._memory_ms
+        place = self._context.fleet.data_centre(keepers[0]) if keepers else None
+        dead = [
+            name
+            for name, at_ms in self._died_at_ms.items()
+            if at_ms > oldest_ms and self._may_be_in(name, place)
+        ]
+        known = self.seasoned(keepers, now_ms)
+        first = top(key, [*known, *dead], self._context.config.n_keepers)
+        return len(set(first) & set(dead))
+
+    def _may_be_in(self, instance: InstanceId, place: str | None) -> bool:
+        return self._context.fleet.data_centre(instance) in (None, place)
