Let no two instances wait for each other with a moved request

Cause: two owners that had each moved a request to the other one passed its retransmissions to and fro for 12 s, past the memory of the claim's keepers; one storm ended in a refusal that falsely said "not run". Conclusion: what comes round is taken, nothing is passed on past its deadline, and a keeper remembers as long as anybody asks.

--- a/packages/sapphirerail-core/src/sapphirerail_core/request/admission.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/admission.py
@@ -377,7 +377,8 @@
         fleet = self._context.fleet
         if holder is None or holder in (NOBODY, fleet.self_id):
             return self._unknown(work)
-        if fleet.state(holder) is InstanceState.DEAD:
+        is_late = now_ms >= work.deadline_at_ms
+        if is_late or fleet.state(holder) is InstanceState.DEAD:
             return self._unknown(work)
         if work.state is WorkState.MOVED and not work.is_claimed:
             return self._forward(work, holder, now_ms)
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/claimant.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/claimant.py
@@ -48,7 +48,6 @@
     ask_again_at_ms: int
     silent_at_ms: int
     fail_at_ms: int
-    n_homes_passed: int = 0
 
 
 class Claimant:
@@ -72,6 +71,7 @@
         self._keeper = keeper
         self._attempts: dict[RequestKey, _Attempt] = {}
         self._decided: list[ClaimResult] = []
+        self._silent_until_ms: dict[DataCentreId, int] = {}
         self._former: list[DataCentreId] = []
         self._former_until_ms = 0
 
@@ -137,20 +137,21 @@
         former = [place for place in former if place not in places]
         if not attempt.is_first:
             return [self._panel(attempt, place, now_ms) for place in places + former]
-        home = self._home(places, attempt.n_homes_passed)
-        panels = [self._panel(attempt, home, now_ms)] if home is not None else []
+        home = self._home(places, now_ms)
+        panels = [self._panel(attempt, home, now_ms)]
         for place in former:
             panel = self._panel(attempt, place, now_ms)
             panel.is_optional = True
             panels.append(panel)
         return panels
 
-    def _home(self, places: list[DataCentreId], n_passed: int) -> DataCentreId | None:
+    def _home(self, places: list[DataCentreId], now_ms: int) -> DataCentreId:
         fleet = self._context.fleet
-        live = [place for place in places if fleet.live(place)]
-        if fleet.self_data_centre not in live:
-            live.append(fleet.self_data_centre)
-        return live[n_passed] if n_passed < len(live) else None
+        for place in places:
+            is_silent = now_ms < self._silent_until_ms.get(place, 0)
+            if fleet.live(place) and not is_silent:
+                return place
+        return fleet.self_data_centre
 
     def _panel(self, attempt: _Attempt, place: DataCentreId, now_ms: int) -> Panel:
         config = self._context.config
@@ -254,15 +255,14 @@
         return all(panel.is_silent() for panel in attempt.panels)
 
     def _next_home(self, attempt: _Attempt, now_ms: int) -> list[Effect]:
-        attempt.n_homes_passed += 1
-        attempt.panels = self._panels(attempt, now_ms)
-        if not attempt.panels:
-            self._end(attempt, ClaimDecision.FAILED)
-            return []
         config = self._context.config
+        for panel in attempt.panels:
+            if panel.data_centre != self._context.fleet.self_data_centre:
+                until_ms = now_ms + config.unresponsive_ms
+                self._silent_until_ms[panel.data_centre] = until_ms
+        attempt.panels = self._panels(attempt, now_ms)
         attempt.ask_again_at_ms = now_ms + config.claim_resend_ms
         attempt.silent_at_ms = now_ms + config.claim_silence_ms
-        attempt.fail_at_ms = now_ms + config.claim_timeout_ms
         return self._ask(attempt, now_ms, is_again=False)
 
     def _end(
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/config.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/config.py
@@ -20,6 +20,8 @@
         Wait for a peer's receipt before a forward is sent again.
     n_forward_sends : int
         Transmissions of a forward before its target counts as unreachable.
+    unresponsive_ms : int
+        How long a peer or a data centre that stayed silent is avoided.
     claim_resend_ms, claim_timeout_ms : int
         Wait before unanswered keepers are asked again, and before the claim fails.
     claim_silence_ms : int
@@ -54,6 +56,7 @@
     n_hops_max: int = 5
     forward_resend_ms: int = 40
     n_forward_sends: int = 3
+    unresponsive_ms: int = 1_000
     claim_resend_ms: int = 40
     claim_timeout_ms: int = 400
     claim_silence_ms: int = 120
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/forwarder.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/forwarder.py
@@ -38,6 +38,7 @@
 
     def __init__(self, context: Context) -> None:
         self._config = context.config
+        self._unresponsive_until_ms: dict[InstanceId, int] = {}
         self._pending: dict[_PendingKey, _Pending] = {}
 
     def __len__(self) -> int:
@@ -55,8 +56,13 @@
             )
         return [SendToPeer(target, forward)]
 
+    def is_responsive(self, target: InstanceId, now_ms: int) -> bool:
+        """Return whether an instance received what was sent to it of late."""
+        return now_ms >= self._unresponsive_until_ms.get(target, 0)
+
     def on_taken(self, sender: InstanceId, taken: Taken) -> None:
         """Stop repeating a forward that was received."""
+        self._unresponsive_until_ms.pop(sender, None)
         key = (taken.key, taken.hop, taken.is_attached)
         pending = self._pending.get(key)
         if pending is not None and pending.target == sender:
@@ -80,6 +86,8 @@
             if late or pending.n_sends >= self._config.n_forward_sends:
                 del self._pending[key]
                 failed.append(forward)
+                until_ms = now_ms + self._config.unresponsive_ms
+                self._unresponsive_until_ms[pending.target] = until_ms
                 continue
             pending.n_sends += 1
             pending.resend_at_ms = now_ms + self._config.forward_resend_ms
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/ingress.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/ingress.py
@@ -92,8 +92,9 @@
             return self._take(sender, forward, now_ms)
         if forward.is_claimed and (forward.hop > work.hop or not work.is_claimed):
             return self._take(sender, forward, now_ms)
-        came_round = forward.hop > work.hop and not work.is_claimed
-        if came_round and work.state is WorkState.MOVED:
+        is_moved = work.state is WorkState.MOVED and not work.is_claimed
+        if is_moved and (forward.hop > work.hop or work.holder == sender):
+            # It came round, so that each would wait for the other one.
             return self._take(sender, forward, now_ms)
         return self._admission.repeat(work, forward.datagram, now_ms, forward.hop)
 
@@ -135,6 +136,8 @@
     def _best(
         self, datagram: Datagram, servers: list[ServerId], now_ms: int
     ) -> ServerId:
+        responsive = [s for s in servers if self._is_responsive(s, now_ms)]
+        servers = responsive or servers
         if datagram.kind is Kind.OPEN or len(servers) < _N_COMPARED:
             # Transmissions of an opening must meet at one owner.
             return servers[0]
@@ -142,6 +145,10 @@
         n_more = self._hint(first, now_ms) - self._hint(second, now_ms)
         return second if n_more >= _LOAD_MARGIN else first
 
+    def _is_responsive(self, server: ServerId, now_ms: int) -> bool:
+        target = self._roles.holder_of(server, now_ms)
+        return target is not None and self._forwarder.is_responsive(target, now_ms)
+
     def _hint(self, server: ServerId, now_ms: int) -> int:
         n_waiting, at_ms = self._hints.get(server, (0, 0))
         return n_waiting if now_ms - at_ms <= _HINT_MS else 0
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/keeper.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/keeper.py
@@ -51,12 +51,13 @@
         forget_at_ms = now_ms + claim.remaining_ms + self._margin_ms
         if kept is None:
             return self._claim_first(claimant, claim, forget_at_ms)
+        # Whoever asks, the caller is still sending the request.
+        kept.forget_at_ms = max(kept.forget_at_ms, forget_at_ms)
         if kept.holder != claimant:
             return Grant(claim.key, claim.epoch, kept.holder)
         if kept.epoch != claim.epoch:
             # An earlier attempt of the holder, before a restart, may have run it.
             return Grant(claim.key, claim.epoch, NOBODY)
-        kept.forget_at_ms = max(kept.forget_at_ms, forget_at_ms)
         return Grant(claim.key, claim.epoch, claimant)
 
     def _claim_first(
