--- a/bench/fake_server.py
+++ b/bench/fake_server.py
@@ -28,6 +28,7 @@
 class _Running:
     datagram: Datagram
     ends_at_ms: int
+    deadline_at_ms: int = 0
 
 
 class FakeServer:
@@ -51,6 +52,7 @@
         self.cold_until_ms = 0
         self.silent_until_ms = 0
         self.is_stuck = False
+        self.stops_at_deadline = False
         self.n_parts = 1
         self.n_queue_max = 2
         self.n_overruns = 0
@@ -71,6 +73,7 @@
             return []
         if datagram.kind is Kind.CANCEL:
             return self._cancel(datagram)
+        self._stop_late(now_ms)
         deadline_at_ms = now_ms + datagram.deadline_ms
         if now_ms < self.cold_until_ms and self._n_in_flight() >= self.n_bears_cold:
             self._collapse(now_ms)
@@ -88,6 +91,7 @@
         """Return the answers that are ready."""
         if now_ms < self.silent_until_ms:
             return []
+        self._stop_late(now_ms)
         ended = [r for r in self._running if r.ends_at_ms <= now_ms]
         self._running = [r for r in self._running if r.ends_at_ms > now_ms]
         answers = [part for r in ended for part in self._answer(r.datagram)]
@@ -102,6 +106,14 @@
             self._start(waiting.datagram, now_ms)
         return answers
 
+    def _stop_late(self, now_ms: int) -> None:
+        if self.stops_at_deadline:
+            self._running = [
+                r
+                for r in self._running
+                if r.ends_at_ms <= now_ms or r.deadline_at_ms > now_ms
+            ]
+
     def is_busy(self) -> bool:
         """Return whether anything runs or waits."""
         return bool(self._running or self._queue)
@@ -116,7 +128,9 @@
 
     def _start(self, datagram: Datagram, now_ms: int) -> None:
         self.runs[run_key(datagram)] += 1
-        self._running.append(_Running(datagram, now_ms + self.work_ms))
+        ends_at_ms = now_ms + self.work_ms
+        deadline_at_ms = now_ms + datagram.deadline_ms
+        self._running.append(_Running(datagram, ends_at_ms, deadline_at_ms))
 
     def _collapse(self, now_ms: int) -> None:
         self.n_overruns += 1
--- a/bench/request_storm.py
+++ b/bench/request_storm.py
@@ -13,7 +13,7 @@
 from .fake_server import RunKey
 from .request_world import RequestWorld, small_plan
 
-__all__ = ["ALL_FAULTS", "Fault", "Storm", "StormResult"]
+__all__ = ["ALL_FAULTS", "BUSY", "Fault", "Shape", "Storm", "StormResult", "WIDE"]
 
 _FOREVER_MS = 10**9
 _SETTLE_MS = 25_000
@@ -33,6 +33,31 @@
 ALL_FAULTS = tuple(Fault)
 
 
+class Shape(msgspec.Struct, frozen=True):
+    """What a storm strikes at.
+
+    Parameters
+    ----------
+    n_data_centres, n_servers, n_instances : int
+        Size of the system; instances are counted for each data centre.
+    works_ms : tuple of int
+        Times that a request may take, drawn for each server.
+    deadlines_ms : tuple of int
+        Deadlines, drawn for each request.
+    """
+
+    n_data_centres: int = 3
+    n_servers: int = 6
+    n_instances: int = 4
+    works_ms: tuple[int, ...] = (20, 50, 200)
+    deadlines_ms: tuple[int, ...] = (500, 2_000, 4_000)
+
+
+WIDE = Shape()
+BUSY = Shape(1, 3, 5, (300, 2_500), (3_000, 5_000))
+"""Servers that are never idle, so that two owners at a time would show."""
+
+
 class StormResult(msgspec.Struct):
     """What a storm left behind.
 
@@ -78,6 +103,8 @@
         Whether all servers stay cold and bear one request.
     is_alone : bool
         Whether the baseline runs in place of the dispatcher.
+    shape : Shape
+        Size of the system and kind of the requests.
     """
 
     def __init__(
@@ -88,17 +115,24 @@
         n_requests: int = 400,
         is_cold: bool = True,
         is_alone: bool = False,
+        shape: Shape = WIDE,
     ) -> None:
+        self._shape = shape
         self._random = random.Random(seed)
         self._faults = faults
         self._n_requests = n_requests
         warm_up_ms = _FOREVER_MS if is_cold else 500
         config = DispatcherConfig(limit=LimitConfig(warm_up_ms=warm_up_ms))
         self.world = RequestWorld(
-            small_plan(), n_instances=4, seed=seed, config=config, is_alone=is_alone
+            small_plan(shape.n_data_centres, shape.n_servers),
+            n_instances=shape.n_instances,
+            seed=seed,
+            config=config,
+            is_alone=is_alone,
         )
         for server in self.world.servers.values():
-            server.work_ms = self._random.choice([20, 50, 200])
+            server.stops_at_deadline = shape is BUSY
+            server.work_ms = self._random.choice(shape.works_ms)
             if is_cold:
                 server.chill(0, _FOREVER_MS)
 
@@ -121,7 +155,7 @@
         return self._result()
 
     def _sender(self, flow: int) -> Callable[[], None]:
-        deadline_ms = self._random.choice([500, 2_000, 4_000])
+        deadline_ms = self._random.choice(self._shape.deadlines_ms)
         return lambda: self._send(flow, 0, self.world.now_ms + deadline_ms)
 
     def _send(self, flow: int, attempt: int, deadline_at_ms: int) -> None:
--- a/packages/sapphirerail-core/tests/request/test_storms.py
+++ b/packages/sapphirerail-core/tests/request/test_storms.py
@@ -1,5 +1,5 @@
 import pytest
-from bench.request_storm import ALL_FAULTS, Fault, Storm
+from bench.request_storm import ALL_FAULTS, BUSY, Fault, Storm
 
 CASES = [(1, (fault,)) for fault in Fault] + [(2, ALL_FAULTS), (3, ALL_FAULTS)]
 N_FORWARDS_MAX = 60
@@ -15,6 +15,15 @@
     assert result.n_answered > 0
 
 
+@pytest.mark.parametrize("fault", [Fault.KILL, Fault.PAUSE, Fault.JOIN, Fault.DRAIN])
+def test_busy_cold_servers_never_get_a_second_request(fault):
+    for seed in range(3):
+        storm = Storm(seed, (fault,), n_requests=400, shape=BUSY)
+        result = storm.run()
+        assert result.n_overruns == 0
+        assert result.n_answered > 0
+
+
 def test_requests_do_not_circle_between_instances():
     # Two owners that had each moved a request to the other one passed its
     # retransmissions to and fro for seconds.
