--- /dev/null
+++ b/bench/membership.py
@@ -0,0 +1,200 @@
+"""Membership: detection, false deaths, control bytes, and processor time a tick."""
+
+import time
+from collections.abc import Iterator
+
+from sapphirerail_core.effects import SendToPeer
+from sapphirerail_core.fleet.messages import Accused, Rumours
+from sapphirerail_core.rendezvous import hash_key
+from sapphirerail_core.types import DataCentreId, InstanceId, InstanceState
+from sapphirerail_standins.virtual_fleet import VirtualFleet
+
+from .result import Figure
+
+__all__ = ["BYTES_SIZES", "figures", "sizes_of", "sent_bytes_per_s", "tick_us"]
+
+DATA_CENTRES = ("osu", "madina", "tema", "kaneshie")
+N_TODAY = 19
+BYTES_SIZES = (19, 100, 400, 1000)
+DEATH_MS_MAX = 1500
+CONTROL_BYTES_PER_S_MAX = 28_000
+LIMIT_MS = 30_000
+SETTLE_MS = 3000
+MEASURED_MS = 2000
+LOSS_MS = 60_000
+LOSS_SEEDS = range(3)
+N_KEYS = 1000
+N_TICKS = 40
+
+
+def sizes_of(n_instances: int) -> dict[DataCentreId, int]:
+    """Return a count of instances for each of four data centres."""
+    sizes = dict.fromkeys(map(DataCentreId, DATA_CENTRES), n_instances // 4)
+    for name in DATA_CENTRES[: n_instances % 4]:
+        sizes[DataCentreId(name)] += 1
+    return sizes
+
+
+def _settled(n_instances: int, seed: int = 0) -> VirtualFleet:
+    fleet = VirtualFleet(sizes_of(n_instances), seed=seed, introduced=True)
+    fleet.run(SETTLE_MS)
+    return fleet
+
+
+def sent_bytes_per_s(fleet: VirtualFleet, duration_ms: int) -> float:
+    """Return the most bytes a second that an instance sends while time passes."""
+    before = {name: traffic.n_bytes for name, traffic in fleet.traffic.items()}
+    fleet.run(duration_ms)
+    most = max(t.n_bytes - before[name] for name, t in fleet.traffic.items())
+    return most * 1000 / duration_ms
+
+
+def tick_us(fleet: VirtualFleet) -> float:
+    """Return the processor time of a tick with its messages, in microseconds."""
+    name = fleet.of(DataCentreId("osu"))[0]
+    membership = fleet.members[name]
+    peers = membership.live(DataCentreId("osu"))
+    inbox = [
+        (peer, effect.message)
+        for peer in peers[1:6]
+        for effect in fleet.members[peer].tick(fleet.now_ms)
+        if isinstance(effect, SendToPeer)
+    ]
+    start_ns = time.process_time_ns()
+    for n_tick in range(N_TICKS):
+        now_ms = fleet.now_ms + 100 * n_tick
+        membership.tick(now_ms)
+        for peer, message in inbox[:6]:
+            membership.on_message(peer, message, now_ms)
+    return (time.process_time_ns() - start_ns) / N_TICKS / 1000
+
+
+def _death_ms(n_instances: int, seed: int) -> tuple[int, int]:
+    """Return how long a death takes to be known in its data centre and in all."""
+    fleet = _settled(n_instances, seed)
+    victim = InstanceId("osu-1")
+    fleet.kill(victim)
+
+    def known_to(names: list[InstanceId]) -> bool:
+        return all(
+            fleet.members[name].state(victim) is InstanceState.DEAD for name in names
+        )
+
+    near = fleet.of(DataCentreId("osu"))
+    near_ms = fleet.run_until(lambda: known_to(near), LIMIT_MS)
+    far_ms = fleet.run_until(lambda: known_to(list(fleet.members)), LIMIT_MS)
+    return near_ms, near_ms + far_ms
+
+
+def _rack_ms(n_instances: int) -> tuple[int, int]:
+    """Return how long half of a data centre takes to be noticed, leases to return."""
+    fleet = _settled(n_instances)
+    osu = DataCentreId("osu")
+    for victim in fleet.of(osu)[::2]:
+        fleet.kill(victim)
+    names = fleet.of(osu)
+    noticed_ms = fleet.run_until(
+        lambda: all(len(fleet.members[n].live(osu)) == len(names) for n in names),
+        LIMIT_MS,
+    )
+    lease_ms = fleet.run_until(
+        lambda: all(fleet.members[n].holds_lease(fleet.now_ms) for n in names),
+        LIMIT_MS,
+    )
+    return noticed_ms, noticed_ms + lease_ms
+
+
+def _false_deaths(seed: int) -> int:
+    """Return how often a living instance is called dead under 5% loss."""
+    fleet = _settled(N_TODAY, seed)
+    fleet.link.loss = 0.05
+    deaths: list[InstanceId] = []
+
+    def note(instance: InstanceId, state: InstanceState, now_ms: int) -> list:
+        if state is InstanceState.DEAD:
+            deaths.append(instance)
+        return []
+
+    for membership in fleet.members.values():
+        membership.on_state_change.append(note)
+    fleet.run(LOSS_MS)
+    return len(deaths)
+
+
+def _moved_by_one_opinion(n_instances: int) -> int:
+    """Return how many owners move when one instance accuses all others."""
+    fleet = _settled(n_instances)
+    osu = DataCentreId("osu")
+    liar = fleet.of(osu)[0]
+    before = _owners(fleet, osu, liar)
+    rumours = tuple(
+        Accused(status.instance, status.incarnation, liar, LIMIT_MS)
+        for status in fleet.members[liar].status(fleet.now_ms).members
+        if status.instance != liar
+    )
+    moved = 0
+    for _ in range(30):
+        for name, membership in fleet.members.items():
+            if name != liar:
+                membership.on_message(liar, Rumours(rumours[:50]), fleet.now_ms)
+        fleet.run(100)
+        after = _owners(fleet, osu, liar)
+        moved += sum(before[key] != after[key] for key in before)
+    return moved
+
+
+def _owners(
+    fleet: VirtualFleet, data_centre: DataCentreId, left_out: InstanceId
+) -> dict[tuple[InstanceId, int], tuple[InstanceId, ...]]:
+    return {
+        (name, n): membership.owners(hash_key(str(n)), 2, data_centre)
+        for name, membership in fleet.members.items()
+        if name != left_out
+        for n in range(N_KEYS // 50)
+    }
+
+
+def figures() -> Iterator[Figure]:
+    """Yield the figures of the membership."""
+    yield from _detection()
+    yield Figure.at_most(
+        "membership_false_deaths_5pct_loss_19",
+        sum(_false_deaths(seed) for seed in LOSS_SEEDS),
+        "deaths",
+        0,
+    )
+    for n_instances in (N_TODAY, 8):
+        yield Figure.at_most(
+            f"membership_owners_moved_by_one_opinion_{n_instances}",
+            _moved_by_one_opinion(n_instances),
+            "owners",
+            0,
+        )
+    yield from _cost()
+
+
+def _detection() -> Iterator[Figure]:
+    deaths = [_death_ms(N_TODAY, seed) for seed in range(5)]
+    near_ms = max(near for near, _ in deaths)
+    far_ms = max(far for _, far in deaths)
+    name = "membership_death_known_in_data_centre_max_19"
+    yield Figure.at_most(name, near_ms, "ms", DEATH_MS_MAX)
+    yield Figure("membership_death_known_everywhere_max_19", far_ms, "ms")
+    noticed_ms, lease_ms = _rack_ms(N_TODAY)
+    yield Figure("membership_rack_noticed_19", noticed_ms, "ms")
+    yield Figure("membership_rack_lease_back_19", lease_ms, "ms")
+
+
+def _cost() -> Iterator[Figure]:
+    for n_instances in BYTES_SIZES:
+        fleet = _settled(n_instances) if n_instances < 1000 else _young(n_instances)
+        value = sent_bytes_per_s(fleet, MEASURED_MS if n_instances < 1000 else 500)
+        name = f"membership_sent_bytes_per_s_{n_instances}"
+        yield Figure.at_most(name, value, "B/s", CONTROL_BYTES_PER_S_MAX)
+        yield Figure(f"membership_tick_{n_instances}", tick_us(fleet), "us")
+
+
+def _young(n_instances: int) -> VirtualFleet:
+    fleet = VirtualFleet(sizes_of(n_instances), introduced=True)
+    fleet.run(500)
+    return fleet
--- a/packages/sapphirerail-core/src/sapphirerail_core/fleet/config.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/config.py
@@ -51,6 +51,8 @@
         Instances that are asked for an indirect probe.
     n_rumours : int
         Rumours that ride in one message at most.
+    rumour_tick_bytes : int
+        Bytes of rumours that are sent between two ticks at most.
     n_fanout : int
         Instances that fresh rumours are sent to at once.
     n_page : int
@@ -77,5 +79,6 @@
     n_remote: int = 1
     n_helpers: int = 3
     n_rumours: int = 12
+    rumour_tick_bytes: int = 1600
     n_fanout: int = 3
     n_page: int = 12
--- a/packages/sapphirerail-core/src/sapphirerail_core/fleet/electorate.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/electorate.py
@@ -3,15 +3,16 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-from ..types import InstanceId, InstanceState
+from ..types import DataCentreId, InstanceId, InstanceState
 from .config import FleetConfig
 from .listing import ListedInstance, ListedState
+from .messages import ProbeAnswer
 from .roster import Roster
 
 __all__ = ["Electorate"]
 
 N_CONFIRMATIONS = 2
-"""Instances of other data centres that must have failed to reach a lost one."""
+"""Instances of the tie-breaking data centre that must miss a lost instance."""
 
 
 @dataclass(slots=True)
@@ -26,9 +27,11 @@
 class Electorate:
     """Counts the instances of this data centre that a majority is taken of.
 
-    A lost instance counts until the platform's list no longer names it, until
-    instances of other data centres could not reach it either, or until a documented
-    time has passed.
+    A lost instance counts until the platform's list no longer names it or until a
+    documented time has passed. Where exactly half is lost, one other data centre
+    breaks the tie: instances there that hold their own lease must have failed to
+    reach each lost one. Both halves would ask the same data centre, and at most one
+    side of it holds leases, so that at most one half wins.
 
     Parameters
     ----------
@@ -60,17 +63,25 @@
             if name not in self._listed and now_ms > lost.since_ms:
                 lost.released = True
 
-    def on_probe(self, helper: InstanceId, subject: InstanceId, reached: bool) -> None:
-        """Take in whether an instance of another data centre reached a lost one."""
-        lost = self._lost.get(subject)
-        if lost is None:
+    def tie_breaker(self) -> DataCentreId | None:
+        """Return the data centre that breaks ties, the next one by name."""
+        own = self._roster.own.data_centre
+        others = [name for name in self._roster.data_centres() if name != own]
+        following = [name for name in others if name > own]
+        return next(iter(following + others), None)
+
+    def on_probe(self, helper: InstanceId, answer: ProbeAnswer) -> None:
+        """Take in whether the tie-breaking data centre reached a lost instance."""
+        lost = self._lost.get(answer.subject)
+        member = self._roster.get(helper)
+        if lost is None or member is None:
             return
-        if reached:
-            lost.unreached_by.clear()
+        if member.data_centre != self.tie_breaker() or not answer.leased:
             return
-        lost.unreached_by.add(helper)
-        if len(lost.unreached_by) >= N_CONFIRMATIONS:
-            lost.released = True
+        if answer.reached:
+            lost.unreached_by.clear()
+        else:
+            lost.unreached_by.add(helper)
 
     def tick(self, now_ms: int) -> None:
         """Follow the roster, and release those whose time has passed."""
@@ -83,9 +94,19 @@
                 lost.released = True
 
     def has_majority(self) -> bool:
-        """Return whether more than half of those that count are live."""
+        """Return whether the live ones outnumber those lost, or win the tie."""
+        n_live = len(self._roster.live(self._roster.own.data_centre))
+        counted = self.counted_lost()
+        if n_live != len(counted):
+            return n_live > len(counted)
+        return all(
+            len(self._lost[name].unreached_by) >= N_CONFIRMATIONS for name in counted
+        )
+
+    def is_tied(self) -> bool:
+        """Return whether exactly half of those that count are lost."""
         n_live = len(self._roster.live(self._roster.own.data_centre))
-        return n_live > len(self.counted_lost())
+        return n_live == len(self.counted_lost())
 
     def counted_lost(self) -> list[InstanceId]:
         """Return the lost instances that still count, sorted."""
--- a/packages/sapphirerail-core/src/sapphirerail_core/fleet/handlers.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/handlers.py
@@ -2,6 +2,8 @@
 
 from functools import singledispatch
 
+from msgspec import structs
+
 from ..effects import Effect, Message, SendToPeer
 from ..types import InstanceId
 from .member import Member
@@ -52,6 +54,9 @@
     member = fleet.roster.get(sender)
     if member is None:
         return []
+    if message.incarnation > member.incarnation:
+        record = structs.replace(member.record, incarnation=message.incarnation)
+        fleet.take_rumours((Alive(record),), now_ms)
     if member.gone or message.incarnation < member.incarnation:
         return [SendToPeer(sender, _beliefs(fleet, member, now_ms))]
     fleet.roster.heard(sender, message.incarnation, now_ms)
@@ -122,7 +127,7 @@
     message: Pong, fleet: FleetState, sender: InstanceId, now_ms: int
 ) -> list[Effect]:
     fleet.roster.heard(sender, message.incarnation, now_ms)
-    return fleet.helper.on_pong(sender, message)
+    return fleet.helper.on_pong(sender, message, fleet.lease.holds(now_ms))
 
 
 @handle.register
@@ -139,7 +144,7 @@
     if message.reached:
         fleet.roster.heard(message.subject, message.incarnation, now_ms)
     if not fleet.is_local(sender):
-        fleet.electorate.on_probe(sender, message.subject, message.reached)
+        fleet.electorate.on_probe(sender, message)
     return []
 
 
--- a/packages/sapphirerail-core/src/sapphirerail_core/fleet/membership.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/membership.py
@@ -248,12 +248,13 @@
         """Send what is due, and decide what silence means."""
         fleet = self._fleet
         self._notice_pause(now_ms)
+        fleet.news.refill()
         effects: list[Effect] = []
         if now_ms - self._round_ms >= fleet.config.heartbeat_ms:
             self._round_ms = now_ms
             effects += rounds.heartbeats(fleet, now_ms)
         effects += self._detect(now_ms)
-        effects += fleet.helper.tick(now_ms)
+        effects += fleet.helper.tick(now_ms, self.holds_lease(now_ms))
         self._update_reach(now_ms)
         self._update_lease(now_ms)
         if now_ms - self._rejoin_ms >= fleet.config.rejoin_ms:
--- a/packages/sapphirerail-core/src/sapphirerail_core/fleet/messages.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/messages.py
@@ -161,11 +161,24 @@
 
 
 class ProbeAnswer(Message, frozen=True, array_like=True, tag=77):
-    """Tells the origin whether the helper reached the subject."""
+    """Tells the origin whether the helper reached the subject.
+
+    Parameters
+    ----------
+    subject : InstanceId
+        Who was probed.
+    incarnation : int
+        Its incarnation; 0 if it was not reached.
+    reached : bool
+        Whether it answered.
+    leased : bool
+        Whether the helper holds its own peer lease.
+    """
 
     subject: InstanceId
     incarnation: int
     reached: bool
+    leased: bool = False
 
 
 class Rumours(Message, frozen=True, array_like=True, tag=78):
--- a/packages/sapphirerail-core/src/sapphirerail_core/fleet/roster.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/roster.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable, Iterable
 from functools import singledispatchmethod
+from itertools import islice
 
 import msgspec
 
@@ -49,10 +50,10 @@
         self.members: dict[InstanceId, Member] = {}
         self.accused: set[InstanceId] = set()
         self.gone: set[InstanceId] = set()
-        self.version = 0
         self.digest = 0
         self._live: dict[DataCentreId, tuple[InstanceId, ...]] = {}
         self._rings: dict[DataCentreId, Ring] = {}
+        self._data_centres: list[DataCentreId] | None = None
         self._add(own, now_ms)
 
     @property
@@ -80,8 +81,10 @@
 
     def data_centres(self) -> list[DataCentreId]:
         """Return the data centres that have live members, sorted."""
-        found = {m.data_centre for m in self.members.values() if not m.gone}
-        return sorted(found)
+        if self._data_centres is None:
+            found = {m.data_centre for m in self.members.values() if not m.gone}
+            self._data_centres = sorted(found)
+        return self._data_centres
 
     def neighbours(self, instance: InstanceId) -> tuple[InstanceId, ...]:
         """Return who watches an instance: the nearest live ones of its ring."""
@@ -188,12 +191,12 @@
         It is two, or one where only one instance of its data centre is left
         that could accuse it.
         """
-        n_possible = sum(
-            1
+        possible = (
+            name
             for name in self.live(member.data_centre)
             if name != member.instance and not self._is_accused(name)
         )
-        return max(1, min(N_ACCUSERS, n_possible))
+        return max(1, len(list(islice(possible, N_ACCUSERS))))
 
     def rumour(
         self, instance: InstanceId, accuser: InstanceId, now_ms: int
@@ -244,8 +247,9 @@
         self, random_state: random.Random, data_centre: DataCentreId, n_wanted: int
     ) -> list[InstanceId]:
         """Return random live members of a data centre, this instance left out."""
-        names = [n for n in self.live(data_centre) if n != self.self_id]
-        return random_state.sample(names, min(n_wanted, len(names)))
+        live = self.live(data_centre)
+        drawn = random_state.sample(live, min(n_wanted + 1, len(live)))
+        return [name for name in drawn if name != self.self_id][:n_wanted]
 
     def _renew(self, member: Member, record: MemberRecord, now_ms: int) -> None:
         """Take over a newer incarnation of a member."""
@@ -291,7 +295,7 @@
         self._on_state(member, now_ms)
 
     def _changed(self, data_centre: DataCentreId) -> None:
-        self.version += 1
+        self._data_centres = None
         self._live.pop(data_centre, None)
         self._rings.pop(data_centre, None)
 
--- a/packages/sapphirerail-core/src/sapphirerail_core/fleet/rounds.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/rounds.py
@@ -10,7 +10,7 @@
 
 N_JOIN = 3
 N_CONFIRM = 8
-"""Lost instances that are probed through other data centres at a time."""
+"""Lost instances that another data centre is asked about at a time."""
 
 
 def heartbeats(fleet: FleetState, now_ms: int) -> list[Effect]:
@@ -101,20 +101,22 @@
         name = fleet.random_state.choice(dead)
         heartbeat = fleet.heartbeat(name, fleet.sequence, now_ms)
         effects.append(SendToPeer(name, heartbeat))
-    if not fleet.electorate.has_majority():
+    if fleet.electorate.is_tied():
         effects += _confirm_lost(fleet)
     return effects
 
 
 def _confirm_lost(fleet: FleetState) -> list[Effect]:
-    """Ask other data centres whether they reach those that are lost here."""
-    roster, random_state = fleet.roster, fleet.random_state
-    others = [d for d in roster.data_centres() if d != fleet.data_centre]
-    n_asked = min(fleet.config.n_helpers, len(others))
-    effects: list[Effect] = []
-    for subject in fleet.electorate.counted_lost()[:N_CONFIRM]:
-        for data_centre in random_state.sample(others, n_asked):
-            helpers = roster.sample(random_state, data_centre, 1)
-            request = ProbeRequest(subject)
-            effects += [SendToPeer(name, request) for name in helpers]
-    return effects
+    """Ask the tie-breaking data centre whether it reaches those lost here."""
+    data_centre = fleet.electorate.tie_breaker()
+    if data_centre is None:
+        return []
+    helpers = fleet.roster.sample(
+        fleet.random_state, data_centre, fleet.config.n_helpers
+    )
+    subjects = fleet.electorate.counted_lost()[:N_CONFIRM]
+    return [
+        SendToPeer(name, ProbeRequest(subject))
+        for subject in subjects
+        for name in helpers
+    ]
--- a/packages/sapphirerail-core/src/sapphirerail_core/fleet/rumours.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/rumours.py
@@ -1,5 +1,6 @@
 """News that is passed on a bounded number of times."""
 
+import heapq
 from dataclasses import dataclass
 
 from ..types import InstanceId
@@ -10,6 +11,9 @@
 
 N_SENDS_PER_DOUBLING = 2
 """Times that news is passed on, per doubling of the number of members."""
+ALIVE_BYTES = 80
+SHORT_BYTES = 48
+"""Wire size of an accusation or a planned stop, names included."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,10 +42,14 @@
     roster : Roster
         Gives each rumour its content at the time of sending, so that a refuted
         one is not passed on.
+    tick_bytes : int
+        Bytes of rumours that may be sent between two ticks.
     """
 
-    def __init__(self, roster: Roster) -> None:
+    def __init__(self, roster: Roster, tick_bytes: int) -> None:
         self._roster = roster
+        self._tick_bytes = tick_bytes
+        self._left_bytes = tick_bytes
         self._n_sent: dict[_Subject, int] = {}
 
     def __len__(self) -> int:
@@ -53,21 +61,31 @@
             return
         self._n_sent[_subject(rumour)] = 0
 
+    def refill(self) -> None:
+        """Allow the bytes of one more tick."""
+        self._left_bytes = self._tick_bytes
+
     def take(self, n_wanted: int, now_ms: int) -> tuple[Rumour, ...]:
         """Return the next rumours and count them as passed on once."""
         n_sends = self._n_sends()
-        chosen = sorted(self._n_sent.items(), key=lambda item: item[1])[:n_wanted]
-        found = []
-        for subject, n_sent in chosen:
+        found: list[Rumour] = []
+        for subject in self._next(n_wanted):
+            if self._left_bytes <= 0:
+                break
             rumour = self._roster.rumour(subject.instance, subject.accuser, now_ms)
-            if rumour is None or n_sent + 1 >= n_sends:
+            self._n_sent[subject] += 1
+            if rumour is None or self._n_sent[subject] >= n_sends:
                 del self._n_sent[subject]
-            else:
-                self._n_sent[subject] = n_sent + 1
-            if rumour is not None:
-                found.append(rumour)
+            if rumour is None:
+                continue
+            found.append(rumour)
+            is_long = isinstance(rumour, Alive)
+            self._left_bytes -= ALIVE_BYTES if is_long else SHORT_BYTES
         return tuple(found)
 
+    def _next(self, n_wanted: int) -> list[_Subject]:
+        return heapq.nsmallest(n_wanted, self._n_sent, key=self._n_sent.__getitem__)
+
     def _n_sends(self) -> int:
         return N_SENDS_PER_DOUBLING * len(self._roster.members).bit_length()
 
--- a/packages/sapphirerail-core/src/sapphirerail_core/fleet/state.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/state.py
@@ -74,7 +74,7 @@
         self._callback_effects: list[Effect] = []
         self.reach = Reach(own.data_centre, config.unreachable_after_ms)
         self.roster = Roster(config, own, now_ms, self._on_member_state)
-        self.news = RumourQueue(self.roster)
+        self.news = RumourQueue(self.roster, config.rumour_tick_bytes)
         self.detector = Detector(config, self.roster, random_state)
         self.helper = ProbeHelper(config, own.instance)
         self.electorate = Electorate(config, self.roster)
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/virtual_fleet.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/virtual_fleet.py
@@ -9,6 +9,7 @@
 
 from sapphirerail_core.effects import Effect, Message, SendToPeer
 from sapphirerail_core.fleet import FleetConfig, ListedInstance, Membership
+from sapphirerail_core.fleet.messages import Alive, MemberRecord, MembersPage
 from sapphirerail_core.journal import Journal
 from sapphirerail_core.types import DataCentreId, InstanceId
 
@@ -66,6 +67,8 @@
         Times and sizes.
     seed : int
         Decides losses, delays and the choices of the memberships.
+    introduced : bool
+        Whether the instances know each other from the start.
     """
 
     def __init__(
@@ -73,6 +76,8 @@
         sizes: dict[DataCentreId, int],
         config: FleetConfig | None = None,
         seed: int = 0,
+        *,
+        introduced: bool = False,
     ) -> None:
         self.config = config or FleetConfig()
         self.link = Link()
@@ -89,7 +94,9 @@
         self._paused_until_ms: dict[InstanceId, int] = {}
         self.list_all(sizes)
         for entry in self.listing:
-            self.start(entry.instance, entry.data_centre)
+            self.start(entry.instance, entry.data_centre, listed=not introduced)
+        if introduced:
+            self._introduce()
 
     def list_all(self, sizes: dict[DataCentreId, int]) -> None:
         """Let the platform's list name so many instances of each data centre."""
@@ -182,6 +189,23 @@
             if membership.self_data_centre == data_centre
         )
 
+    def _introduce(self) -> None:
+        records = [
+            Alive(
+                MemberRecord(
+                    entry.instance,
+                    entry.data_centre,
+                    entry.peer_address,
+                    entry.api_address,
+                    self.now_ms * 1000 + 1,
+                )
+            )
+            for entry in self.listing
+        ]
+        page = MembersPage(tuple(records), InstanceId(""), 0)
+        for name, membership in self.members.items():
+            membership.on_message(name, page, self.now_ms)
+
     def _entry(self, name: InstanceId, data_centre: DataCentreId) -> ListedInstance:
         place = sum(name.encode()) % 250
         return ListedInstance(
