--- a/packages/sapphirerail-standins/src/sapphirerail_standins/conversation.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/conversation.py
@@ -41,6 +41,7 @@
     ) -> None:
         self.opening = opening
         self.is_done = False
+        self.is_answered = False
         self.n_attempts = 0
         self._clock = clock
         self._send = send
@@ -53,6 +54,10 @@
         """The flow's number."""
         return self.opening.flow
 
+    def done(self) -> bool:
+        """Return whether the outcome is known."""
+        return self.is_done
+
     def start(self) -> None:
         """Send the opening until it is answered or the deadline is over."""
         left_ms = self._deadline_ms - self._clock.now_ms()
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/conversations.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/conversations.py
@@ -67,6 +67,7 @@
 
     def _check_answer(self, whole: bytes) -> None:
         event = check_answer(whole, self.opening, self.opening.body, self._clock)
+        self.is_answered = isinstance(event, Answered)
         self._events.append(event)
         self.stop()
 
@@ -231,6 +232,7 @@
 
     def _finish(self, whole: bytes) -> None:
         event = check_answer(whole, self.opening, self._body, self._clock)
+        self.is_answered = isinstance(event, Answered)
         self._events.append(event)
         self._send_kind(Kind.CLOSE)
         self._end_flow(FlowEnding.COMPLETE)
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/server_model.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/server_model.py
@@ -22,6 +22,7 @@
 
 __all__ = ["ServerModel"]
 
+NEW_WORK = frozenset({Kind.REQUEST, Kind.OPEN})
 Send = Callable[[Datagram, str], None]
 
 
@@ -97,6 +98,8 @@
         if self._clock.now_ms() < self._silent_until_ms:
             return
         handler = self._handlers.get(datagram.kind)
+        if self.settings.ignores_requests and datagram.kind in NEW_WORK:
+            return
         if handler is not None and datagram.service == self.settings.service:
             handler(datagram, sender)
         self._note_report()
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/server_settings.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/server_settings.py
@@ -34,6 +34,8 @@
         Age of the reports that it gives.
     reports_lie : bool
         Whether it reports to be idle whatever it does.
+    ignores_requests : bool
+        Whether it answers probes, but neither requests nor openings.
     n_answer_parts : int
         Datagrams of an answer.
     answer_bytes : int
@@ -53,5 +55,6 @@
     feed_interval_ms: float = 100.0
     report_lag_ms: int = 0
     reports_lie: bool = False
+    ignores_requests: bool = False
     n_answer_parts: int = 3
     answer_bytes: int = 64
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/sheets.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/sheets.py
@@ -16,7 +16,16 @@
     "server_row",
 ]
 
-COLUMNS = ("kind", "name", "tenant", "service", "data_centre", "address", "state")
+COLUMNS = (
+    "kind",
+    "name",
+    "tenant",
+    "service",
+    "data_centre",
+    "address",
+    "state",
+    "slots",
+)
 
 
 @dataclass(frozen=True)
@@ -30,6 +39,7 @@
     data_centre: str = ""
     address: str = ""
     state: str = ""
+    slots: str = ""
 
 
 def data_centre_row(name: str, state: str) -> SheetRow:
@@ -46,6 +56,7 @@
         data_centre=server.spec.data_centre,
         address=server.address,
         state=state,
+        slots=str(server.spec.settings.get("n_slots", "")),
     )
 
 
@@ -63,7 +74,7 @@
     Examples
     --------
     >>> render_sheet([data_centre_row("osu", "out")])
-    'kind,name,tenant,service,data_centre,address,state\ndata_centre,osu,,,,,out\n'
+    'kind,name,tenant,service,data_centre,address,state,slots\ndata_centre,osu,,,,,out,\n'
     """
     text = io.StringIO()
     writer = csv.writer(text, lineterminator="\n")
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/udp_relay.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/udp_relay.py
@@ -68,7 +68,9 @@
     def silence(self) -> None:
         """Let nothing of what passed until now pass again; new flows still do.
 
-        A flow is known by its number; where there is none, by its sender.
+        What goes silent is a sender's connection: a flow of one sender, or all of
+        a sender's datagrams that have no flow. The same flow may pass anew from
+        another sender.
         """
         self._silent |= self._seen
 
@@ -92,7 +94,7 @@
         session.waiting.clear()
 
     def _pass(self, payload: bytes, session: _Session, direction: Direction) -> None:
-        key = _flow_or_sender(payload, session.name)
+        key = _connection(payload, session.name)
         self._seen.add(key)
         if key in self._silent:
             return
@@ -112,8 +114,8 @@
             session.socket.send(payload, self._target)
 
 
-def _flow_or_sender(payload: bytes, sender: str) -> str:
+def _connection(payload: bytes, sender: str) -> str:
     try:
-        return f"flow {decode_datagram(payload).flow}"
+        return f"{sender} flow {decode_datagram(payload).flow}"
     except InputError:
         return sender
