--- /dev/null
+++ b/packages/sapphirerail-node/src/sapphirerail_node/application.py
@@ -0,0 +1,311 @@
+"""The application object: opens the sockets, runs the decisions, cleans up."""
+
+import asyncio
+import logging
+import signal
+import sys
+import time
+from collections.abc import Awaitable, Callable
+
+import msgspec
+import statsd
+from sapphirerail_transport.listing import HttpInstanceList
+
+from sapphirerail_core.datagram import Datagram
+from sapphirerail_core.effects import Message
+from sapphirerail_core.errors import SapphirerailError
+from sapphirerail_core.plan import Plan
+from sapphirerail_core.plan.messages import MESSAGES as PLAN_MESSAGES
+from sapphirerail_core.request import Outcome
+from sapphirerail_core.types import InstanceId
+from sapphirerail_transport.http import HttpRequest, HttpResponse
+from sapphirerail_transport.message_codec import MessageCodec
+from sapphirerail_transport.signature import Signer
+from sapphirerail_transport.udp import Address, format_address
+
+from .api import Api
+from .clock import monotonic_ms
+from .decisions import Decisions
+from .edge import DatagramEdge
+from .exit_code import ExitCode
+from .lifecycle import LifeCycle, Phase
+from .log import LogContext
+from .metrics import Metrics
+from .peers import PeerSocket
+from .plan_service import PlanService
+from .router import Outlets, Router
+from .settings import Settings
+from .shutdown import Shutdown
+from .status import InstanceStatus, ReadyLine
+from .ticker import Ticker
+
+__all__ = ["Application"]
+
+_log = logging.getLogger(__name__)
+
+DISPATCH_INTERVAL_MS = 20
+FLEET_INTERVAL_MS = 100
+FLOW_INTERVAL_MS = 100
+PLAN_INTERVAL_MS = 100
+METRICS_INTERVAL_MS = 1_000
+LISTING_INTERVAL_MS = 2_000
+SHUTDOWN_INTERVAL_MS = 50
+
+
+class Application:
+    """One entry instance.
+
+    Parameters
+    ----------
+    settings : Settings
+        Everything that it was told.
+    log_context : LogContext
+        Gets the plan's revision for the logs.
+    """
+
+    def __init__(self, settings: Settings, log_context: LogContext) -> None:
+        self.settings = settings
+        self.life = LifeCycle()
+        self._log_context = log_context
+        self._began_ms = monotonic_ms()
+        self._stopped = asyncio.Event()
+        self._exit_code = ExitCode.OK
+        signer = Signer(settings.key)
+        self.metrics = Metrics(_statsd_client(settings))
+        self.decisions = Decisions.from_config(settings, time.time_ns())
+        self.decisions.dispatcher.on_outcome = self._on_outcome
+        self.shutdown = Shutdown(settings.stop_linger_ms, settings.stop_timeout_ms)
+        self.caller_edge = DatagramEdge(
+            "caller", self._on_caller_datagram, self.metrics
+        )
+        self.server_edge = DatagramEdge(
+            "server", self._on_server_datagram, self.metrics
+        )
+        self.peers = PeerSocket(
+            settings.instance, MessageCodec(signer), self._on_message, self.metrics
+        )
+        self.router = Router(
+            self.decisions.flows,
+            self.decisions.dispatcher,
+            Outlets(self._to_caller, self.server_edge.send, self._to_peer),
+            self.metrics,
+            self.decisions.journal,
+        )
+        self.listing = HttpInstanceList(settings.platform_address)
+        self.plans = PlanService.from_config(
+            settings, self.decisions.membership, self.decisions.journal, signer
+        )
+        self.decisions.handle(PLAN_MESSAGES, self.plans.on_message)
+        self.plans.on_plan.append(self._on_plan)
+        self.api = Api(signer)
+        self.ticker = Ticker()
+
+    @classmethod
+    def from_config(cls, settings: Settings, log_context: LogContext) -> "Application":
+        """Return an application that is not started yet."""
+        return cls(settings, log_context)
+
+    async def run(self) -> ExitCode:
+        """Start, serve until told to stop, and clean up.
+
+        Returns
+        -------
+        ExitCode
+            How the process ended.
+        """
+        try:
+            ready = await self.start()
+        except OSError as error:
+            _log.error("an address could not be bound", extra={"error": str(error)})
+            await self.life.close()
+            return ExitCode.ADDRESS_IN_USE
+        sys.stdout.write(msgspec.json.encode(ready).decode() + "\n")
+        sys.stdout.flush()
+        self._watch_signals()
+        await self._stopped.wait()
+        await self.life.close()
+        _log.info("stopped", extra={"exit_code": int(self._exit_code)})
+        return self._exit_code
+
+    async def start(self) -> ReadyLine:
+        """Open all sockets and start the periodic work."""
+        settings = self.settings
+        caller = await self._open_edge(self.caller_edge, settings.caller_address)
+        server = await self._open_edge(self.server_edge, settings.server_address)
+        peer = await self.peers.open(settings.peer_address)
+        self.life.on_close("peer socket", _closing(self.peers.close))
+        self._mount()
+        api = await self.api.open(settings.api_address)
+        self.life.on_close("api", self.api.close)
+        await self.plans.start()
+        self.life.on_close("plan service", self.plans.close)
+        listing = asyncio.create_task(self._poll_listing())
+        self.life.on_close("instance list", _cancelling(listing))
+        self._start_ticker()
+        self.life.on_close("ticker", self.ticker.close)
+        self.life.phase = Phase.SERVING
+        return ReadyLine(
+            settings.instance,
+            format_address(caller),
+            format_address(server),
+            format_address(peer),
+            format_address(api),
+        )
+
+    def stop(self) -> None:
+        """Begin a graceful shutdown; a second call ends the process at once."""
+        if self.shutdown.has_begun:
+            self._end(ExitCode.FORCED)
+            return
+        now_ms = monotonic_ms()
+        _log.info("shutdown begins")
+        self.life.phase = Phase.DRAINING
+        self.shutdown.begin(now_ms)
+        self.router.carry_out(self.decisions.drain(now_ms))
+
+    def status(self) -> InstanceStatus:
+        """Return the state of this instance."""
+        decisions = self.decisions
+        return InstanceStatus(
+            instance=self.settings.instance,
+            data_centre=self.settings.data_centre,
+            phase=self.life.phase.value,
+            revision=self.plans.plan.revision,
+            uptime_ms=monotonic_ms() - self._began_ms,
+            plan=self.plans.status(),
+            fleet=decisions.membership.status(),
+            flows=decisions.flows.status(),
+            requests=decisions.dispatcher.status(),
+            counters=dict(self.metrics.counters),
+            histograms=self.metrics.summaries(),
+        )
+
+    async def _open_edge(self, edge: DatagramEdge, address: Address) -> Address:
+        bound = await edge.open(address)
+        self.life.on_close(f"{edge.name} socket", _closing(edge.close))
+        return bound
+
+    def _mount(self) -> None:
+        self.api.mount("GET", "/status", self._handle_status)
+        self.api.mount("GET", "/debug", self._handle_debug)
+        self.api.mount("GET", "/plan", self.plans.handle_plan)
+        self.api.mount("GET", "/explain", self._handle_explain)
+
+    def _start_ticker(self) -> None:
+        decisions = self.decisions
+        jobs = (
+            (DISPATCH_INTERVAL_MS, decisions.dispatcher.tick),
+            (FLEET_INTERVAL_MS, decisions.membership.tick),
+            (FLOW_INTERVAL_MS, decisions.flows.tick),
+            (PLAN_INTERVAL_MS, self.plans.tick),
+        )
+        for interval_ms, tick in jobs:
+            self.ticker.every(
+                interval_ms,
+                lambda now_ms, tick=tick: self.router.carry_out(tick(now_ms)),
+            )
+        self.ticker.every(METRICS_INTERVAL_MS, lambda now_ms: self.metrics.flush())
+        self.ticker.every(SHUTDOWN_INTERVAL_MS, self._check_shutdown)
+        self.ticker.start()
+
+    def _watch_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stop)
+
+    def _check_shutdown(self, now_ms: int) -> None:
+        if self.shutdown.is_complete(now_ms, self.decisions.dispatcher.n_in_flight):
+            self._end(ExitCode.OK)
+        elif self.shutdown.is_overdue(now_ms):
+            _log.error("shutdown took too long; work in flight is cut")
+            self._end(ExitCode.FORCED)
+
+    def _end(self, code: ExitCode) -> None:
+        if not self._stopped.is_set():
+            self._exit_code = code
+            self._stopped.set()
+
+    def _on_caller_datagram(self, datagram: Datagram, sender: Address) -> None:
+        now_ms = monotonic_ms()
+        self.shutdown.on_caller_datagram(now_ms)
+        self.router.on_caller_datagram(datagram, sender, now_ms)
+
+    def _on_server_datagram(self, datagram: Datagram, sender: Address) -> None:
+        self.router.on_server_datagram(datagram, sender, monotonic_ms())
+
+    def _on_message(self, sender: InstanceId, message: Message) -> None:
+        effects = self.decisions.on_message(sender, message, monotonic_ms())
+        self.router.carry_out(effects)
+
+    def _on_plan(self, plan: Plan) -> None:
+        self._log_context.revision = plan.revision
+        self.router.on_plan(plan)
+        self.router.carry_out(self.decisions.on_plan(plan, monotonic_ms()))
+        _log.info("plan in force")
+
+    def _on_outcome(self, outcome: Outcome) -> None:
+        service = self.plans.plan.services.get(outcome.service)
+        if service is not None:
+            self.metrics.observe_latency(
+                service.tenant, outcome.traffic_class, outcome.latency_ms
+            )
+
+    def _to_caller(self, datagram: Datagram) -> None:
+        self.caller_edge.send(datagram, datagram.caller)
+
+    def _to_peer(self, instance: InstanceId, message: Message) -> None:
+        address = self.decisions.membership.peer_address(instance)
+        if address is None:
+            self.metrics.count("peer.no_address")
+            return
+        self.peers.send(message, address)
+
+    async def _poll_listing(self) -> None:
+        while True:
+            try:
+                entries = await self.listing.fetch()
+            except SapphirerailError as error:
+                self.metrics.count("listing.failed")
+                _log.debug("instance list unavailable", extra={"error": error.code})
+            else:
+                effects = self.decisions.membership.on_listing(entries, monotonic_ms())
+                self.router.carry_out(effects)
+            await asyncio.sleep(LISTING_INTERVAL_MS / 1000)
+
+    async def _handle_status(self, request: HttpRequest) -> HttpResponse:
+        return HttpResponse(self.status())
+
+    async def _handle_debug(self, request: HttpRequest) -> HttpResponse:
+        return HttpResponse(
+            {
+                "settings": self.settings.printable(),
+                "python": sys.version,
+                "status": self.status(),
+                "journal": self.decisions.journal.entries(),
+            }
+        )
+
+    async def _handle_explain(self, request: HttpRequest) -> HttpResponse:
+        return HttpResponse(self.decisions.journal.entries())
+
+
+def _closing(close: Callable[[], None]) -> Callable[[], Awaitable[None]]:
+    async def hook() -> None:
+        close()
+
+    return hook
+
+
+def _cancelling(task: asyncio.Task[None]) -> Callable[[], Awaitable[None]]:
+    async def hook() -> None:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    return hook
+
+
+def _statsd_client(settings: Settings) -> statsd.StatsClient | None:
+    if settings.statsd_address is None:
+        return None
+    host, port = settings.statsd_address
+    return statsd.StatsClient(host, port, prefix=f"sapphirerail.{settings.instance}")
--- /dev/null
+++ b/packages/sapphirerail-node/src/sapphirerail_node/decisions.py
@@ -0,0 +1,127 @@
+"""The aggregates of one instance, wired to each other."""
+
+import random
+from collections.abc import Callable
+
+from sapphirerail_core.fleet.membership import FleetConfig, Membership
+
+from sapphirerail_core.effects import Effect, Message
+from sapphirerail_core.fleet.messages import MESSAGES as FLEET_MESSAGES
+from sapphirerail_core.flow import FlowConfig, FlowDirector
+from sapphirerail_core.flow.messages import MESSAGES as FLOW_MESSAGES
+from sapphirerail_core.journal import Journal, Reason
+from sapphirerail_core.plan import Plan
+from sapphirerail_core.request import Dispatcher, DispatcherConfig
+from sapphirerail_core.request.messages import MESSAGES as REQUEST_MESSAGES
+from sapphirerail_core.types import InstanceId, InstanceState
+
+from .settings import Settings
+
+__all__ = ["Decisions"]
+
+MessageHandler = Callable[[InstanceId, Message, int], list[Effect]]
+
+
+class Decisions:
+    """Membership, flows, requests and the journal of one instance.
+
+    Parameters
+    ----------
+    journal : Journal
+        Keeps the reasons.
+    membership : Membership
+        Who is alive.
+    flows : FlowDirector
+        Decides about flows.
+    dispatcher : Dispatcher
+        Decides about requests and openings.
+    """
+
+    def __init__(
+        self,
+        journal: Journal,
+        membership: Membership,
+        flows: FlowDirector,
+        dispatcher: Dispatcher,
+    ) -> None:
+        self.journal = journal
+        self.membership = membership
+        self.flows = flows
+        self.dispatcher = dispatcher
+        self._handlers: dict[type[Message], MessageHandler] = {}
+        self.handle(FLEET_MESSAGES, membership.on_message)
+        self.handle(FLOW_MESSAGES, flows.on_message)
+        self.handle(REQUEST_MESSAGES, dispatcher.on_message)
+        membership.on_state_change.append(self._on_instance_state)
+
+    @classmethod
+    def from_config(cls, settings: Settings, incarnation: int) -> "Decisions":
+        """Build the aggregates.
+
+        Parameters
+        ----------
+        settings : Settings
+            Name, data centre, sizes and seed.
+        incarnation : int
+            Grows with each start of an instance of this name.
+
+        Returns
+        -------
+        Decisions
+            The wired aggregates.
+        """
+        # The name is part of the seed, so that instances with equal settings differ.
+        random_state = random.Random(f"{settings.seed}/{settings.instance}")
+        journal = Journal(settings.instance)
+        membership = Membership.from_config(
+            FleetConfig(),
+            settings.instance,
+            settings.data_centre,
+            incarnation,
+            random_state,
+            journal,
+        )
+        flows = FlowDirector.from_config(
+            FlowConfig(n_flows_max=settings.n_flows_max),
+            membership,
+            journal,
+            random_state,
+        )
+        dispatcher = Dispatcher.from_config(
+            DispatcherConfig(), membership, flows, journal, random_state
+        )
+        return cls(journal, membership, flows, dispatcher)
+
+    def handle(self, types: tuple[type[Message], ...], handler: MessageHandler) -> None:
+        """Pass messages of some types to a handler."""
+        for message_type in types:
+            self._handlers[message_type] = handler
+
+    def on_message(
+        self, sender: InstanceId, message: Message, now_ms: int
+    ) -> list[Effect]:
+        """Pass a message to the aggregate that it is for."""
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            return []
+        return handler(sender, message, now_ms)
+
+    def on_plan(self, plan: Plan, now_ms: int) -> list[Effect]:
+        """Use a new plan everywhere."""
+        self.journal.revision = plan.revision
+        self.journal.note(now_ms, Reason.PLAN_APPLIED)
+        self.membership.set_revision(plan.revision)
+        effects = self.flows.on_plan(plan, now_ms)
+        return effects + self.dispatcher.on_plan(plan, now_ms)
+
+    def drain(self, now_ms: int) -> list[Effect]:
+        """Hand over what can be handed over, then tell the neighbours."""
+        effects = self.dispatcher.drain(now_ms)
+        effects += self.flows.drain(now_ms)
+        return effects + self.membership.leave(now_ms)
+
+    def _on_instance_state(
+        self, instance: InstanceId, state: InstanceState, now_ms: int
+    ) -> list[Effect]:
+        effects = self.flows.on_instance_state(instance, state, now_ms)
+        return effects + self.dispatcher.on_instance_state(instance, state, now_ms)
