Bind sockets before the parts are built, and let an instance advertise addresses

Cause: the membership tells others where this instance listens, so the addresses must be known before it is built; behind an address translation, or behind a fault-injecting link in tests, they differ from the bound ones. Before: addresses were known after the start only. After: known before anything is built; datagrams that arrive early wait in the socket. Conclusion: no early message is lost and no part has a half-built state.

--- a/packages/sapphirerail-node/src/sapphirerail_node/__main__.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/__main__.py
@@ -45,6 +45,12 @@
     api_address: Annotated[
         str, _option("--api-address", "Socket of the operators' API.")
     ] = "127.0.0.1:0",
+    peer_advertised: Annotated[
+        str | None, _option("--peer-advertised", "Where peers reach this instance.")
+    ] = None,
+    api_advertised: Annotated[
+        str | None, _option("--api-advertised", "Where the API is reached.")
+    ] = None,
     platform_address: Annotated[
         str, _option("--platform", "The platform's service.")
     ] = "",
@@ -84,8 +90,16 @@
         return
     log_context = LogContext(settings.instance, settings.data_centre)
     configure_logging(settings.log_level, log_context)
-    application = Application.from_config(settings, log_context)
-    raise typer.Exit(asyncio.run(application.run()))
+    raise typer.Exit(asyncio.run(_serve(settings, log_context)))
+
+
+async def _serve(settings: Settings, log_context: LogContext) -> ExitCode:
+    try:
+        application = Application.from_config(settings, log_context)
+    except OSError as error:
+        typer.echo(f"settings.address_in_use: {error.strerror}", err=True)
+        return ExitCode.ADDRESS_IN_USE
+    return await application.run()
 
 
 def _field_names() -> list[str]:
--- a/packages/sapphirerail-node/src/sapphirerail_node/api.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/api.py
@@ -1,5 +1,6 @@
 """The operators' API of one instance: HTTP with JSON, signed."""
 
+import socket
 from collections.abc import Awaitable, Callable
 
 from sapphirerail_transport.http import (
@@ -9,7 +10,6 @@
     HttpServer,
 )
 from sapphirerail_transport.signature import Signer
-from sapphirerail_transport.udp import Address
 
 __all__ = ["Api", "ApiHandler"]
 
@@ -34,9 +34,9 @@
         """Serve a handler at a path."""
         self._handlers[method, path] = handler
 
-    async def open(self, address: Address) -> Address:
-        """Listen, and return the bound address."""
-        return await self._server.start(address)
+    async def open(self, bound: socket.socket) -> None:
+        """Listen on a bound socket."""
+        await self._server.adopt(bound)
 
     async def close(self) -> None:
         """Stop listening."""
--- a/packages/sapphirerail-node/src/sapphirerail_node/application.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/application.py
@@ -9,7 +9,6 @@
 
 import msgspec
 import statsd
-from sapphirerail_transport.listing import HttpInstanceList
 
 from sapphirerail_core.datagram import Datagram
 from sapphirerail_core.effects import Message
@@ -19,9 +18,10 @@
 from sapphirerail_core.request import Outcome
 from sapphirerail_core.types import InstanceId
 from sapphirerail_transport.http import HttpRequest, HttpResponse
+from sapphirerail_transport.listing import HttpInstanceList
 from sapphirerail_transport.message_codec import MessageCodec
 from sapphirerail_transport.signature import Signer
-from sapphirerail_transport.udp import Address, format_address
+from sapphirerail_transport.udp import Address
 
 from .api import Api
 from .clock import monotonic_ms
@@ -36,7 +36,8 @@
 from .router import Outlets, Router
 from .settings import Settings
 from .shutdown import Shutdown
-from .status import InstanceStatus, ReadyLine
+from .sockets import Sockets
+from .status import InstanceStatus
 from .ticker import Ticker
 
 __all__ = ["Application"]
@@ -72,7 +73,14 @@
         self._exit_code = ExitCode.OK
         signer = Signer(settings.key)
         self.metrics = Metrics(_statsd_client(settings))
-        self.decisions = Decisions.from_config(settings, time.time_ns())
+        self._sockets = Sockets.from_config(settings)
+        self.decisions = Decisions.from_config(
+            settings,
+            time.time_ns(),
+            self._sockets.peer_advertised(settings),
+            self._sockets.api_advertised(settings),
+            self._began_ms,
+        )
         self.decisions.dispatcher.on_outcome = self._on_outcome
         self.shutdown = Shutdown(settings.stop_linger_ms, settings.stop_timeout_ms)
         self.caller_edge = DatagramEdge(
@@ -113,12 +121,8 @@
         ExitCode
             How the process ended.
         """
-        try:
-            ready = await self.start()
-        except OSError as error:
-            _log.error("an address could not be bound", extra={"error": str(error)})
-            await self.life.close()
-            return ExitCode.ADDRESS_IN_USE
+        await self.start()
+        ready = self._sockets.ready_line(self.settings)
         sys.stdout.write(msgspec.json.encode(ready).decode() + "\n")
         sys.stdout.flush()
         self._watch_signals()
@@ -127,30 +131,16 @@
         _log.info("stopped", extra={"exit_code": int(self._exit_code)})
         return self._exit_code
 
-    async def start(self) -> ReadyLine:
-        """Open all sockets and start the periodic work."""
-        settings = self.settings
-        caller = await self._open_edge(self.caller_edge, settings.caller_address)
-        server = await self._open_edge(self.server_edge, settings.server_address)
-        peer = await self.peers.open(settings.peer_address)
-        self.life.on_close("peer socket", _closing(self.peers.close))
-        self._mount()
-        api = await self.api.open(settings.api_address)
-        self.life.on_close("api", self.api.close)
+    async def start(self) -> None:
+        """Read from all sockets and start the periodic work."""
         await self.plans.start()
         self.life.on_close("plan service", self.plans.close)
         listing = asyncio.create_task(self._poll_listing())
         self.life.on_close("instance list", _cancelling(listing))
+        await self._open_sockets()
         self._start_ticker()
         self.life.on_close("ticker", self.ticker.close)
         self.life.phase = Phase.SERVING
-        return ReadyLine(
-            settings.instance,
-            format_address(caller),
-            format_address(server),
-            format_address(peer),
-            format_address(api),
-        )
 
     def stop(self) -> None:
         """Begin a graceful shutdown; a second call ends the process at once."""
@@ -173,17 +163,24 @@
             revision=self.plans.plan.revision,
             uptime_ms=monotonic_ms() - self._began_ms,
             plan=self.plans.status(),
-            fleet=decisions.membership.status(),
+            fleet=decisions.membership.status(monotonic_ms()),
             flows=decisions.flows.status(),
             requests=decisions.dispatcher.status(),
             counters=dict(self.metrics.counters),
             histograms=self.metrics.summaries(),
         )
 
-    async def _open_edge(self, edge: DatagramEdge, address: Address) -> Address:
-        bound = await edge.open(address)
-        self.life.on_close(f"{edge.name} socket", _closing(edge.close))
-        return bound
+    async def _open_sockets(self) -> None:
+        self._mount()
+        await self.api.open(self._sockets.api)
+        self.life.on_close("api", self.api.close)
+        for part, bound in (
+            (self.peers, self._sockets.peer),
+            (self.server_edge, self._sockets.server),
+            (self.caller_edge, self._sockets.caller),
+        ):
+            await part.open(bound)
+            self.life.on_close("socket", _closing(part.close))
 
     def _mount(self) -> None:
         self.api.mount("GET", "/status", self._handle_status)
--- a/packages/sapphirerail-node/src/sapphirerail_node/decisions.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/decisions.py
@@ -3,9 +3,9 @@
 import random
 from collections.abc import Callable
 
-from sapphirerail_core.fleet.membership import FleetConfig, Membership
-
 from sapphirerail_core.effects import Effect, Message
+from sapphirerail_core.fleet.config import FleetConfig
+from sapphirerail_core.fleet.membership import Membership
 from sapphirerail_core.fleet.messages import MESSAGES as FLEET_MESSAGES
 from sapphirerail_core.flow import FlowConfig, FlowDirector
 from sapphirerail_core.flow.messages import MESSAGES as FLOW_MESSAGES
@@ -55,7 +55,14 @@
         membership.on_state_change.append(self._on_instance_state)
 
     @classmethod
-    def from_config(cls, settings: Settings, incarnation: int) -> "Decisions":
+    def from_config(
+        cls,
+        settings: Settings,
+        incarnation: int,
+        peer_address: str,
+        api_address: str,
+        now_ms: int,
+    ) -> "Decisions":
         """Build the aggregates.
 
         Parameters
@@ -64,6 +71,10 @@
             Name, data centre, sizes and seed.
         incarnation : int
             Grows with each start of an instance of this name.
+        peer_address, api_address : str
+            ``address:port`` where others reach this instance.
+        now_ms : int
+            Time of the start on the monotonic clock.
 
         Returns
         -------
@@ -80,6 +91,9 @@
             incarnation,
             random_state,
             journal,
+            peer_address=peer_address,
+            api_address=api_address,
+            now_ms=now_ms,
         )
         flows = FlowDirector.from_config(
             FlowConfig(n_flows_max=settings.n_flows_max),
--- a/packages/sapphirerail-node/src/sapphirerail_node/edge.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/edge.py
@@ -1,5 +1,6 @@
 """The sockets towards callers and towards backend servers."""
 
+import socket
 from collections.abc import Callable
 from functools import lru_cache
 
@@ -37,10 +38,9 @@
         self._metrics = metrics
         self._socket: UdpSocket | None = None
 
-    async def open(self, address: Address) -> Address:
-        """Bind the socket and return its address."""
-        self._socket = await UdpSocket.bind(address, self._on_payload)
-        return self._socket.address
+    async def open(self, bound: socket.socket) -> None:
+        """Start reading from a bound socket."""
+        self._socket = await UdpSocket.adopt(bound, self._on_payload)
 
     def close(self) -> None:
         """Close the socket."""
--- a/packages/sapphirerail-node/src/sapphirerail_node/peers.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/peers.py
@@ -1,5 +1,6 @@
 """The socket towards other instances, with signed messages."""
 
+import socket
 from collections.abc import Callable
 
 from sapphirerail_core.effects import Message
@@ -43,10 +44,9 @@
         self._metrics = metrics
         self._socket: UdpSocket | None = None
 
-    async def open(self, address: Address) -> Address:
-        """Bind the socket and return its address."""
-        self._socket = await UdpSocket.bind(address, self._on_payload)
-        return self._socket.address
+    async def open(self, bound: socket.socket) -> None:
+        """Start reading from a bound socket."""
+        self._socket = await UdpSocket.adopt(bound, self._on_payload)
 
     def close(self) -> None:
         """Close the socket."""
--- a/packages/sapphirerail-node/src/sapphirerail_node/settings.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/settings.py
@@ -46,6 +46,8 @@
         Where it stands.
     caller_address, server_address, peer_address, api_address : Address
         Sockets towards callers, backend servers, other instances and operators.
+    peer_advertised, api_advertised : Address or None
+        Where others reach the peer and API sockets; None means where they are bound.
     platform_address : Address
         The platform's key-value service and instance list.
     statsd_address : Address or None
@@ -72,6 +74,8 @@
     api_address: Address
     platform_address: Address
     key: str
+    peer_advertised: Address | None = None
+    api_advertised: Address | None = None
     statsd_address: Address | None = None
     n_flows_max: int = 300_000
     stop_linger_ms: int = 2_000
@@ -101,7 +105,7 @@
         checked = {}
         for field in fields(cls):
             raw = config.get(field.name)
-            if raw is None and field.name == "statsd_address":
+            if raw is None and field.name in _OPTIONAL:
                 continue
             checked[field.name] = _CHECKS[field.name](_flag(field.name), raw)
         return cls(**checked)
@@ -114,6 +118,7 @@
         return texts
 
 
+_OPTIONAL = frozenset({"statsd_address", "peer_advertised", "api_advertised"})
 _FLAGS = {
     "key": "SAPPHIRERAIL_KEY",
     "platform_address": "--platform",
@@ -181,6 +186,8 @@
     "peer_address": _check_address,
     "api_address": _check_address,
     "platform_address": _check_address,
+    "peer_advertised": _check_address,
+    "api_advertised": _check_address,
     "statsd_address": _check_address,
     "key": _check_key,
     "n_flows_max": _check_range(1_000, 5_000_000),
--- a/packages/sapphirerail-node/tests/test_edge.py
+++ b/packages/sapphirerail-node/tests/test_edge.py
@@ -1,4 +1,5 @@
 import asyncio
+import socket
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -9,18 +10,27 @@
 from sapphirerail_transport.udp import UdpSocket
 
 
+def _bound_socket():
+    bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    bound.setblocking(False)
+    bound.bind(("127.0.0.1", 0))
+    return bound
+
+
 def test_round_trip_and_bad_payloads_are_counted():
     async def scenario():
         received = asyncio.Queue()
         metrics = Metrics()
         edge = DatagramEdge("caller", lambda d, a: received.put_nowait(d), metrics)
-        address = await edge.open(("127.0.0.1", 0))
+        bound = _bound_socket()
+        address = bound.getsockname()
+        await edge.open(bound)
         sender = await UdpSocket.bind(("127.0.0.1", 0), lambda p, a: None)
         sender.send(b"not a datagram", address)
         datagram = Datagram(kind=Kind.DATA, service="s", flow=1)
         sending = Metrics()
         other = DatagramEdge("caller", lambda d, a: None, sending)
-        await other.open(("127.0.0.1", 0))
+        await other.open(_bound_socket())
         other.send(datagram, f"{address[0]}:{address[1]}")
         other.send(datagram, "no address")
         assert await received.get() == datagram
--- a/packages/sapphirerail-transport/src/sapphirerail_transport/http.py
+++ b/packages/sapphirerail-transport/src/sapphirerail_transport/http.py
@@ -1,6 +1,7 @@
 """HTTP with JSON on asyncio streams; h11 does the protocol."""
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
 from urllib.parse import parse_qsl, urlsplit
@@ -114,6 +115,10 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         return host, port
 
+    async def adopt(self, bound: socket.socket) -> None:
+        """Listen on a socket that is bound already."""
+        self._server = await asyncio.start_server(self._on_connection, sock=bound)
+
     async def close(self) -> None:
         """Stop listening and end the open connections."""
         if self._server is not None:
--- a/packages/sapphirerail-transport/src/sapphirerail_transport/udp.py
+++ b/packages/sapphirerail-transport/src/sapphirerail_transport/udp.py
@@ -1,6 +1,7 @@
 """A datagram socket on the running loop."""
 
 import asyncio
+import socket
 from collections.abc import Callable
 from typing import cast
 
@@ -52,6 +53,17 @@
         )
         return protocol
 
+    @classmethod
+    async def adopt(
+        cls, bound: socket.socket, on_datagram: Callable[[bytes, Address], None]
+    ) -> "UdpSocket":
+        """Read from a socket that is bound already and may hold datagrams."""
+        loop = asyncio.get_running_loop()
+        _, protocol = await loop.create_datagram_endpoint(
+            lambda: cls(on_datagram), sock=bound
+        )
+        return protocol
+
     @property
     def address(self) -> Address:
         """The address that the socket is bound to."""
