--- a/packages/sapphirerail-standins/src/sapphirerail_standins/tcp_relay.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/tcp_relay.py
@@ -30,15 +30,15 @@
     ----------
     name : str
         What rules name it by.
-    target : tuple of str and int
-        Where streams go.
+    target : tuple of str and int, or None
+        Where streams go; None refuses them until it is set.
     rules : FaultRules
         What goes wrong.
     """
 
-    def __init__(self, name: str, target: Address, rules: FaultRules) -> None:
+    def __init__(self, name: str, target: Address | None, rules: FaultRules) -> None:
         self.name = name
-        self._target = target
+        self.target = target
         self._rules = rules
         self._pairs: set[_Pair] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -81,9 +81,9 @@
     async def _relay(
         self, pair: _Pair, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        if self._is_cut(pair):
+        if self._is_cut(pair) or self.target is None:
             return
-        back_reader, back_writer = await asyncio.open_connection(*self._target)
+        back_reader, back_writer = await asyncio.open_connection(*self.target)
         pumps = [
             asyncio.create_task(self._pump(pair, reader, back_writer, False)),
             asyncio.create_task(self._pump(pair, back_reader, writer, True)),
