--- a/packages/sapphirerail-node/src/sapphirerail_node/application.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/application.py
@@ -165,7 +165,7 @@
             plan=self.plans.status(),
             fleet=decisions.membership.status(monotonic_ms()),
             flows=decisions.flows.status(),
-            requests=decisions.dispatcher.status(),
+            requests=decisions.dispatcher.status(monotonic_ms()),
             counters=dict(self.metrics.counters),
             histograms=self.metrics.summaries(),
         )
