Handle signals before the ready line, and wait for servers' packets at a stop

Cause: an instance printed its ready line before it handled signals, so an early SIGTERM killed it (exit -15 instead of 0); and a stop counted only callers' packets as traffic, though a server answers through the instance until the way back has moved. Before: test_termination_is_graceful failed with -15. After: 59 node tests pass in 7.5 s, among them exit codes, print-settings, an API fuzz and a forced stop. Conclusion: signals first, then the sockets.

--- a/packages/sapphirerail-node/src/sapphirerail_node/application.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/application.py
@@ -10,7 +10,7 @@
 import msgspec
 import statsd
 
-from sapphirerail_core.datagram import Datagram
+from sapphirerail_core.datagram import Datagram, Kind
 from sapphirerail_core.effects import Message
 from sapphirerail_core.errors import SapphirerailError
 from sapphirerail_core.plan import Plan
@@ -121,11 +121,11 @@
         ExitCode
             How the process ended.
         """
+        self._watch_signals()
         await self.start()
         ready = self._sockets.ready_line(self.settings)
         sys.stdout.write(msgspec.json.encode(ready).decode() + "\n")
         sys.stdout.flush()
-        self._watch_signals()
         await self._stopped.wait()
         await self.life.close()
         _log.info("stopped", extra={"exit_code": int(self._exit_code)})
@@ -224,11 +224,14 @@
 
     def _on_caller_datagram(self, datagram: Datagram, sender: Address) -> None:
         now_ms = monotonic_ms()
-        self.shutdown.on_caller_datagram(now_ms)
+        self.shutdown.on_traffic(now_ms)
         self.router.on_caller_datagram(datagram, sender, now_ms)
 
     def _on_server_datagram(self, datagram: Datagram, sender: Address) -> None:
-        self.router.on_server_datagram(datagram, sender, monotonic_ms())
+        now_ms = monotonic_ms()
+        if datagram.kind is not Kind.HEALTH:
+            self.shutdown.on_traffic(now_ms)
+        self.router.on_server_datagram(datagram, sender, now_ms)
 
     def _on_message(self, sender: InstanceId, message: Message) -> None:
         effects = self.decisions.on_message(sender, message, monotonic_ms())
--- a/packages/sapphirerail-node/src/sapphirerail_node/shutdown.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/shutdown.py
@@ -7,13 +7,14 @@
     """Waits for work in flight, then for quiet on the callers' side.
 
     The fabric goes on spraying at a leaving instance until its own list has caught
-    up, so the process serves as a plain forwarder until no caller was heard for the
-    linger time.
+    up, and a backend server goes on answering through it until another instance has
+    become the way back. So the process serves as a plain forwarder until neither was
+    heard for the linger time.
 
     Parameters
     ----------
     linger_ms : int
-        Quiet time after the last packet of a caller.
+        Quiet time after the last packet of a caller or of a flow.
     timeout_ms : int
         Longest shutdown.
 
@@ -43,8 +44,8 @@
         self._began_ms = now_ms
         self._heard_ms = now_ms
 
-    def on_caller_datagram(self, now_ms: int) -> None:
-        """Note that a caller was heard."""
+    def on_traffic(self, now_ms: int) -> None:
+        """Note a packet of a caller, or of a flow from its server."""
         self._heard_ms = now_ms
 
     def is_complete(self, now_ms: int, n_in_flight: int) -> bool:
