--- /dev/null
+++ b/bench/plan.py
@@ -0,0 +1,273 @@
+"""How fast a plan is in force everywhere, and what its spreading costs."""
+
+import asyncio
+import gc
+import statistics
+import time
+import tracemalloc
+from collections.abc import Iterator
+
+import msgspec
+
+from sapphirerail_core.plan import EMPTY_PLAN, Plan, layout
+from sapphirerail_core.plan.delta import FullPlan, PlanDelta, delta_since, merge
+from sapphirerail_core.plan.draft import Change, apply_lines
+from sapphirerail_core.plan.model import Write, WriteId
+from sapphirerail_core.plan.repository import PlanRepository
+from sapphirerail_core.plan.sheet_line import (
+    DataCentreLine,
+    ServerLine,
+    ServiceLine,
+    SheetLine,
+)
+from sapphirerail_core.types import (
+    DataCentreId,
+    DataCentreState,
+    InstanceId,
+    Revision,
+    ServerId,
+    ServerState,
+    ServiceId,
+    TenantId,
+)
+from sapphirerail_standins.memory_store import MemoryStore
+from sapphirerail_standins.plan_network import NetworkConfig, PlanNetwork
+
+from .result import Figure
+
+__all__ = ["figures"]
+
+IN_FORCE_S = 4.0
+CONTROL_BYTES_PER_S = 28_000
+STORE_CALLS_PER_S = 2000
+STORE_WRITES_PER_S = 300
+MEMORY_BYTES = 32_000_000
+VALUE_BYTES = 1_000_000
+MESSAGE_OVERHEAD_BYTES = 75
+"""Signature, envelope, UDP and IP headers of a message."""
+CALL_OVERHEAD_BYTES = 900
+"""HTTP heads, and TCP and IP headers of a connection of its own, both ways."""
+
+TODAY = 19
+SIZES = (100, 400, 1000)
+TARGET = 3900
+N_SEEDS = 10
+IDLE_MS = 5000
+N_MERGES = 5
+N_WRITES = 50
+CHANGE_MS = 5000
+N_CHANGES_PER_S = 4000 / 86_400
+WORST = NetworkConfig(loss=0.05, silent_watches=True)
+USUAL = NetworkConfig(loss=0.05)
+
+DATA_CENTRES = [DataCentreId(f"data-centre-{n}") for n in range(7)]
+
+
+def figures() -> Iterator[Figure]:
+    """Yield the figures of the plan."""
+    yield from _today()
+    for n_instances in SIZES:
+        yield from _at_size(n_instances, USUAL, "")
+    yield from _at_size(TARGET, WORST, "_silent_watches")
+    yield from _target_plan()
+
+
+def _today() -> Iterator[Figure]:
+    for config, suffix in ((USUAL, ""), (WORST, "_silent_watches")):
+        networks = [_Trial(TODAY, seed, config) for seed in range(N_SEEDS)]
+        times = [time for network in networks for time in network.times_s]
+        yield Figure(f"plan_in_force_p50{suffix}_19", statistics.median(times), "s")
+        yield Figure.at_most(
+            f"plan_in_force_max{suffix}_19", max(times), "s", IN_FORCE_S
+        )
+        n_lost = sum(network.n_lost for network in networks)
+        n_reverts = sum(network.n_reverts for network in networks)
+        yield Figure.at_most(f"plan_changes_lost{suffix}_19", n_lost, "1", 0)
+        yield Figure.at_most(f"plan_reverts{suffix}_19", n_reverts, "1", 0)
+    yield from networks[0].costs("_19")
+
+
+def _at_size(n_instances: int, config: NetworkConfig, suffix: str) -> Iterator[Figure]:
+    trial = _Trial(n_instances, 1, config)
+    name = f"{suffix}_{n_instances}"
+    yield Figure(f"plan_in_force_p50{name}", statistics.median(trial.times_s), "s")
+    yield Figure.at_most(
+        f"plan_in_force_max{name}", max(trial.times_s), "s", IN_FORCE_S
+    )
+    yield Figure.at_most(f"plan_changes_lost{name}", trial.n_lost, "1", 0)
+    yield from trial.costs(name)
+
+
+class _Trial:
+    """One fleet that idles, then takes one change."""
+
+    def __init__(self, n_instances: int, seed: int, config: NetworkConfig) -> None:
+        self._n_instances = n_instances
+        members = {
+            InstanceId(f"i{n}"): DATA_CENTRES[n % _n_data_centres(n_instances)]
+            for n in range(n_instances)
+        }
+        first = _applied(EMPTY_PLAN, _lines(1, 3))
+        network = PlanNetwork(members, seed, config)
+        network.write(first)
+        network.run(CHANGE_MS)
+        network.n_events.clear()
+        network.n_bytes.clear()
+        network.run(IDLE_MS)
+        idle_s = IDLE_MS / 1000
+        self._idle_bytes_per_s = _wire_bytes(network) / n_instances / idle_s
+        self._store_calls_per_s = network.n_events["store"] / idle_s
+        network.n_events.clear()
+        network.n_bytes.clear()
+        began_ms = network.now_ms
+        line = ServerLine(
+            number=1, name=ServerId("server-0"), state=ServerState.DRAINING
+        )
+        second = _applied(first, [line])
+        network.write(second)
+        network.run(CHANGE_MS)
+        idle_bytes = self._idle_bytes_per_s * CHANGE_MS / 1000
+        self._change_bytes = _wire_bytes(network) / n_instances - idle_bytes
+        taken_ms = [
+            network.taken_ms.get((name, second.revision), network.now_ms + CHANGE_MS)
+            for name in network.syncs
+        ]
+        self.times_s = [(taken - began_ms) / 1000 for taken in taken_ms]
+        held = [sync.plan for sync in network.syncs.values()]
+        self.n_lost = sum(plan != second for plan in held)
+        self.n_reverts = network.n_reverts
+
+    def costs(self, name: str) -> Iterator[Figure]:
+        """Yield what an instance and the store bear."""
+        yield Figure(
+            f"plan_control_idle{name}", round(self._idle_bytes_per_s), "byte/s"
+        )
+        yield Figure(
+            f"plan_control_of_a_change{name}", round(self._change_bytes), "byte"
+        )
+        daily = self._idle_bytes_per_s + self._change_bytes * N_CHANGES_PER_S
+        yield Figure.at_most(
+            f"plan_control{name}", round(daily), "byte/s", CONTROL_BYTES_PER_S
+        )
+        yield Figure.at_most(
+            f"plan_store_calls{name}",
+            round(self._store_calls_per_s, 1),
+            "1/s",
+            STORE_CALLS_PER_S,
+        )
+
+
+def _target_plan() -> Iterator[Figure]:
+    """Yield the sizes of a plan of 10,000 services and 28,000 servers."""
+    gc.collect()
+    tracemalloc.start()
+    # Decoding makes the objects that an instance holds, and no others.
+    packed, root = _packed_target()
+    before = tracemalloc.get_traced_memory()[0]
+    plan = FullPlan(root, packed).plan()
+    gc.collect()
+    held = tracemalloc.get_traced_memory()[0] - before
+    plan.servers_by_service  # noqa: B018
+    indexed = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    yield Figure("plan_memory_target", held, "byte")
+    yield Figure.at_most("plan_memory_indexed_target", indexed, "byte", MEMORY_BYTES)
+    largest = max(len(text) for text in packed)
+    yield Figure.at_most("plan_shard_max_target", largest, "byte", VALUE_BYTES)
+    whole = len(msgspec.json.encode(FullPlan(root, packed)))
+    yield Figure("plan_whole_on_wire_target", whole, "byte")
+    line = ServerLine(number=1, name=ServerId("server-9"), state=ServerState.DRAINING)
+    changed = _applied(plan, [line])
+    delta = delta_since(changed, plan.revision)
+    assert delta is not None
+    assert merge(plan, delta) == changed
+    yield Figure("plan_delta_on_wire_target", len(msgspec.json.encode(delta)), "byte")
+    yield _processor_share(plan, delta)
+    yield asyncio.run(_store_writes(plan))
+
+
+def _processor_share(plan: Plan, delta: PlanDelta) -> Figure:
+    """Return the share of a core that taking 4,000 changes a day needs here."""
+    began_s = time.process_time()
+    for _ in range(N_MERGES):
+        merge(plan, delta).servers_by_service  # noqa: B018
+    spent_s = (time.process_time() - began_s) / N_MERGES
+    return Figure("plan_processor_share_target", spent_s * N_CHANGES_PER_S, "1")
+
+
+async def _store_writes(plan: Plan) -> Figure:
+    """Return the writes a second that 4,000 single changes a day make."""
+    store = MemoryStore()
+    repository = PlanRepository(store)
+    states = (ServerState.DRAINING, ServerState.LEFT)
+    servers = list(plan.servers)[:N_WRITES]
+    await _commit(repository, _lines(100, len(servers)), "first")
+    store.n_calls.clear()
+    for state in states:
+        for name in servers:
+            line = ServerLine(number=1, name=name, state=state)
+            await _commit(repository, [line], f"{name}/{state.value}")
+    n_calls = store.n_calls["put"] + store.n_calls["delete"]
+    per_change = n_calls / (len(states) * len(servers))
+    return Figure.at_most(
+        "plan_store_writes_target",
+        round(per_change * N_CHANGES_PER_S, 3),
+        "1/s",
+        STORE_WRITES_PER_S,
+    )
+
+
+async def _commit(
+    repository: PlanRepository, lines: list[SheetLine], write_id: str
+) -> None:
+    def decide(plan: Plan) -> Change:
+        return apply_lines(plan, lines, plan.revision, 0)
+
+    write = Write(revision=Revision(0), write_id=WriteId(write_id))
+    await repository.commit(decide, write)
+
+
+def _packed_target() -> tuple[tuple[str, ...], layout.Root]:
+    plan = _applied(EMPTY_PLAN, _lines(10_000, 28_000))
+    texts = tuple(layout.pack(shard) for shard in layout.split(plan).values())
+    return texts, layout.root_of(plan, {}, ())
+
+
+def _n_data_centres(n_instances: int) -> int:
+    return 4 if n_instances == TODAY else len(DATA_CENTRES)
+
+
+def _wire_bytes(network: PlanNetwork) -> int:
+    payload = network.n_bytes["message"] + network.n_bytes["fetch"]
+    overhead = network.n_events["message"] * MESSAGE_OVERHEAD_BYTES
+    return payload + overhead + network.n_events["fetch"] * CALL_OVERHEAD_BYTES
+
+
+def _applied(plan: Plan, lines: list[SheetLine]) -> Plan:
+    change = apply_lines(plan, lines, Revision(plan.revision), 0)
+    assert change.n_changed == len(lines)
+    return change.plan
+
+
+def _lines(n_services: int, n_servers: int) -> list[SheetLine]:
+    lines: list[SheetLine] = [
+        DataCentreLine(number=1, name=name, state=DataCentreState.IN)
+        for name in DATA_CENTRES
+    ]
+    services = [ServiceId(f"address-{n}") for n in range(n_services)]
+    lines += [
+        ServiceLine(number=1, name=name, tenant=TenantId(f"tenant-{n % 900}"))
+        for n, name in enumerate(services)
+    ]
+    lines += [
+        ServerLine(
+            number=1,
+            name=ServerId(f"server-{n}"),
+            service=services[n % n_services],
+            data_centre=DATA_CENTRES[n % len(DATA_CENTRES)],
+            address=f"10.{n >> 16}.{n >> 8 & 255}.{n & 255}:9000",
+            state=ServerState.ACTIVE,
+        )
+        for n in range(n_servers)
+    ]
+    return lines
--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/sync.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/sync.py
@@ -108,6 +108,21 @@
         Gets refused plans.
     random_state : random.Random
         Chooses peers and jitter.
+
+    Attributes
+    ----------
+    plan : Plan
+        The plan in force.
+    source : PlanSource or None
+        Where it came from.
+    contact_ms : int or None
+        When the store was last known to hold no higher revision.
+    store_revision : Revision or None
+        What this instance itself last read in the store.
+    is_reader : bool
+        Whether this instance reads the store for its data centre.
+    n_stale, n_mismatches : int
+        Plans that were refused, as lower or as not following from the own one.
     """
 
     def __init__(
@@ -121,6 +136,7 @@
         self.source: PlanSource | None = None
         self.contact_ms: int | None = None
         self.store_revision: Revision | None = None
+        self.is_reader = False
         self.n_stale = 0
         self.n_mismatches = 0
         self._config = config
@@ -135,14 +151,6 @@
         self._next_round_ms = 0
         self._next_poll_ms: int | None = None
 
-    @property
-    def is_reader(self) -> bool:
-        """Whether this instance reads the store for its data centre."""
-        readers = self._fleet.owners(
-            READER_KEY, self._config.n_readers, self._fleet.self_data_centre
-        )
-        return self._fleet.self_id in readers
-
     @property
     def is_store_behind(self) -> bool:
         """Whether the store was last seen with a lower revision than this plan."""
@@ -249,6 +257,11 @@
         return self._tell(self._config.fan_out if is_empty else 1, now_ms)
 
     def _poll(self, now_ms: int) -> list[SyncAction]:
+        """Read the store if that is this instance's turn."""
+        readers = self._fleet.owners(
+            READER_KEY, self._config.n_readers, self._fleet.self_data_centre
+        )
+        self.is_reader = self._fleet.self_id in readers
         if self.is_reader:
             self._next_poll_ms = now_ms + self._jittered(self._config.poll_ms)
             return [ReadStore()]
@@ -305,11 +318,11 @@
             self._fetch = None
 
     def _tell(self, n_peers: int, now_ms: int) -> list[SyncAction]:
-        own_id = self._fleet.self_id
-        peers = [name for name in self._fleet.live() if name != own_id]
-        chosen = self._random.sample(peers, min(n_peers, len(peers)))
+        live = self._fleet.live()
+        chosen = self._random.sample(live, min(n_peers + 1, len(live)))
+        others = [name for name in chosen if name != self._fleet.self_id]
         news = self._news(now_ms)
-        return [SendToPeer(peer, news) for peer in chosen]
+        return [SendToPeer(peer, news) for peer in others[:n_peers]]
 
     def _news(self, now_ms: int) -> PlanNews:
         age_ms = self.contact_age_ms(now_ms)
