--- /dev/null
+++ b/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments that are worth keeping, each runnable with one command."""
