--- a/packages/sapphirerail-cli/src/sapphirerail_cli/exit_code.py
+++ b/packages/sapphirerail-cli/src/sapphirerail_cli/exit_code.py
@@ -9,6 +9,7 @@
     """How the command ended.
 
     OK : all that was asked is done.
+    FAILED : the command could not do its work.
     USAGE : the command line or a setting cannot be used.
     LINES_REFUSED : some lines were refused; the others are applied.
     NOTHING_APPLIED : the sheet as a whole was refused.
@@ -19,6 +20,7 @@
     """
 
     OK = 0
+    FAILED = 1
     USAGE = 2
     LINES_REFUSED = 3
     NOTHING_APPLIED = 4
--- /dev/null
+++ b/packages/sapphirerail-cli/src/sapphirerail_cli/fleet_commands.py
@@ -0,0 +1,41 @@
+"""Commands that ask the fleet."""
+
+from typing import Annotated
+
+import typer
+
+from sapphirerail_core.types import Revision
+
+from . import render
+from .exit_code import ExitCode
+from .invocation import JsonOption, PlatformOption, facades, run
+from .watching import watch_revision
+
+__all__ = ["status", "wait"]
+
+DEFAULT_TIMEOUT_S = 30.0
+
+
+def status(platform: PlatformOption = "", json: JsonOption = False) -> None:
+    """Show the plan's revision by data centre, and what each instance says."""
+    fleet = facades(platform).needed_fleet()
+    report = run(fleet.status)
+    typer.echo(render.as_json(report) if json else render.fleet(report))
+    if not report.progress.is_complete:
+        raise typer.Exit(ExitCode.NOT_IN_FORCE)
+
+
+def wait(
+    revision: Annotated[int, typer.Option("--revision", help="Revision to wait for.")],
+    platform: PlatformOption = "",
+    timeout_s: Annotated[
+        float, typer.Option("--timeout", help="Longest time in seconds.")
+    ] = DEFAULT_TIMEOUT_S,
+    json: JsonOption = False,
+) -> None:
+    """Wait until a revision is in force in every listed instance."""
+    fleet = facades(platform).needed_fleet()
+    progress = run(lambda: watch_revision(fleet, Revision(revision), timeout_s))
+    typer.echo(render.as_json(progress) if json else render.progress(progress))
+    if not progress.is_complete:
+        raise typer.Exit(ExitCode.NOT_IN_FORCE)
--- /dev/null
+++ b/packages/sapphirerail-cli/src/sapphirerail_cli/fleet_operator.py
@@ -0,0 +1,221 @@
+"""What operators can ask the fleet, behind one object."""
+
+import asyncio
+import random
+import time
+import uuid
+from collections.abc import Callable
+
+import msgspec
+
+from sapphirerail_core.errors import SapphirerailError
+from sapphirerail_core.fleet.listing import ListedInstance
+from sapphirerail_core.plan import Plan
+from sapphirerail_core.plan.draft import Change
+from sapphirerail_core.plan.model import Write, WriteId
+from sapphirerail_core.plan.repository import PlanRepository
+from sapphirerail_core.plan.rewrite import dropped_writes, rewritten_above
+from sapphirerail_core.plan.store import Store
+from sapphirerail_core.types import InstanceId, Revision
+
+from .fleet_client import FleetClient, InstanceRevision, InstanceStatus, Unknown
+from .progress import Progress, progress_of
+
+__all__ = ["FleetOperator", "FleetReport", "RestoreReport"]
+
+POLL_MS = 250
+N_SAMPLED = 8
+
+
+class FleetReport(msgspec.Struct, frozen=True, kw_only=True):
+    """The state of the fleet.
+
+    Parameters
+    ----------
+    store_revision : Revision or None
+        Revision in the store; None if the store gave no answer.
+    store_error : str
+        Code of the store's failure.
+    progress : Progress
+        How far the highest known revision has come.
+    instances : tuple
+        Answers of the listed instances; those that gave none are unknown.
+    data_centres_out : tuple of str
+        Data centres that the plan in the store takes out.
+    """
+
+    store_revision: Revision | None
+    store_error: str
+    progress: Progress
+    instances: tuple[InstanceStatus | Unknown, ...]
+    data_centres_out: tuple[str, ...]
+
+
+class RestoreReport(msgspec.Struct, frozen=True, kw_only=True):
+    """A plan of an instance that was written back into the store.
+
+    Parameters
+    ----------
+    instance, instance_revision
+        Whose plan was taken, and its revision.
+    store_revision : Revision
+        What the store held.
+    revision, write_id
+        What was written.
+    dropped : tuple of Write
+        Writes in the store that no instance had taken, and that are lost now.
+    """
+
+    instance: InstanceId
+    instance_revision: Revision
+    store_revision: Revision
+    revision: Revision
+    write_id: WriteId
+    dropped: tuple[Write, ...]
+
+
+class FleetOperator:
+    """Asks the fleet on behalf of the command line.
+
+    Parameters
+    ----------
+    store : Store
+        The platform's key-value service.
+    fleet : FleetClient
+        Asks instances.
+    name : str
+        Who makes changes.
+    """
+
+    def __init__(self, store: Store, fleet: FleetClient, name: str) -> None:
+        self._repository = PlanRepository(store)
+        self._fleet = fleet
+        self._name = name
+
+    async def status(self) -> FleetReport:
+        """Ask the store and all listed instances."""
+        plan, error = await self._stored_plan()
+        listed = await self._fleet.listed()
+        answers = await self._fleet.statuses(listed)
+        told = [_revision_of(answer) for answer in answers]
+        known = [Revision(0) if plan is None else plan.revision]
+        known += [t.revision for t in told if isinstance(t, InstanceRevision)]
+        return FleetReport(
+            store_revision=None if plan is None else plan.revision,
+            store_error=error,
+            progress=progress_of(max(known), told),
+            instances=tuple(answers),
+            data_centres_out=_data_centres_out(plan),
+        )
+
+    async def wait(
+        self,
+        revision: Revision,
+        timeout_ms: int,
+        on_progress: Callable[[Progress], None],
+    ) -> Progress:
+        """Ask until a revision is in force everywhere, or the time has run out.
+
+        With no instance on the platform's list there is nothing to wait for.
+        An instance that has told of the revision is not asked again.
+        """
+        deadline_ms = _monotonic_ms() + timeout_ms
+        done: dict[InstanceId, InstanceRevision] = {}
+        while True:
+            listed = await self._fleet.listed()
+            missing = [entry for entry in listed if entry.instance not in done]
+            answers = await self._fleet.revisions(missing)
+            for answer in answers:
+                if isinstance(answer, InstanceRevision) and answer.revision >= revision:
+                    done[answer.instance] = answer
+            names = {entry.instance for entry in listed}
+            kept = [answer for name, answer in done.items() if name in names]
+            waiting = [answer for answer in answers if answer.instance not in done]
+            progress = progress_of(revision, [*kept, *waiting])
+            on_progress(progress)
+            is_over = progress.is_complete or not listed
+            if is_over or _monotonic_ms() >= deadline_ms:
+                return progress
+            await asyncio.sleep(POLL_MS / 1000)
+
+    async def highest_known(self) -> Revision:
+        """Return the highest revision that a few instances have; 0 if none answers."""
+        try:
+            listed = list(await self._fleet.listed())
+        except SapphirerailError:
+            return Revision(0)
+        sample = random.sample(listed, min(N_SAMPLED, len(listed)))
+        answers = await self._fleet.revisions(sample)
+        told = [a.revision for a in answers if isinstance(a, InstanceRevision)]
+        return max(told, default=Revision(0))
+
+    async def restore(self) -> RestoreReport:
+        """Write the newest plan of any instance into the store, above both.
+
+        Raises
+        ------
+        SapphirerailError
+            ``plan.not_behind``: no instance has more than the store;
+            ``plan.no_instance``: none answered.
+        """
+        entry, newest = await self._newest()
+        plan = await self._fleet.plan(entry)
+        bases: list[Plan] = []
+
+        def decide(base: Plan) -> Change:
+            bases.append(base)
+            if base.revision >= plan.revision:
+                text = f"the store has revision {base.revision}, instances {newest}"
+                raise SapphirerailError("plan.not_behind", text)
+            return rewritten_above(base, plan)
+
+        write = Write(
+            revision=Revision(0),
+            write_id=WriteId(uuid.uuid4().hex),
+            operator=self._name,
+            at_ms=time.time_ns() // 1_000_000,
+        )
+        committed = await self._repository.commit(decide, write)
+        return RestoreReport(
+            instance=entry.instance,
+            instance_revision=plan.revision,
+            store_revision=bases[-1].revision,
+            revision=committed.change.plan.revision,
+            write_id=write.write_id,
+            dropped=dropped_writes(bases[-1], plan),
+        )
+
+    async def _newest(self) -> tuple[ListedInstance, Revision]:
+        listed = {entry.instance: entry for entry in await self._fleet.listed()}
+        answers = await self._fleet.revisions(listed.values())
+        told = [a for a in answers if isinstance(a, InstanceRevision)]
+        if not told:
+            text = "no instance answered; without one the plan is lost"
+            raise SapphirerailError("plan.no_instance", text)
+        newest = max(told, key=lambda answer: answer.revision)
+        return listed[newest.instance], newest.revision
+
+    async def _stored_plan(self) -> tuple[Plan | None, str]:
+        try:
+            return (await self._repository.read()).plan, ""
+        except SapphirerailError as error:
+            return None, error.code
+
+
+def _monotonic_ms() -> int:
+    return time.monotonic_ns() // 1_000_000
+
+
+def _revision_of(answer: InstanceStatus | Unknown) -> InstanceRevision | Unknown:
+    if isinstance(answer, Unknown):
+        return answer
+    age_ms = answer.plan.contact_age_ms
+    return InstanceRevision(
+        answer.instance, answer.data_centre, answer.revision, age_ms
+    )
+
+
+def _data_centres_out(plan: Plan | None) -> tuple[str, ...]:
+    if plan is None:
+        return ()
+    return tuple(sorted(name for name in plan.data_centres if plan.is_out(name)))
--- /dev/null
+++ b/packages/sapphirerail-cli/src/sapphirerail_cli/invocation.py
@@ -0,0 +1,139 @@
+"""What all commands share: options, the facades, and errors as exit codes."""
+
+import asyncio
+import getpass
+import os
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Annotated, TypeVar
+
+import typer
+
+from sapphirerail_core.errors import InputError, SapphirerailError
+from sapphirerail_core.plan.repository import PlanWriteError
+from sapphirerail_core.plan.store import StoreError
+from sapphirerail_core.types import Revision
+from sapphirerail_transport.listing import HttpInstanceList
+from sapphirerail_transport.signature import Signer
+from sapphirerail_transport.store import HttpStore
+
+from .exit_code import ExitCode
+from .fleet_client import FleetClient
+from .fleet_operator import FleetOperator
+from .operator import Operator
+from .settings import CliSettings
+
+__all__ = [
+    "Facades",
+    "JsonOption",
+    "OperatorOption",
+    "PlatformOption",
+    "WaitOption",
+    "check_store_not_behind",
+    "facades",
+    "run",
+]
+
+ResultT = TypeVar("ResultT")
+
+PlatformOption = Annotated[
+    str,
+    typer.Option(
+        "--platform", envvar="SAPPHIRERAIL_PLATFORM", help="Platform's address:port."
+    ),
+]
+OperatorOption = Annotated[
+    str,
+    typer.Option(
+        "--operator", envvar="SAPPHIRERAIL_OPERATOR", help="Name for the history."
+    ),
+]
+JsonOption = Annotated[bool, typer.Option("--json", help="Print one JSON object.")]
+WaitOption = Annotated[
+    float,
+    typer.Option("--wait", help="Seconds to watch the change come into force."),
+]
+
+
+@dataclass(frozen=True, slots=True)
+class Facades:
+    """The objects that the commands call.
+
+    Parameters
+    ----------
+    plan : Operator
+        Changes the plan.
+    fleet : FleetOperator or None
+        Asks instances; None without the shared key.
+    """
+
+    plan: Operator
+    fleet: FleetOperator | None
+
+    def needed_fleet(self) -> FleetOperator:
+        """Return the fleet's facade, or end the command if there is no key."""
+        if self.fleet is None:
+            typer.echo(
+                "give the key in SAPPHIRERAIL_KEY or SAPPHIRERAIL_KEY_FILE", err=True
+            )
+            raise typer.Exit(ExitCode.USAGE)
+        return self.fleet
+
+
+def facades(platform: str, operator: str = "") -> Facades:
+    """Return the facades for these options, or end the command."""
+    try:
+        name = operator or getpass.getuser()
+        settings = CliSettings.from_config(platform, name, os.environ)
+    except InputError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(ExitCode.USAGE) from error
+    store = HttpStore(settings.platform)
+    fleet = None
+    if settings.key:
+        listing = HttpInstanceList(settings.platform)
+        client = FleetClient(listing, Signer(settings.key))
+        fleet = FleetOperator(store, client, settings.operator)
+    return Facades(Operator(store, settings.operator), fleet)
+
+
+def run(work: Callable[[], Awaitable[ResultT]]) -> ResultT:
+    """Run a call of a facade and turn its errors into exit codes."""
+
+    async def scenario() -> ResultT:
+        return await work()
+
+    try:
+        return asyncio.run(scenario())
+    except PlanWriteError as error:
+        is_unknown = error.code == "plan.unknown_outcome"
+        code = ExitCode.UNKNOWN_OUTCOME if is_unknown else ExitCode.NOT_WRITTEN
+        raise _failed(error, code) from error
+    except (StoreError, InputError) as error:
+        raise _failed(error, ExitCode.NOT_WRITTEN) from error
+    except SapphirerailError as error:
+        raise _failed(error, ExitCode.FAILED) from error
+
+
+async def check_store_not_behind(found: Facades) -> None:
+    """End the command if instances hold a higher revision than the store.
+
+    A change that is written to a store that lost writes would not come into force:
+    instances refuse its revision.
+    """
+    if found.fleet is None:
+        return
+    in_store: Revision = await found.plan.store_revision()
+    in_fleet = await found.fleet.highest_known()
+    if in_fleet > in_store:
+        typer.echo(
+            f"plan.store_behind: the store has revision {in_store}, instances have "
+            f"{in_fleet}; see `sapphirerail plan restore`",
+            err=True,
+        )
+        raise typer.Exit(ExitCode.STORE_BEHIND)
+
+
+def _failed(error: SapphirerailError, code: ExitCode) -> typer.Exit:
+    typer.echo(str(error), err=True)
+    return typer.Exit(code)
--- a/packages/sapphirerail-cli/src/sapphirerail_cli/operator.py
+++ b/packages/sapphirerail-cli/src/sapphirerail_cli/operator.py
@@ -16,7 +16,14 @@
 )
 from sapphirerail_core.plan.model import Write, WriteId
 from sapphirerail_core.plan.repository import PlanRepository
-from sapphirerail_core.plan.sheet_line import Sheet, SheetLine
+from sapphirerail_core.plan.sheet_line import (
+    DataCentreLine,
+    Refusal,
+    RefusalReason,
+    ServerLine,
+    Sheet,
+    SheetLine,
+)
 from sapphirerail_core.plan.store import Store
 from sapphirerail_core.types import Revision
 
@@ -92,6 +99,29 @@
         change = _decide(plan, sheet.lines, options, plan.revision)
         return _report(sheet, change, (), WriteId(""))
 
+    async def change(self, line: SheetLine) -> SheetReport:
+        """Apply one line about something that the plan has already.
+
+        A sheet may name new things; a name that is mistyped in a single command
+        must not make one.
+        """
+        plan = (await self._repository.read()).plan
+        if not _is_known(plan, line):
+            reason = "the plan has none of this name; a sheet can add it"
+            refusal = Refusal(line.number, line.name, RefusalReason.UNKNOWN, reason)
+            return await self.apply(Sheet((), (refusal,), ""), ApplyOptions())
+        options = ApplyOptions(base=plan.revision)
+        return await self.apply(Sheet((line,), (), ""), options)
+
+    async def history(self) -> tuple[Write, ...]:
+        """Return the newest writes, oldest first."""
+        return (await self._repository.read()).plan.history
+
+    async def store_revision(self) -> Revision:
+        """Return the revision in the store; 0 if it holds none."""
+        root = (await self._repository.read_root()).root
+        return Revision(0) if root is None else root.revision
+
     async def apply(self, sheet: Sheet, options: ApplyOptions) -> SheetReport:
         """Apply a sheet's lines in one revision.
 
@@ -124,6 +154,14 @@
         return _report(sheet, committed.change, committed.others, write_id)
 
 
+def _is_known(plan: Plan, line: SheetLine) -> bool:
+    if isinstance(line, DataCentreLine):
+        return line.name in plan.data_centres
+    if isinstance(line, ServerLine):
+        return line.name in plan.servers
+    return line.name in plan.services
+
+
 def _now_ms() -> int:
     return time.time_ns() // 1_000_000
 
--- /dev/null
+++ b/packages/sapphirerail-cli/src/sapphirerail_cli/plan_commands.py
@@ -0,0 +1,153 @@
+"""Commands that change single parts of the plan, and look at its history."""
+
+from typing import Annotated
+
+import typer
+
+from sapphirerail_core.plan.sheet_line import DataCentreLine, ServerLine, SheetLine
+from sapphirerail_core.types import (
+    DataCentreId,
+    DataCentreState,
+    ServerId,
+    ServerState,
+)
+
+from . import render
+from .invocation import (
+    JsonOption,
+    OperatorOption,
+    PlatformOption,
+    WaitOption,
+    check_store_not_behind,
+    facades,
+    run,
+)
+from .operator import SheetReport
+from .sheet_commands import DEFAULT_WAIT_S, finish_change
+
+__all__ = ["data_centre_command", "plan_command", "server_command"]
+
+LINE_NUMBER = 1
+
+data_centre_command = typer.Typer(
+    no_args_is_help=True, help="Take data centres out of service and back."
+)
+server_command = typer.Typer(
+    no_args_is_help=True, help="Move backend servers through their planned life."
+)
+plan_command = typer.Typer(no_args_is_help=True, help="The plan in the store.")
+
+NameArgument = Annotated[str, typer.Argument(metavar="NAME")]
+
+
+@data_centre_command.command("out")
+def take_out(
+    name: NameArgument,
+    platform: PlatformOption = "",
+    operator: OperatorOption = "",
+    wait_s: WaitOption = DEFAULT_WAIT_S,
+    json: JsonOption = False,
+) -> None:
+    """Send no more packets to a data centre's servers; its flows are given up."""
+    line = _data_centre_line(name, DataCentreState.OUT)
+    _change(line, platform, operator, wait_s, json)
+
+
+@data_centre_command.command("back")
+def bring_back(
+    name: NameArgument,
+    platform: PlatformOption = "",
+    operator: OperatorOption = "",
+    wait_s: WaitOption = DEFAULT_WAIT_S,
+    json: JsonOption = False,
+) -> None:
+    """Let a data centre's servers take work again."""
+    line = _data_centre_line(name, DataCentreState.IN)
+    _change(line, platform, operator, wait_s, json)
+
+
+@server_command.command("enter")
+def enter_server(
+    name: NameArgument,
+    platform: PlatformOption = "",
+    operator: OperatorOption = "",
+    wait_s: WaitOption = DEFAULT_WAIT_S,
+    json: JsonOption = False,
+) -> None:
+    """Announce a server that is going to take work."""
+    _change(_server_line(name, ServerState.ENTERING), platform, operator, wait_s, json)
+
+
+@server_command.command("activate")
+def activate_server(
+    name: NameArgument,
+    platform: PlatformOption = "",
+    operator: OperatorOption = "",
+    wait_s: WaitOption = DEFAULT_WAIT_S,
+    json: JsonOption = False,
+) -> None:
+    """Let a server take work; it starts cold."""
+    _change(_server_line(name, ServerState.ACTIVE), platform, operator, wait_s, json)
+
+
+@server_command.command("drain")
+def drain_server(
+    name: NameArgument,
+    platform: PlatformOption = "",
+    operator: OperatorOption = "",
+    wait_s: WaitOption = DEFAULT_WAIT_S,
+    json: JsonOption = False,
+) -> None:
+    """Give a server no new work; its flows go on."""
+    _change(_server_line(name, ServerState.DRAINING), platform, operator, wait_s, json)
+
+
+@server_command.command("leave")
+def leave_server(
+    name: NameArgument,
+    platform: PlatformOption = "",
+    operator: OperatorOption = "",
+    wait_s: WaitOption = DEFAULT_WAIT_S,
+    json: JsonOption = False,
+) -> None:
+    """Take a server out of the plan; flows that are left there end."""
+    _change(_server_line(name, ServerState.LEFT), platform, operator, wait_s, json)
+
+
+@plan_command.command("history")
+def show_history(platform: PlatformOption = "", json: JsonOption = False) -> None:
+    """Show the newest writes, in the one order that they took effect in."""
+    history = run(facades(platform).plan.history)
+    typer.echo(render.as_json(history) if json else render.history(history))
+
+
+@plan_command.command("restore")
+def restore_plan(
+    platform: PlatformOption = "",
+    operator: OperatorOption = "",
+    json: JsonOption = False,
+) -> None:
+    """Write the newest plan of any instance into a store that lost writes."""
+    found = facades(platform, operator)
+    report = run(found.needed_fleet().restore)
+    typer.echo(render.as_json(report) if json else render.restored(report))
+
+
+def _data_centre_line(name: str, state: DataCentreState) -> SheetLine:
+    return DataCentreLine(number=LINE_NUMBER, name=DataCentreId(name), state=state)
+
+
+def _server_line(name: str, state: ServerState) -> SheetLine:
+    return ServerLine(number=LINE_NUMBER, name=ServerId(name), state=state)
+
+
+def _change(
+    line: SheetLine, platform: str, operator: str, wait_s: float, json: bool
+) -> None:
+    found = facades(platform, operator)
+
+    async def work() -> SheetReport:
+        await check_store_not_behind(found)
+        return await found.plan.change(line)
+
+    finish_change(found, run(work), wait_s, json)
--- a/packages/sapphirerail-cli/src/sapphirerail_cli/render.py
+++ b/packages/sapphirerail-cli/src/sapphirerail_cli/render.py
@@ -1,15 +1,32 @@
 """Reports as text or JSON."""
 
+from collections.abc import Sequence
 from datetime import UTC, datetime
 
 import msgspec
 
 from sapphirerail_core.plan.draft import LineResult, Outcome
 from sapphirerail_core.plan.model import Write
+from sapphirerail_core.plan.sheet_line import Sheet
 
+from .fleet_client import InstanceStatus, Unknown
+from .fleet_operator import FleetReport, RestoreReport
 from .operator import SheetReport
+from .progress import DataCentreProgress, Progress
 
-__all__ = ["as_json", "sheet_report"]
+__all__ = [
+    "as_json",
+    "change",
+    "fleet",
+    "history",
+    "progress",
+    "restored",
+    "sheet_check",
+    "sheet_report",
+]
+
+N_NAMES_SHOWN = 5
+MS_PER_S = 1000
 
 
 def as_json(value: object) -> str:
@@ -17,11 +34,22 @@
     return msgspec.json.encode(value).decode()
 
 
+def sheet_check(sheet: Sheet) -> str:
+    """Return which lines of a sheet can be used."""
+    texts = [
+        f"line {refusal.number}: {refusal.name}: refused: "
+        f"{refusal.code.value}: {refusal.reason}"
+        for refusal in sheet.refusals
+    ]
+    texts.append(f"{len(sheet.lines)} usable, {len(sheet.refusals)} refused")
+    return "\n".join(texts)
+
+
 def sheet_report(report: SheetReport) -> str:
     """Return the report of a sheet as text; unchanged lines are only counted."""
     texts = [_line(line) for line in report.lines]
     texts = [text for text in texts if text]
-    texts += [_other(write) for write in report.others]
+    texts += [f"came first: {_write(write)}" for write in report.others]
     texts.append(
         f"{report.n_changed} changed, {report.n_unchanged} unchanged, "
         f"{report.n_refused} refused; plan at revision {report.revision}"
@@ -33,6 +61,60 @@
     return "\n".join(texts)
 
 
+def change(report: SheetReport, found: Progress | None, json: bool) -> str:
+    """Return the report of a change, and how far it is in force."""
+    if json:
+        return as_json({"report": report, "progress": found})
+    texts = [sheet_report(report)]
+    if found is not None:
+        texts.append(progress(found))
+    elif report.applied:
+        texts.append("not known where it is in force: no key was given")
+    return "\n".join(texts)
+
+
+def progress(found: Progress) -> str:
+    """Return in how many instances of which data centre a revision is in force."""
+    if not found.data_centres:
+        return "no instance is on the platform's list"
+    texts = [_data_centre(found.revision, part) for part in found.data_centres]
+    texts.append(
+        f"revision {found.revision} in force in {found.n_in_force} "
+        f"of {found.n_listed} listed instances"
+    )
+    return "\n".join(texts)
+
+
+def fleet(report: FleetReport) -> str:
+    """Return the state of the fleet as text."""
+    texts = []
+    if report.store_revision is None:
+        texts.append(f"store: no answer ({report.store_error})")
+    else:
+        texts.append(f"store: revision {report.store_revision}")
+    texts.append(progress(report.progress))
+    if report.data_centres_out:
+        texts.append("taken out: " + ", ".join(report.data_centres_out))
+    texts += _drains(report.instances)
+    texts += [_instance(answer) for answer in report.instances]
+    return "\n".join(texts)
+
+
+def history(writes: Sequence[Write]) -> str:
+    """Return the newest writes as text, oldest first."""
+    return "\n".join(_write(write) for write in writes) or "nothing was written yet"
+
+
+def restored(report: RestoreReport) -> str:
+    """Return what a restoration did."""
+    texts = [
+        f"revision {report.instance_revision} of {report.instance} is in the store as "
+        f"revision {report.revision} (the store had {report.store_revision})"
+    ]
+    texts += [f"lost: {_write(write)}" for write in report.dropped]
+    return "\n".join(texts)
+
+
 def _line(line: LineResult) -> str:
     if line.outcome is Outcome.UNCHANGED:
         return ""
@@ -41,9 +123,62 @@
     return f"line {line.number}: {line.name}: refused: {line.code}: {line.reason}"
 
 
-def _other(write: Write) -> str:
-    at = datetime.fromtimestamp(write.at_ms / 1000, tz=UTC)
+def _write(write: Write) -> str:
+    at = datetime.fromtimestamp(write.at_ms / MS_PER_S, tz=UTC)
     return (
-        f"revision {write.revision} by {write.operator or 'unknown'} came first "
-        f"({write.n_changed} changes, {at:%H:%M:%S} UTC, write {write.write_id})"
+        f"revision {write.revision} by {write.operator or 'unknown'} "
+        f"at {at:%Y-%m-%d %H:%M:%S} UTC, {write.n_changed} changes, "
+        f"write {write.write_id}"
     )
+
+
+def _data_centre(revision: int, part: DataCentreProgress) -> str:
+    text = f"{part.data_centre}: revision {revision} in force in {part.n_in_force}"
+    text += f" of {part.n_listed}"
+    if part.behind:
+        text += f"; behind: {_names(part.behind)}"
+    if part.unknown:
+        text += f"; not known: {_names(part.unknown)}"
+    return text
+
+
+def _names(names: Sequence[str]) -> str:
+    shown = ", ".join(names[:N_NAMES_SHOWN])
+    n_more = len(names) - N_NAMES_SHOWN
+    return f"{shown} and {n_more} more" if n_more > 0 else shown
+
+
+def _drains(answers: Sequence[InstanceStatus | Unknown]) -> list[str]:
+    n_flows: dict[str, int] = {}
+    for answer in answers:
+        if isinstance(answer, InstanceStatus):
+            for server, n_here in answer.flows.draining.items():
+                n_flows[server] = n_flows.get(server, 0) + n_here
+    return [
+        f"draining: {server}: {n_flows[server]} flows left"
+        for server in sorted(n_flows)
+    ]
+
+
+def _instance(answer: InstanceStatus | Unknown) -> str:
+    head = f"{answer.data_centre} {answer.instance}: "
+    if isinstance(answer, Unknown):
+        return head + f"not known ({answer.code}: {answer.reason})"
+    plan = answer.plan
+    text = f"{answer.phase}, revision {answer.revision}"
+    if plan.taken_age_ms is not None:
+        text += f" since {_seconds(plan.taken_age_ms)} from {plan.source}"
+    text += f", {answer.flows.n_flows} flows"
+    if plan.contact_age_ms < 0:
+        text += ", the store was never heard of"
+    else:
+        text += f", store heard of {_seconds(plan.contact_age_ms)} ago"
+    if plan.is_store_behind:
+        text += f", store behind at revision {plan.store_revision}"
+    if plan.store_error:
+        text += f", store error {plan.store_error}"
+    return head + text
+
+
+def _seconds(time_ms: int) -> str:
+    return f"{time_ms / MS_PER_S:.1f} s"
--- /dev/null
+++ b/packages/sapphirerail-cli/src/sapphirerail_cli/sheet_commands.py
@@ -0,0 +1,142 @@
+"""Commands about the morning sheet."""
+
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from sapphirerail_core.errors import InputError
+from sapphirerail_core.plan.sheet import parse_sheet
+from sapphirerail_core.plan.sheet_line import Sheet
+from sapphirerail_core.types import Revision
+
+from . import render
+from .exit_code import ExitCode
+from .invocation import (
+    Facades,
+    JsonOption,
+    OperatorOption,
+    PlatformOption,
+    WaitOption,
+    check_store_not_behind,
+    facades,
+    run,
+)
+from .operator import ApplyOptions, SheetReport
+from .progress import Progress
+from .watching import watch_revision
+
+__all__ = ["command", "finish_change"]
+
+DEFAULT_WAIT_S = 10.0
+
+command = typer.Typer(no_args_is_help=True, help="The morning sheet.")
+
+SheetFile = Annotated[
+    Path, typer.Argument(metavar="FILE", help="CSV file; - reads standard input.")
+]
+BaseOption = Annotated[
+    int | None,
+    typer.Option(
+        "--base", help="Refuse lines about parts that changed after this revision."
+    ),
+]
+AllOption = Annotated[
+    bool,
+    typer.Option("--all-or-nothing", help="Write nothing if any line is refused."),
+]
+
+
+@command.command()
+def check(file: SheetFile, json: JsonOption = False) -> None:
+    """Read a sheet and tell which lines can be used; asks nobody."""
+    sheet = _read_sheet(file)
+    typer.echo(render.as_json(sheet) if json else render.sheet_check(sheet))
+    if sheet.refusals:
+        raise typer.Exit(ExitCode.LINES_REFUSED)
+
+
+@command.command()
+def diff(
+    file: SheetFile,
+    platform: PlatformOption = "",
+    base: BaseOption = None,
+    json: JsonOption = False,
+) -> None:
+    """Tell what applying a sheet would change now; writes nothing."""
+    sheet = _read_sheet(file)
+    found = facades(platform)
+    options = ApplyOptions(base=_revision(base))
+    report = run(lambda: found.plan.diff(sheet, options))
+    typer.echo(render.as_json(report) if json else render.sheet_report(report))
+    if report.n_refused:
+        raise typer.Exit(ExitCode.LINES_REFUSED)
+
+
+@command.command()
+def apply(
+    file: SheetFile,
+    platform: PlatformOption = "",
+    operator: OperatorOption = "",
+    base: BaseOption = None,
+    all_or_nothing: AllOption = False,
+    wait_s: WaitOption = DEFAULT_WAIT_S,
+    json: JsonOption = False,
+) -> None:
+    """Write the lines of a sheet into the plan, in one revision."""
+    sheet = _read_sheet(file)
+    found = facades(platform, operator)
+    options = ApplyOptions(base=_revision(base), all_or_nothing=all_or_nothing)
+
+    async def work() -> SheetReport:
+        await check_store_not_behind(found)
+        return await found.plan.apply(sheet, options)
+
+    finish_change(found, run(work), wait_s, json)
+
+
+def finish_change(
+    found: Facades, report: SheetReport, wait_s: float, json: bool
+) -> None:
+    """Watch a change come into force, print the report, and end the command.
+
+    Parameters
+    ----------
+    found : Facades
+        Asks the instances.
+    report : SheetReport
+        What became of the lines.
+    wait_s : float
+        Longest time to watch; 0 asks once.
+    json : bool
+        Whether to print JSON.
+    """
+    progress: Progress | None = None
+    fleet = found.fleet
+    if fleet is not None and not report.withheld and report.revision > 0:
+        progress = run(lambda: watch_revision(fleet, report.revision, wait_s))
+    typer.echo(render.change(report, progress, json))
+    if report.n_refused:
+        is_nothing = report.withheld or report.n_changed + report.n_unchanged == 0
+        code = ExitCode.NOTHING_APPLIED if is_nothing else ExitCode.LINES_REFUSED
+        raise typer.Exit(code)
+    if progress is not None and progress.n_in_force < progress.n_listed:
+        raise typer.Exit(ExitCode.NOT_IN_FORCE)
+
+
+def _read_sheet(file: Path) -> Sheet:
+    try:
+        payload = sys.stdin.buffer.read() if str(file) == "-" else file.read_bytes()
+    except OSError as error:
+        typer.echo(f"{file}: {error.strerror}", err=True)
+        raise typer.Exit(ExitCode.USAGE) from error
+    try:
+        return parse_sheet(payload)
+    except InputError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(ExitCode.NOTHING_APPLIED) from error
+
+
+def _revision(number: int | None) -> Revision | None:
+    return None if number is None else Revision(number)
--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/repository.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/repository.py
@@ -237,7 +237,7 @@
             revision=change.plan.revision,
             n_changed=change.n_changed,
         )
-        history = (*base.plan.history, stamped)[-layout.HISTORY_LENGTH :]
+        history = (*change.plan.history, stamped)[-layout.HISTORY_LENGTH :]
         plan = msgspec.structs.replace(change.plan, history=history)
         attempt = _Attempt(base, stamped)
         await self._clear(base)
--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/sheet_line.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/sheet_line.py
@@ -61,6 +61,7 @@
     MISSING_FIELD = "sheet.missing_field"
     UNUSED_FIELD = "sheet.unused_field"
     CONTRADICTION = "sheet.contradiction"
+    UNKNOWN = "sheet.unknown"
     UNKNOWN_DATA_CENTRE = "sheet.unknown_data_centre"
     UNKNOWN_SERVICE = "sheet.unknown_service"
     TENANT_FIXED = "sheet.tenant_fixed"
