--- a/packages/sapphirerail-cli/src/sapphirerail_cli/render.py
+++ b/packages/sapphirerail-cli/src/sapphirerail_cli/render.py
@@ -64,7 +64,7 @@
 def change(report: SheetReport, found: Progress | None, json: bool) -> str:
     """Return the report of a change, and how far it is in force."""
     if json:
-        return as_json({"report": report, "progress": found})
+        return as_json(msgspec.structs.asdict(report) | {"progress": found})
     texts = [sheet_report(report)]
     if found is not None:
         texts.append(progress(found))
--- /dev/null
+++ b/packages/sapphirerail-cli/tests/test_progress.py
@@ -0,0 +1,33 @@
+from sapphirerail_cli.fleet_client import InstanceRevision, Unknown
+from sapphirerail_cli.progress import progress_of
+
+
+def _told(instance, data_centre, revision):
+    return InstanceRevision(instance, data_centre, revision, 0)
+
+
+def test_counts_by_data_centre():
+    progress = progress_of(
+        3,
+        [
+            _told("a", "Osu", 3),
+            _told("b", "Osu", 2),
+            _told("c", "Tema", 4),
+            Unknown("d", "Tema", "http.timeout", "no answer"),
+        ],
+    )
+    osu, tema = progress.data_centres
+    assert (osu.data_centre, osu.n_in_force, osu.behind) == ("Osu", 1, ("b",))
+    assert (tema.n_in_force, tema.unknown, tema.n_listed) == (1, ("d",), 2)
+    assert (progress.n_in_force, progress.n_listed) == (2, 4)
+    assert not progress.is_complete
+
+
+def test_unknown_is_not_in_force():
+    answers = [_told("a", "Osu", 1), Unknown("b", "Osu", "x", "y")]
+    assert not progress_of(1, answers).is_complete
+    assert progress_of(1, answers[:1]).is_complete
+
+
+def test_nothing_listed_is_not_complete():
+    assert not progress_of(1, []).is_complete
--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/draft.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/draft.py
@@ -150,6 +150,7 @@
         self._servers = dict(plan.servers)
         self._addresses: dict[str, ServerId] = {}
         self._seats: dict[ServiceId, dict[int, list[ServerId]]] = {}
+        self._free_from: dict[ServiceId, int] = {}
         for server in plan.servers.values():
             self._index(server)
 
@@ -265,11 +266,19 @@
         elif known is not None and known.state is not ServerState.LEFT:
             seat = known.seat
         else:
-            seat = next(n for n in range(len(seats) + 1) if not seats.get(n))
+            seat = self._lowest_free_seat(wanted.service)
         if wanted.state is not ServerState.DRAINING:
             self._check_seat(wanted.server, seat, seats.get(seat, []))
         return msgspec.structs.replace(wanted, seat=seat)
 
+    def _lowest_free_seat(self, service: ServiceId) -> int:
+        seats = self._seats[service]
+        seat = self._free_from.get(service, 0)
+        while seats.get(seat):
+            seat += 1
+        self._free_from[service] = seat
+        return seat
+
     def _check_seat(self, server: ServerId, seat: int, holders: list[ServerId]) -> None:
         for holder in holders:
             state = self._servers[holder].state
@@ -308,6 +317,8 @@
         del self._addresses[server.address]
         seats = self._seats[server.service]
         seats[server.seat].remove(server.server)
+        free_from = self._free_from.get(server.service, 0)
+        self._free_from[server.service] = min(free_from, server.seat)
 
 
 def _new_server(line: ServerLine) -> Server:
--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/repository.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/repository.py
@@ -201,11 +201,11 @@
                 committed = await self._step(base, decide, progress)
             except StoreConflictError:
                 committed = None
-            except StoreUnknownError:
-                progress.unknown = True
-                committed = None
             except StoreError as error:
-                raise progress.failure(error) from error
+                # Once a root may have been written, only reading it back tells.
+                if not progress.unknown:
+                    raise progress.failure(error) from error
+                committed = None
             if committed is not None:
                 return committed
             await self._pause(_backoff_ms(number))
@@ -247,6 +247,9 @@
             await self._store.compare_and_swap(
                 layout.ROOT_KEY, base.version, layout.encode_root(root)
             )
+        except StoreUnknownError:
+            progress.unknown = True
+            raise
         except StoreConflictError:
             # After a lost answer the root in the store may name these very shards.
             if not progress.unknown:
--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/sheet.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/sheet.py
@@ -150,7 +150,8 @@
 def _all_equal(lines: list[SheetLine]) -> bool:
     first = lines[0]
     return all(
-        msgspec.structs.replace(line, number=first.number) == first for line in lines
+        msgspec.structs.replace(line, number=first.number) == first
+        for line in lines[1:]
     )
 
 
--- a/packages/sapphirerail-core/tests/plan/test_draft.py
+++ b/packages/sapphirerail-core/tests/plan/test_draft.py
@@ -168,3 +168,20 @@
     plan = _plan("server,b1,,,,,draining,,,")
     (result,) = _apply(plan, "server,b1,,,,,draining,,,", base=1).results
     assert (result.outcome, result.revision) == (Outcome.UNCHANGED, 2)
+
+
+def test_thousands_of_servers_of_one_service_get_seats_of_their_own():
+    lines = [
+        f"server,n{n},,bookings,Osu,10.1.{n >> 8}.{n & 255}:1,active,,,"
+        for n in range(20_000)
+    ]
+    plan = _apply(_plan(), *lines).plan
+    seats = sorted(server.seat for server in plan.servers.values())
+    assert seats == list(range(20_002))
+
+
+def test_lowest_free_seat_is_given_again():
+    plan = _plan("server,b1,,,,,left,,,")
+    plan = _apply(plan, "server,b3,,bookings,Osu,10.0.0.3:1,active,,,").plan
+    plan = _apply(plan, "server,b4,,bookings,Osu,10.0.0.4:1,active,,,").plan
+    assert (plan.servers["b3"].seat, plan.servers["b4"].seat) == (0, 2)
