Refuse data centre names that an instance can't be given

Cause: the node's settings take letters, digits, '-', '_' and '.' only; a sheet that names a data centre otherwise would never match an instance.

Conclusion: sheet.bad_name tells it at the line.

--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/sheet_field.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/sheet_field.py
@@ -64,9 +64,14 @@
 def _parse_data_centre(number: int, fields: dict[str, str]) -> SheetLine:
     _check_unused(fields, ("kind", "name", "state"))
     state = fields["state"]
+    name = _name(fields, "name")
+    if not all(sign.isalnum() or sign in "-_." for sign in name):
+        # An instance takes no other signs for the data centre that it stands in.
+        reason = f"name {name!r} has signs besides letters, digits, '-', '_' and '.'"
+        raise LineError(RefusalReason.BAD_NAME, reason)
     return DataCentreLine(
         number=number,
-        name=DataCentreId(_name(fields, "name")),
+        name=DataCentreId(name),
         state=_state(state, DataCentreState) if state else None,
     )
 
