Let the first instance of a fleet join, and show the demo

Cause: an instance that others joined before it read the platform's list knew all listed instances, asked none of them, and so never counted as joined: it held no lease, yet was given roles, and their requests waited for ever.

The new test fails without the change.

Conclusion: until an instance has joined it asks the known ones as well. The store and the list of the platform stand-in now fail apart from each other, and the demo starts its holds once the sheet is in force.

--- a/packages/sapphirerail-core/src/sapphirerail_core/fleet/rounds.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/rounds.py
@@ -77,18 +77,26 @@
 def join_listed(fleet: FleetState) -> list[Effect]:
     """Ask a few listed but unknown instances for the members.
 
-    Until this instance has joined, those of its own data centre are asked first.
+    Until this instance has joined, those of its own data centre are asked first, the
+    known ones too: they may have joined here before this instance read the list.
     """
     unknown = sorted(n for n in fleet.listed if n not in fleet.roster.members)
     pool = unknown
     if fleet.joined_ms is None:
-        own = fleet.data_centre
-        local = [n for n in unknown if fleet.listed[n].data_centre == own]
-        pool = local or unknown
+        pool = _local_names(fleet) or unknown
     chosen = fleet.random_state.sample(pool, min(N_JOIN, len(pool)))
     return [SendToPeer(name, Join(fleet.roster.own.record)) for name in chosen]
 
 
+def _local_names(fleet: FleetState) -> list[InstanceId]:
+    """Return all others of this data centre that are listed or known alive."""
+    own = fleet.data_centre
+    names = {n for n, entry in fleet.listed.items() if entry.data_centre == own}
+    names.update(fleet.roster.live(own))
+    names.discard(fleet.self_id)
+    return sorted(names)
+
+
 def rejoin(fleet: FleetState, now_ms: int) -> list[Effect]:
     """Try to reach those that are listed or dead, a few at a time."""
     effects = join_listed(fleet)
--- a/packages/sapphirerail-core/tests/fleet/test_membership.py
+++ b/packages/sapphirerail-core/tests/fleet/test_membership.py
@@ -1,5 +1,9 @@
+import random
+
 import pytest
 
+from sapphirerail_core.fleet import FleetConfig, ListedInstance, Membership
+from sapphirerail_core.journal import Journal
 from sapphirerail_core.types import InstanceState
 from sapphirerail_standins.virtual_fleet import VirtualFleet
 
@@ -75,3 +79,28 @@
     assert fleet.members["osu-0"].owners(7, 2, "tema") == ()
     fleet.link.blocks = lambda sender, target: False
     fleet.run_until(lambda: _whole(fleet), 4000)
+
+
+def _membership(name):
+    return Membership.from_config(
+        FleetConfig(), name, "osu", 1, random.Random(name), Journal(name), now_ms=0
+    )
+
+
+def test_first_instance_joins_though_another_joined_it_before_it_had_a_list():
+    first, second = _membership("osu-a"), _membership("osu-b")
+    entries = [ListedInstance(name, "osu", "", "") for name in ("osu-a", "osu-b")]
+    for effect in second.on_listing(entries, 0):
+        for answer in first.on_message("osu-b", effect.message, 0):
+            second.on_message("osu-a", answer.message, 0)
+    first.on_listing(entries, 0)
+    members = {"osu-a": first, "osu-b": second}
+    for now_ms in range(100, 6000, 100):
+        queue = [(name, m) for name in members for m in members[name].tick(now_ms)]
+        while queue:
+            sender, effect = queue.pop()
+            target = effect.instance
+            answers = members[target].on_message(sender, effect.message, now_ms)
+            queue += [(target, answer) for answer in answers]
+    assert first.holds_lease(now_ms)
+    assert second.holds_lease(now_ms)
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/demo.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/demo.py
@@ -32,7 +32,6 @@
 N_PARTS = 40
 PART_PAUSE_MS = 100.0
 SETTLE_MS = 2000
-IN_FORCE_LIMIT_MS = 4000
 SHEET_NAME = "sample_sheet.csv"
 
 
@@ -73,11 +72,12 @@
             result = await self.system.operators.apply(rows, path=str(path))
         if result.exit_code != 0:
             raise RuntimeError(f"the sheet was not applied: {result}")
-        passed_ms = await self.system.in_force(result.revision)
-        self._note_in_force(f"sheet of {len(rows)} lines", passed_ms)
+        await self._note_in_force(f"sheet of {len(rows)} lines", result.revision)
+        await self.system.leases_held()
 
     async def open_flows(self) -> None:
-        """Open feeds and uploads, and wait until events come."""
+        """Open feeds and uploads, wait for events, and begin to send holds."""
+        self.workload.start_holds()
         feeds = self.workload.open_feeds(N_FEEDS)
         uploads = self.workload.start_uploads(
             N_UPLOADS, N_PARTS, pause_ms=PART_PAUSE_MS
@@ -94,8 +94,7 @@
         """Let the first backend server drain while its feeds go on."""
         server = next(iter(self.system.servers.running.values()))
         result = await self.system.operators.apply([server_row(server, "draining")])
-        passed_ms = await self.system.in_force(result.revision)
-        self._note_in_force(f"drain of {server.spec.server}", passed_ms)
+        await self._note_in_force(f"drain of {server.spec.server}", result.revision)
 
     async def kill_instance(self) -> None:
         """End an instance at once, and wait until every feed goes on."""
@@ -113,18 +112,19 @@
         self.notes.append(f"instance {name} killed; longest gap of a feed {gap_ms} ms")
 
     async def finish(self) -> None:
-        """Wait for the uploads, then close the feeds."""
-        await wait_until(
-            "all uploads are answered",
-            lambda: all(upload.is_done for upload in self.workload.uploads),
-        )
+        """Wait for the uploads and the holds, then close the feeds."""
+        await self.workload.stop_holds()
+        await wait_until("all requests have an outcome", self.workload.is_answered)
         for feed in self.workload.feeds:
             feed.close()
 
-    def _note_in_force(self, what: str, passed_ms: int) -> None:
+    async def _note_in_force(self, what: str, revision: int) -> None:
+        await self.system.in_force(revision)
+        now_ms = LoopClock().now_ms()
+        written_ms = await self.system.written_ms(revision)
         n_instances = len(self.system.instances.running)
-        text = f"{what}: in force on {n_instances} instances {passed_ms} ms later"
-        self.notes.append(text)
+        text = f"{what}: in force on {n_instances} instances"
+        self.notes.append(f"{text} {now_ms - written_ms} ms after the write")
 
 
 def demo_spec() -> SystemSpec:
@@ -146,13 +146,11 @@
         pids = system.launcher.pids()
         demo = Demo(system)
         progress.advance(bar)
-        async with demo.workload:
-            for text, step in demo.steps():
-                progress.update(bar, description=text)
-                await step()
-                progress.advance(bar)
+        for text, step in demo.steps():
+            progress.update(bar, description=text)
+            await step()
+            progress.advance(bar)
         progress.update(bar, description="checking the promises")
-        await wait_until("all holds are answered", demo.workload.is_answered)
         events = await system.history()
     violations = check(events)
     lines = [
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/harness.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/harness.py
@@ -86,14 +86,30 @@
         return msgspec.json.decode(answer, type=list[Write])
 
     async def apply_first_sheet(self) -> CommandResult:
-        """Apply the sheet of everything that was started, and wait for it."""
+        """Apply the sheet of everything that was started, and wait for it.
+
+        Roles are taken up by then: each instance holds its lease.
+        """
         rows = first_sheet(self.spec, self.servers.running.values())
         result = await self.operators.apply(rows)
         if result.exit_code != 0:
             raise AssertionError(f"the first sheet was not applied: {result}")
         await self.in_force(result.revision)
+        await self.leases_held()
         return result
 
+    async def leases_held(self) -> int:
+        """Wait until all instances may use exclusive roles; return the milliseconds."""
+
+        async def has_come() -> bool:
+            for name in self.instances.running:
+                status = await self.instances.call(name, "/status")
+                if not status.get("fleet", {}).get("lease_held"):
+                    return False
+            return True
+
+        return await wait_until("all leases held", has_come)
+
     async def in_force(
         self, revision: int, names: list[str] | None = None, timeout_ms: int = 20_000
     ) -> int:
@@ -106,6 +122,11 @@
 
         return await wait_until(f"revision {revision} in force", has_come, timeout_ms)
 
+    async def written_ms(self, revision: int) -> int:
+        """Return when the platform took the write that made a revision."""
+        found = await self._root_revisions()
+        return min(event.at_ms for event in found if event.revision >= revision)
+
     async def partition(self, data_centre: str, *, with_platform: bool = True) -> None:
         """Cut a data centre off from the others and from the platform."""
         inside = [instance.child.ready for instance in self.instances.of(data_centre)]
@@ -124,7 +145,7 @@
         records += [self.instances.events, self.servers.events, self.operators.events]
         return in_order(self._events, await self._root_revisions(), *records)
 
-    async def _root_revisions(self) -> list[HistoryEvent]:
+    async def _root_revisions(self) -> list[RevisionSeen]:
         return [
             RevisionSeen(
                 at_ms=write.at_ms,
@@ -146,17 +167,12 @@
         async with asyncio.TaskGroup() as group:
             for data_centre in self.spec.data_centres:
                 group.create_task(self._start_fabric(data_centre))
-            for server in self.spec.servers:
-                group.create_task(self.servers.add(server))
+            group.create_task(self.servers.add_all(self.spec.servers))
         self.instances = InstanceGroup(
             self.spec, self.launcher, self._platforms, self._fabrics
         )
         self.operators = Operators(self._platforms["address"])
-        async with asyncio.TaskGroup() as group:
-            for data_centre in self.spec.data_centres:
-                for letter in "abcdefgh"[: self.spec.n_instances]:
-                    name = f"{data_centre}-{letter}"
-                    group.create_task(self.instances.add(data_centre, name))
+        await self.instances.add_all()
 
     async def _start_platform(self) -> None:
         child = await self.launcher.start_module("platform", "platform")
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/instance_group.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/instance_group.py
@@ -22,6 +22,7 @@
 __all__ = ["Instance", "InstanceGroup"]
 
 CALL_TIMEOUT_MS = 2000
+LETTERS = "abcdefgh"
 SOCKETS = ("caller", "server", "peer", "api")
 ADVERTISED = {"peer": Protocol.UDP, "api": Protocol.TCP}
 
@@ -83,6 +84,18 @@
         """Return the instances of a data centre."""
         return [i for i in self.running.values() if i.data_centre == data_centre]
 
+    async def add_all(self) -> None:
+        """Start the instances that the system begins with, and keep them in order."""
+        names = {
+            f"{data_centre}-{LETTERS[number]}": data_centre
+            for data_centre in self._spec.data_centres
+            for number in range(self._spec.n_instances)
+        }
+        async with asyncio.TaskGroup() as group:
+            for name, data_centre in names.items():
+                group.create_task(self.add(data_centre, name))
+        self.running = {name: self.running[name] for name in names}
+
     async def add(self, data_centre: str, name: str = "") -> Instance:
         """Start one more instance and put it on all lists."""
         self._n_started += 1
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/platform.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/platform.py
@@ -22,6 +22,7 @@
 __all__ = ["Faults", "InstanceEntry", "Instances", "Platform"]
 
 WATCH_TIMEOUT_MS = 30_000
+LIST_CALL = "instances"
 WRITES = {("kv", "PUT"), ("kv", "DELETE")}
 
 
@@ -47,7 +48,9 @@
     Parameters
     ----------
     down : bool
-        Whether each call is cut without an answer.
+        Whether each call of the key-value service is cut without an answer.
+    list_down : bool
+        Whether each call of the list of instances is.
     delay_ms : int
         Time by which each call is slowed.
     lose_answers : int
@@ -57,6 +60,7 @@
     """
 
     down: bool = False
+    list_down: bool = False
     delay_ms: int = 0
     lose_answers: int = 0
     list_lag_ms: int = 0
@@ -101,17 +105,20 @@
         if head == "admin":
             return self._admin(request, rest)
         self._counts[f"{request.method} {head}"] += 1
-        self._cut_if_down()
+        self._cut_if_down(head)
         if self._faults.delay_ms:
             await asyncio.sleep(self._faults.delay_ms / 1000)
         value = await self._serve(request, head, unquote(rest))
-        self._cut_if_down()
+        self._cut_if_down(head)
         if (head, request.method) in WRITES:
             self._lose_answer()
         return HttpResponse(value)
 
-    def _cut_if_down(self) -> None:
-        if self._faults.down:
+    def _cut_if_down(self, head: str) -> None:
+        is_down = self._faults.down
+        if head == LIST_CALL:
+            is_down = self._faults.list_down
+        if is_down:
             raise ConnectionAbortedError("the platform is down")
 
     def _lose_answer(self) -> None:
@@ -129,7 +136,7 @@
             return await self._watch(request, rest)
         if head == "lease":
             return self._lease(request, rest)
-        if head == "instances" and request.method == "GET":
+        if head == LIST_CALL and request.method == "GET":
             return self._list()
         raise HttpError(404, "http.no_such_call", f"{request.method} {request.path}")
 
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/server_group.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/server_group.py
@@ -1,5 +1,7 @@
 """The backend servers of a system under test, and what they recorded."""
 
+import asyncio
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 import msgspec
@@ -59,6 +61,13 @@
         self._launcher = launcher
         self._ended: list[ServerRecord] = []
 
+    async def add_all(self, specs: Sequence[ServerSpec]) -> None:
+        """Start several backend servers at once; they are kept in this order."""
+        async with asyncio.TaskGroup() as group:
+            for spec in specs:
+                group.create_task(self.add(spec))
+        self.running = {spec.server: self.running[spec.server] for spec in specs}
+
     async def add(self, spec: ServerSpec) -> Server:
         """Start a backend server; the plan does not know it yet."""
         settings = msgspec.json.encode(spec.settings).decode()
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/workload.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/workload.py
@@ -34,7 +34,7 @@
         self._task: asyncio.Task[None] | None = None
 
     async def __aenter__(self) -> "Workload":
-        self._task = asyncio.create_task(self._send_holds())
+        self.start_holds()
         return self
 
     async def __aexit__(
@@ -43,9 +43,17 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        assert self._task is not None
-        self._task.cancel()
-        await asyncio.gather(self._task, return_exceptions=True)
+        await self.stop_holds()
+
+    def start_holds(self) -> None:
+        """Begin to send holds at a steady rate."""
+        self._task = asyncio.create_task(self._send_holds())
+
+    async def stop_holds(self) -> None:
+        """Send no more holds."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
 
     def open_feeds(self, n_feeds: int, service: str = BOOKINGS) -> list[Feed]:
         """Open feeds and return them."""
--- a/packages/sapphirerail-standins/tests/test_platform.py
+++ b/packages/sapphirerail-standins/tests/test_platform.py
@@ -76,9 +76,9 @@
                 break
         await client.call("PUT", "/admin/faults", Faults(down=True))
         assert await waiting == "http.unreachable"
-        assert await _fails(client, "GET", "/instances") == "http.unreachable"
-        await client.call("PUT", "/admin/faults", Faults())
         assert await client.call("GET", "/instances")
+        await client.call("PUT", "/admin/faults", Faults(list_down=True))
+        assert await _fails(client, "GET", "/instances") == "http.unreachable"
         counts = msgspec.json.decode(await client.call("GET", "/admin/counts"))
         assert counts["calls"] == {"GET watch": 1, "GET instances": 2}
 
