Race two operators as two processes in the command's test

Cause: the test runner of the command line redirects standard output of its whole process, so that of two commands at once one lost its answer. Ruled out: the race in the store itself, since the revisions were 2 and 3 in the failing runs too. Conclusion: a fault of the test, not of the command.

--- a/packages/sapphirerail-cli/tests/test_commands.py
+++ b/packages/sapphirerail-cli/tests/test_commands.py
@@ -1,6 +1,8 @@
 import asyncio
 import json
+import os
 import random
+import sys
 
 import pytest
 from typer.testing import CliRunner
@@ -112,15 +114,30 @@
             path = self.tmp_path / "sheet.csv"
             path.write_text(sheet)
             arguments = [str(path) if a == "FILE" else a for a in arguments]
-        environment = {
+        runner = CliRunner()
+        return await asyncio.to_thread(
+            runner.invoke, command, list(arguments), env=self.environment(key)
+        )
+
+    def environment(self, key):
+        return {
             "SAPPHIRERAIL_PLATFORM": self.address,
             "SAPPHIRERAIL_KEY": key,
             "SAPPHIRERAIL_OPERATOR": "ama",
         }
-        runner = CliRunner()
-        return await asyncio.to_thread(
-            runner.invoke, command, list(arguments), env=environment
+
+    async def run_process(self, *arguments):
+        """Run the command as a process: the test runner redirects one at a time."""
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "sapphirerail_cli",
+            *arguments,
+            env=os.environ | self.environment(KEY),
+            stdout=asyncio.subprocess.PIPE,
         )
+        output, _ = await process.communicate()
+        return process.returncode, json.loads(output)
 
     async def plan(self):
         return (await PlanRepository(self.store).read()).plan
@@ -362,12 +379,12 @@
     async def scenario(world):
         await world.run("sheet", "apply", "FILE", sheet=SHEET)
         commands = [
-            world.run("server", "drain", "b1", "--json"),
-            world.run("datacentre", "out", "Osu", "--json"),
+            world.run_process("server", "drain", "b1", "--json"),
+            world.run_process("datacentre", "out", "Osu", "--json"),
         ]
         results = await asyncio.gather(*commands)
-        assert {result.exit_code for result in results} == {ExitCode.OK}
-        revisions = {json.loads(result.stdout)["revision"] for result in results}
+        assert {exit_code for exit_code, _ in results} == {ExitCode.OK}
+        revisions = {answer["revision"] for _, answer in results}
         plan = await world.plan()
         assert [write.revision for write in plan.history] == [1, 2, 3]
         assert revisions == {2, 3}
