--- a/packages/sapphirerail-cli/tests/test_commands.py
+++ b/packages/sapphirerail-cli/tests/test_commands.py
@@ -114,30 +114,31 @@
             path = self.tmp_path / "sheet.csv"
             path.write_text(sheet)
             arguments = [str(path) if a == "FILE" else a for a in arguments]
-        runner = CliRunner()
-        return await asyncio.to_thread(
-            runner.invoke, command, list(arguments), env=self.environment(key)
-        )
-
-    def environment(self, key):
-        return {
+        environment = {
             "SAPPHIRERAIL_PLATFORM": self.address,
             "SAPPHIRERAIL_KEY": key,
             "SAPPHIRERAIL_OPERATOR": "ama",
         }
+        runner = CliRunner()
+        return await asyncio.to_thread(
+            runner.invoke, command, list(arguments), env=environment
+        )
 
     async def run_process(self, *arguments):
-        """Run the command as a process: the test runner redirects one at a time."""
+        """Run the command in a process of its own; return its JSON report."""
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
             "sapphirerail_cli",
             *arguments,
-            env=os.environ | self.environment(KEY),
+            "--json",
             stdout=asyncio.subprocess.PIPE,
+            env=os.environ
+            | {"SAPPHIRERAIL_PLATFORM": self.address, "SAPPHIRERAIL_KEY": KEY},
         )
         output, _ = await process.communicate()
-        return process.returncode, json.loads(output)
+        assert process.returncode == ExitCode.OK
+        return json.loads(output)
 
     async def plan(self):
         return (await PlanRepository(self.store).read()).plan
@@ -378,13 +379,11 @@
 def test_two_operators_racing_end_in_one_order(play):
     async def scenario(world):
         await world.run("sheet", "apply", "FILE", sheet=SHEET)
-        commands = [
-            world.run_process("server", "drain", "b1", "--json"),
-            world.run_process("datacentre", "out", "Osu", "--json"),
-        ]
-        results = await asyncio.gather(*commands)
-        assert {exit_code for exit_code, _ in results} == {ExitCode.OK}
-        revisions = {answer["revision"] for _, answer in results}
+        reports = await asyncio.gather(
+            world.run_process("server", "drain", "b1"),
+            world.run_process("datacentre", "out", "Osu"),
+        )
+        revisions = {report["revision"] for report in reports}
         plan = await world.plan()
         assert [write.revision for write in plan.history] == [1, 2, 3]
         assert revisions == {2, 3}
