--- a/packages/sapphirerail-core/src/sapphirerail_core/fleet/roster.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/roster.py
@@ -118,12 +118,14 @@
     @apply.register
     def _(self, rumour: Accused, now_ms: int) -> bool:
         member = self.members.get(rumour.instance)
-        if member is None or member is self.own or member.gone:
+        if member is None or member is self.own:
             return False
         if rumour.incarnation != member.incarnation:
             return False
         if rumour.accuser in member.accusers:
             return False
+        if member.gone:
+            return self._add_late_accuser(member, rumour, now_ms)
         self.accuse(member, rumour.accuser, now_ms - rumour.silent_ms, now_ms)
         return True
 
@@ -140,6 +142,15 @@
         self._set_state(member, InstanceState.LEFT, now_ms)
         return True
 
+    def _add_late_accuser(self, member: Member, rumour: Accused, now_ms: int) -> bool:
+        """Keep the second accuser of a dead member for those that need two."""
+        if member.state is not InstanceState.DEAD:
+            return False
+        if len(member.accusers) >= N_ACCUSERS:
+            return False
+        member.accusers[rumour.accuser] = now_ms - rumour.silent_ms
+        return True
+
     def accuse(
         self, member: Member, accuser: InstanceId, heard_ms: int, now_ms: int
     ) -> None:
--- a/packages/sapphirerail-core/src/sapphirerail_core/fleet/state.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/state.py
@@ -79,7 +79,7 @@
         self.helper = ProbeHelper(config, own.instance)
         self.electorate = Electorate(config, self.roster)
         self.lease = PeerLease(config, now_ms)
-        self.sync = MemberSync(config, self.roster, now_ms)
+        self.sync = MemberSync(config, self.roster, random_state, now_ms)
 
     def is_local(self, instance: InstanceId) -> bool:
         """Return whether an instance is known to stand in the own data centre."""
--- a/packages/sapphirerail-core/src/sapphirerail_core/journal.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/journal.py
@@ -28,6 +28,13 @@
     FLOW_OPENED = "flow.opened"
     FLOW_CLOSED = "flow.closed"
     FLOW_LOST = "flow.lost"
+    FLOW_GIVEN_UP = "flow.given_up"
+    FLOW_EVICTED = "flow.evicted"
+    FLOW_UNRECORDED = "flow.unrecorded"
+    FLOW_SEARCHED = "flow.searched"
+    FLOW_FOUND = "flow.found"
+    FLOW_SILENT = "flow.silent"
+    FLOW_WAY_BACK = "flow.way_back"
 
     # Request
     REQUEST_REFUSED = "request.refused"
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/server_model.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/server_model.py
@@ -22,6 +22,7 @@
 
 __all__ = ["ServerModel"]
 
+NEW_WORK = frozenset({Kind.REQUEST, Kind.OPEN})
 Send = Callable[[Datagram, str], None]
 
 
@@ -77,8 +78,9 @@
             Kind.KEEPALIVE: self._flows.on_keepalive,
             Kind.CLOSE: self._flows.on_close,
         }
+        self._is_cold_announced = settings.starts_cold
         if settings.starts_cold:
-            self.turn_cold()
+            self.cold_since_ms = clock.now_ms()
 
     @property
     def n_flows(self) -> int:
@@ -96,13 +98,16 @@
         if self._clock.now_ms() < self._silent_until_ms:
             return
         handler = self._handlers.get(datagram.kind)
+        if self.settings.ignores_requests and datagram.kind in NEW_WORK:
+            return
         if handler is not None and datagram.service == self.settings.service:
             handler(datagram, sender)
         self._note_report()
 
     def turn_cold(self) -> None:
-        """Become cold now, as after a restart of the software behind the socket."""
+        """Become cold without warning."""
         self.cold_since_ms = self._clock.now_ms()
+        self._is_cold_announced = False
 
     def forget(self) -> None:
         """Lose all flows and requests, as a restart does."""
@@ -153,6 +158,7 @@
             n_in_flight=self.n_in_flight + 1,
             n_bearable=self.settings.n_bearable_cold,
             cold_since_ms=self.cold_since_ms or 0,
+            is_announced=self._is_cold_announced,
         )
         self.events.append(event)
         self._drop_requests()
--- a/packages/sapphirerail-transport/src/sapphirerail_transport/listing.py
+++ b/packages/sapphirerail-transport/src/sapphirerail_transport/listing.py
@@ -1,4 +1,4 @@
-"""The platform's list of instances over HTTP."""
+"""Client of the platform's lagging list of instances."""
 
 from collections.abc import Sequence
 
@@ -8,31 +8,30 @@
 from sapphirerail_core.fleet.listing import ListedInstance
 
 from .http import HttpClient
+from .udp import Address
 
-__all__ = ["PlatformInstanceList"]
+__all__ = ["HttpInstanceList"]
 
-TIMEOUT_MS = 2000
+LIST_TIMEOUT_MS = 2000
 
 
 class _Listing(msgspec.Struct, frozen=True):
-    """The answer's body."""
-
     instances: list[ListedInstance]
 
 
-class PlatformInstanceList:
-    """Fetches the list; an answer that cannot be read is an error, not a list.
+class HttpInstanceList:
+    """Reads the list over HTTP.
 
     Parameters
     ----------
-    client : HttpClient
-        Calls the platform.
+    address : Address
+        Where the platform listens.
     timeout_ms : int
         Time for one call.
     """
 
-    def __init__(self, client: HttpClient, timeout_ms: int = TIMEOUT_MS) -> None:
-        self._client = client
+    def __init__(self, address: Address, timeout_ms: int = LIST_TIMEOUT_MS) -> None:
+        self._client = HttpClient(address)
         self._timeout_ms = timeout_ms
 
     async def fetch(self) -> Sequence[ListedInstance]:
@@ -41,9 +40,9 @@
         Raises
         ------
         HttpError
-            If the platform gives no answer or refuses.
+            If there was no usable answer.
         InputError
-            ``listing.malformed`` if the answer cannot be read.
+            ``listing.malformed`` if the answer is not a list of instances.
         """
         body = await self._client.call("GET", "/instances", timeout_ms=self._timeout_ms)
         try:
