Keep packets from servers that left, and refuse with NO_PLAN before a plan

Cause: the router still sent to a server that had left; once its address belonged to a server of another service, a packet could have reached that one. Answers from a reused address could be taken for the server that left, depending on the plan's order. An instance without a plan said UNKNOWN_SERVICE.

The guard on the way out drops packets for servers that left; a new server's address wins; NO_PLAN (14) is the refusal while there is no plan. A part of an instance that fails on a plan no longer keeps it from the others. SAPPHIRERAIL_INSTANCES asks named instances while the platform can't be reached.

--- a/packages/sapphirerail-cli/src/sapphirerail_cli/fleet_client.py
+++ b/packages/sapphirerail-cli/src/sapphirerail_cli/fleet_client.py
@@ -15,7 +15,14 @@
 from sapphirerail_transport.signature import Signer
 from sapphirerail_transport.udp import parse_address
 
-__all__ = ["FleetClient", "InstanceRevision", "InstanceStatus", "PlanPart", "Unknown"]
+__all__ = [
+    "FleetClient",
+    "GivenInstances",
+    "InstanceRevision",
+    "InstanceStatus",
+    "PlanPart",
+    "Unknown",
+]
 
 CALL_TIMEOUT_MS = 1500
 PLAN_TIMEOUT_MS = 15_000
@@ -23,6 +30,8 @@
 NOTHING_NEWER = 1 << 53
 """A revision that no plan has: the answer to it is only the revision in force."""
 
+NO_DATA_CENTRE = DataCentreId("(not known)")
+
 AnswerT = TypeVar("AnswerT")
 
 
@@ -87,6 +96,36 @@
     flows: FlowPart = FlowPart()
 
 
+class GivenInstances:
+    """Instances that the operator names, for when the platform can't be asked.
+
+    Parameters
+    ----------
+    addresses : sequence of str
+        ``address:port`` of their signed interfaces.
+    signer : Signer
+        Signs the calls.
+    """
+
+    def __init__(self, addresses: Sequence[str], signer: Signer) -> None:
+        self._addresses = addresses
+        self._signer = signer
+
+    async def fetch(self) -> Sequence[ListedInstance]:
+        """Return the instances by the names that they give themselves."""
+        return await asyncio.gather(*(self._entry(text) for text in self._addresses))
+
+    async def _entry(self, address: str) -> ListedInstance:
+        client = HttpClient(parse_address(address), self._signer)
+        try:
+            body = await client.call("GET", "/status", timeout_ms=CALL_TIMEOUT_MS)
+            told = msgspec.json.decode(body, type=InstanceStatus)
+        except (SapphirerailError, msgspec.MsgspecError):
+            unnamed = InstanceId(address)
+            return ListedInstance(unnamed, NO_DATA_CENTRE, "", address)
+        return ListedInstance(told.instance, told.data_centre, "", address)
+
+
 class FleetClient:
     """Asks instances over their signed interface.
 
--- a/packages/sapphirerail-cli/src/sapphirerail_cli/invocation.py
+++ b/packages/sapphirerail-cli/src/sapphirerail_cli/invocation.py
@@ -10,6 +10,7 @@
 import typer
 
 from sapphirerail_core.errors import InputError, SapphirerailError
+from sapphirerail_core.fleet.listing import InstanceList
 from sapphirerail_core.plan.repository import PlanWriteError
 from sapphirerail_core.plan.store import StoreError
 from sapphirerail_core.types import Revision
@@ -18,7 +19,7 @@
 from sapphirerail_transport.store import HttpStore
 
 from .exit_code import ExitCode
-from .fleet_client import FleetClient
+from .fleet_client import FleetClient, GivenInstances
 from .fleet_operator import FleetOperator
 from .operator import Operator
 from .settings import CliSettings
@@ -91,8 +92,11 @@
     store = HttpStore(settings.platform)
     fleet = None
     if settings.key:
-        listing = HttpInstanceList(settings.platform)
-        client = FleetClient(listing, Signer(settings.key))
+        signer = Signer(settings.key)
+        listing: InstanceList = HttpInstanceList(settings.platform)
+        if settings.instances:
+            listing = GivenInstances(settings.instances, signer)
+        client = FleetClient(listing, signer)
         fleet = FleetOperator(store, client, settings.operator)
     return Facades(Operator(store, settings.operator), fleet)
 
--- a/packages/sapphirerail-cli/src/sapphirerail_cli/settings.py
+++ b/packages/sapphirerail-cli/src/sapphirerail_cli/settings.py
@@ -7,10 +7,11 @@
 from sapphirerail_core.errors import InputError
 from sapphirerail_transport.udp import Address, parse_address
 
-__all__ = ["KEY_FILE_VARIABLE", "KEY_VARIABLE", "CliSettings"]
+__all__ = ["INSTANCES_VARIABLE", "KEY_FILE_VARIABLE", "KEY_VARIABLE", "CliSettings"]
 
 KEY_VARIABLE = "SAPPHIRERAIL_KEY"
 KEY_FILE_VARIABLE = "SAPPHIRERAIL_KEY_FILE"
+INSTANCES_VARIABLE = "SAPPHIRERAIL_INSTANCES"
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,11 +27,15 @@
     key : str
         Shared key of instances and operators; empty if none was given, and never
         shown.
+    instances : tuple of str
+        ``address:port`` of instances to ask in place of those on the platform's
+        list; empty asks the list.
     """
 
     platform: Address
     operator: str
     key: str
+    instances: tuple[str, ...] = ()
 
     @classmethod
     def from_config(
@@ -45,7 +50,7 @@
         operator : str
             Who asks.
         environment : mapping of str to str
-            Holds the key, or the name of the file that does.
+            Holds the key, or the name of the file that does, and perhaps instances.
 
         Raises
         ------
@@ -57,7 +62,8 @@
         except ValueError as error:
             text = "give --platform or SAPPHIRERAIL_PLATFORM as address:port"
             raise InputError("settings.invalid", text) from error
-        return cls(address, operator, _key(environment))
+        instances = _instances(environment.get(INSTANCES_VARIABLE, ""))
+        return cls(address, operator, _key(environment), instances)
 
     def __repr__(self) -> str:
         """Return the settings without the key."""
@@ -73,3 +79,14 @@
     except OSError as error:
         text = f"{KEY_FILE_VARIABLE}: {error.strerror}"
         raise InputError("settings.invalid", text) from error
+
+
+def _instances(text: str) -> tuple[str, ...]:
+    addresses = tuple(part.strip() for part in text.split(",") if part.strip())
+    for address in addresses:
+        try:
+            parse_address(address)
+        except ValueError as error:
+            told = f"{INSTANCES_VARIABLE}: give address:port, with commas between"
+            raise InputError("settings.invalid", told) from error
+    return addresses
--- a/packages/sapphirerail-cli/tests/test_commands.py
+++ b/packages/sapphirerail-cli/tests/test_commands.py
@@ -109,7 +109,7 @@
     async def list(self, entries):
         await self.admin("/admin/instances", Instances(entries))
 
-    async def run(self, *arguments, key=KEY, sheet=None):
+    async def run(self, *arguments, key=KEY, sheet=None, instances=""):
         if sheet is not None:
             path = self.tmp_path / "sheet.csv"
             path.write_text(sheet)
@@ -118,6 +118,7 @@
             "SAPPHIRERAIL_PLATFORM": self.address,
             "SAPPHIRERAIL_KEY": key,
             "SAPPHIRERAIL_OPERATOR": "ama",
+            "SAPPHIRERAIL_INSTANCES": instances,
         }
         runner = CliRunner()
         return await asyncio.to_thread(
@@ -312,6 +313,20 @@
     play(scenario)
 
 
+def test_named_instances_are_asked_while_the_platform_is_down(play):
+    async def scenario(world):
+        await world.run("sheet", "apply", "FILE", sheet=SHEET)
+        await world.admin("/admin/faults", Faults(down=True))
+        instances = f"{world.entries[0].api_address},127.0.0.1:9"
+        result = await world.run("status", instances=instances)
+        assert result.exit_code == ExitCode.NOT_IN_FORCE
+        assert "store: no answer (http.unreachable)" in result.stdout
+        assert "Osu i0: serving, revision 1" in result.stdout
+        assert "(not known) 127.0.0.1:9: not known" in result.stdout
+
+    play(scenario)
+
+
 def test_wait(play):
     async def scenario(world):
         await world.run("sheet", "apply", "FILE", sheet=SHEET)
--- a/packages/sapphirerail-cli/tests/test_settings.py
+++ b/packages/sapphirerail-cli/tests/test_settings.py
@@ -20,6 +20,12 @@
     assert CliSettings.from_config(PLATFORM, "ama", environment).key == "from the file"
 
 
+def test_instances_to_ask():
+    environment = {"SAPPHIRERAIL_INSTANCES": "127.0.0.1:1, 127.0.0.1:2,"}
+    settings = CliSettings.from_config(PLATFORM, "ama", environment)
+    assert settings.instances == ("127.0.0.1:1", "127.0.0.1:2")
+
+
 def test_key_is_never_shown():
     environment = {"SAPPHIRERAIL_KEY": "very secret"}
     settings = CliSettings.from_config(PLATFORM, "ama", environment)
@@ -32,6 +38,7 @@
         ("", {}),
         ("localhost", {}),
         (PLATFORM, {"SAPPHIRERAIL_KEY_FILE": "/nowhere/at/all"}),
+        (PLATFORM, {"SAPPHIRERAIL_INSTANCES": "127.0.0.1:1,osu"}),
     ],
 )
 def test_unusable_settings(platform, environment):
--- a/packages/sapphirerail-core/src/sapphirerail_core/datagram.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/datagram.py
@@ -59,6 +59,7 @@
     DUPLICATE = 11
     MALFORMED = 12
     UNREACHABLE = 13
+    NO_PLAN = 14
 
 
 class Datagram(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
--- a/packages/sapphirerail-node/src/sapphirerail_node/plan_service.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/plan_service.py
@@ -228,10 +228,17 @@
         actions = decide()
         if self.plan is not before:
             _log.info("plan taken", extra={"revision": self.plan.revision})
-            for callback in self.on_plan:
-                callback(self.plan)
+            self._tell()
         self._outbox += self._carry_out(actions)
 
+    def _tell(self) -> None:
+        """Pass the plan on; one part that fails must not keep it from the others."""
+        for callback in self.on_plan:
+            try:
+                callback(self.plan)
+            except Exception:
+                _log.exception("a part of the instance could not use the plan")
+
     def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
         self._tasks.add(task)
--- a/packages/sapphirerail-node/src/sapphirerail_node/router.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/router.py
@@ -17,7 +17,7 @@
 )
 from sapphirerail_core.journal import Journal, Reason
 from sapphirerail_core.plan import EMPTY_PLAN, Plan
-from sapphirerail_core.types import InstanceId, ServerId
+from sapphirerail_core.types import InstanceId, ServerId, ServerState
 from sapphirerail_transport.udp import Address, format_address
 
 from .metrics import Metrics
@@ -131,8 +131,16 @@
     def on_plan(self, plan: Plan) -> None:
         """Use a new plan for addresses and for the guards."""
         self._plan = plan
+        servers = plan.servers.values()
+        # The address of a server that has left may belong to another one by now.
         self._server_by_address = {
-            server.address: server.server for server in plan.servers.values()
+            server.address: server.server
+            for server in servers
+            if server.state is ServerState.LEFT
+        } | {
+            server.address: server.server
+            for server in servers
+            if server.state is not ServerState.LEFT
         }
 
     def on_caller_datagram(
@@ -207,6 +215,8 @@
                 extra={"flow": effect.datagram.flow, "server": effect.server},
             )
             self._drop(effect.datagram, "outgoing.wrong_service")
+        elif server.state is ServerState.LEFT:
+            self._drop(effect.datagram, "outgoing.server_left")
         elif self._plan.is_out(server.data_centre):
             self._drop(effect.datagram, "outgoing.data_centre_out")
         else:
@@ -219,13 +229,19 @@
         refusal = msgspec.structs.replace(
             datagram,
             kind=Kind.REFUSAL,
-            code=RefusalCode.UNKNOWN_SERVICE,
+            code=self._refusal_code(),
             # An earlier attempt may have met an instance that knows the service.
             run=Run.NO if datagram.attempt == 0 else Run.UNKNOWN,
             body=b"",
         )
         self._outlets.to_caller(refusal)
 
+    def _refusal_code(self) -> RefusalCode:
+        """Return why a service is not known: perhaps nothing is known yet."""
+        if self._plan.revision == 0:
+            return RefusalCode.NO_PLAN
+        return RefusalCode.UNKNOWN_SERVICE
+
     def _drop(self, datagram: Datagram, why: str) -> None:
         self._metrics.count(f"dropped.{why}")
         self._journal.note(
--- a/packages/sapphirerail-node/tests/test_plan_service.py
+++ b/packages/sapphirerail-node/tests/test_plan_service.py
@@ -169,6 +169,20 @@
     _run(scenario, MemoryStore(down=True), {"i0": "Osu"})
 
 
+def test_part_that_fails_does_not_keep_the_plan_from_others():
+    async def scenario(fleet):
+        await fleet.start("i0")
+        service = fleet.services["i0"]
+        service.on_plan.insert(0, lambda plan: 1 / 0)
+        await _commit(fleet.store, "data_centre,Osu,,in")
+        await fleet.reach(1, "i0")
+        await _commit(fleet.store, "data_centre,Osu,,out")
+        await fleet.reach(2, "i0")
+        assert [plan.revision for plan in fleet.taken["i0"]] == [1, 2]
+
+    _run(scenario, members={"i0": "Osu"})
+
+
 def test_store_restored_from_an_old_backup_reverts_nothing():
     async def scenario(fleet):
         await _commit(fleet.store, "data_centre,Osu,,in")
--- a/packages/sapphirerail-node/tests/test_router.py
+++ b/packages/sapphirerail-node/tests/test_router.py
@@ -4,8 +4,8 @@
 from sapphirerail_core.datagram import Datagram, Kind, RefusalCode, Run
 from sapphirerail_core.effects import SendToCaller, SendToServer
 from sapphirerail_core.journal import Journal, Reason
-from sapphirerail_core.plan import DataCentre, Plan, Server, Service
-from sapphirerail_core.types import DataCentreState
+from sapphirerail_core.plan import EMPTY_PLAN, DataCentre, Plan, Server, Service
+from sapphirerail_core.types import DataCentreState, ServerState
 from sapphirerail_node.metrics import Metrics
 from sapphirerail_node.router import Outlets, Router
 
@@ -113,6 +113,33 @@
     assert bench.sent_to_callers[0].run is Run.UNKNOWN
 
 
+def test_without_a_plan_all_is_refused_as_not_run():
+    bench = _Bench()
+    bench.router.on_plan(EMPTY_PLAN)
+    bench.router.on_caller_datagram(_datagram(Kind.REQUEST), _CALLER, 1)
+    (refusal,) = bench.sent_to_callers
+    assert (refusal.code, refusal.run) == (RefusalCode.NO_PLAN, Run.NO)
+
+
+@pytest.mark.parametrize("names", [("a", "z"), ("z", "a")])
+def test_address_of_a_server_that_left_belongs_to_the_new_one(names):
+    gone, new = names
+    left = msgspec.structs.replace(
+        _PLAN.servers["b1"], server=gone, service="other", state=ServerState.LEFT
+    )
+    entered = msgspec.structs.replace(_PLAN.servers["b1"], server=new)
+    servers = {gone: left, new: entered}
+    for order in (servers, dict(reversed(servers.items()))):
+        bench = _Bench()
+        bench.router.on_plan(msgspec.structs.replace(_PLAN, servers=order))
+        bench.router.on_server_datagram(_datagram(Kind.ACK), _SERVER_SENDER, 1)
+        assert bench.flows.calls == [(new, _datagram(Kind.ACK))]
+        effect = SendToServer(gone, _datagram(Kind.DATA, "other"))
+        bench.router.carry_out([effect])
+        assert not bench.sent_to_servers
+        assert bench.metrics.counters["dropped.outgoing.server_left"] == 1
+
+
 def test_caller_cannot_send_a_kind_of_servers():
     bench = _Bench()
     bench.router.on_caller_datagram(_datagram(Kind.ANSWER), _CALLER, 1)
