Keep a returned instance's lease back until its successors' have lapsed

Cause: 400 random examples of the state machine found that an instance called dead and back again could hold its lease while the one that had taken its roles over, cut off just then, still held its own. Conclusion: a lease that lapsed for longer than the margin comes back lease time and margin after its renewal; newcomers wait the same 1.75 s.

--- a/packages/sapphirerail-core/src/sapphirerail_core/fleet/config.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/config.py
@@ -19,11 +19,10 @@
     lease_ms : int
         Time for which an acknowledged heartbeat holds the peer lease.
     lease_margin_ms : int
-        Added to `lease_ms` before another instance uses the role.
+        Added to `lease_ms` before another instance uses the role. An instance
+        that was without the lease for longer than this waits for both anew.
     pause_ms : int
         Gap between two ticks that counts as a pause of this process.
-    settle_ms : int
-        Time after joining before the peer lease can be held.
     unreachable_after_ms : int
         Silence of a whole data centre after which it counts as unreachable.
     verify_ms : int
@@ -65,7 +64,6 @@
     lease_ms: int = 1500
     lease_margin_ms: int = 250
     pause_ms: int = 500
-    settle_ms: int = 1000
     unreachable_after_ms: int = 2000
     verify_ms: int = 1000
     rejoin_ms: int = 1000
--- a/packages/sapphirerail-core/src/sapphirerail_core/fleet/lease.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/lease.py
@@ -15,7 +15,9 @@
     """Decides until when this instance may use exclusive roles.
 
     The lease runs from the time at which an answered heartbeat was sent, so that a
-    late answer or a pause never lengthens it.
+    late answer or a pause never lengthens it. Once it has lapsed for so long that
+    others may have taken the roles over, it comes back only after every lease that
+    they may still hold without knowing has lapsed in turn.
 
     Parameters
     ----------
@@ -31,6 +33,7 @@
         self._answered_ms: dict[InstanceId, int] = {}
         self._valid_from_ms = now_ms
         self._valid_until_ms = NEVER_MS
+        self._covered_until_ms = NEVER_MS
         self._tick_ms = now_ms
 
     def note_round(self, sequence: int, now_ms: int) -> None:
@@ -72,15 +75,20 @@
             if name in witnesses
         }
         self._valid_until_ms = NEVER_MS
-        if may_hold:
-            renewed_ms = self._majority_ms(witnesses, now_ms)
-            self._valid_until_ms = renewed_ms + self._config.lease_ms
+        until_ms = self._majority_ms(witnesses, now_ms) + self._config.lease_ms
+        if not may_hold or until_ms <= now_ms:
+            return
+        margin_ms = self._config.lease_margin_ms
+        if now_ms > self._covered_until_ms + margin_ms:
+            self._valid_from_ms = now_ms + self._config.lease_ms + margin_ms
+        self._covered_until_ms = until_ms
+        self._valid_until_ms = until_ms
 
     def holds(self, now_ms: int) -> bool:
         """Return whether the lease holds and this process was not paused."""
         if now_ms - self._tick_ms > self._config.pause_ms:
             return False
-        return now_ms < self._valid_until_ms
+        return self._valid_from_ms <= now_ms < self._valid_until_ms
 
     def _majority_ms(self, witnesses: tuple[InstanceId, ...], now_ms: int) -> int:
         if not witnesses:
--- a/packages/sapphirerail-core/src/sapphirerail_core/fleet/membership.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/membership.py
@@ -304,19 +304,14 @@
         if fleet.joined_ms is None and self._is_alone(now_ms):
             fleet.note_joined(now_ms)
         witnesses = fleet.roster.neighbours(self.self_id)
-        fleet.lease.renew(witnesses, self._may_hold(now_ms), now_ms)
+        may_hold = fleet.joined_ms is not None and fleet.electorate.has_majority()
+        fleet.lease.renew(witnesses, may_hold, now_ms)
         held = self.holds_lease(now_ms)
         if held is not self._lease_was_held:
             self._lease_was_held = held
             reason = Reason.LEASE_HELD if held else Reason.LEASE_LOST
             fleet.journal.note(now_ms, reason)
 
-    def _may_hold(self, now_ms: int) -> bool:
-        joined_ms = self._fleet.joined_ms
-        if joined_ms is None or now_ms - joined_ms < self._fleet.config.settle_ms:
-            return False
-        return self._fleet.electorate.has_majority()
-
     def _is_alone(self, now_ms: int) -> bool:
         fleet = self._fleet
         if len(fleet.roster.live(self.self_data_centre)) > 1:
--- a/packages/sapphirerail-core/src/sapphirerail_core/fleet/rounds.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/rounds.py
@@ -25,14 +25,22 @@
 
 def _round_targets(fleet: FleetState) -> list[InstanceId]:
     roster, config = fleet.roster, fleet.config
-    targets = list(roster.neighbours(fleet.self_id))
+    targets: list[InstanceId | None] = list(roster.neighbours(fleet.self_id))
     local = roster.sample(fleet.random_state, fleet.data_centre, config.n_random)
     targets += [name for name in local if name not in targets]
-    others = [d for d in roster.data_centres() if d != fleet.data_centre]
-    for offset in range(min(config.n_remote, len(others))):
-        data_centre = others[(fleet.sequence + offset) % len(others)]
-        targets += roster.sample(fleet.random_state, data_centre, 1)
-    return targets
+    targets += [_next_remote(fleet) for _ in range(config.n_remote)]
+    return [name for name in targets if name is not None]
+
+
+def _next_remote(fleet: FleetState) -> InstanceId | None:
+    """Return the next instance elsewhere, so that each has its turn."""
+    others = [d for d in fleet.roster.data_centres() if d != fleet.data_centre]
+    if not others:
+        return None
+    fleet.n_remote_sent += 1
+    turn, place = divmod(fleet.n_remote_sent, len(others))
+    live = fleet.roster.live(others[place])
+    return live[turn % len(live)]
 
 
 def accuse(fleet: FleetState, member: Member, now_ms: int) -> list[Effect]:
--- a/packages/sapphirerail-core/src/sapphirerail_core/fleet/state.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/state.py
@@ -67,6 +67,7 @@
         self.leaving = False
         self.revision = Revision(0)
         self.sequence = random_state.randrange(1, 1 << 30)
+        self.n_remote_sent = random_state.randrange(1 << 16)
         self.echoes: dict[InstanceId, int] = {}
         self.listed: dict[InstanceId, ListedInstance] = {}
         self.requests: list[Effect] = []
--- /dev/null
+++ b/packages/sapphirerail-core/tests/fleet/test_ring.py
@@ -0,0 +1,42 @@
+import pytest
+
+from sapphirerail_core.fleet.ring import Ring
+from sapphirerail_core.rendezvous import hash_key
+
+NAMES = [f"osu-{n}" for n in range(9)]
+ORDER = sorted(NAMES, key=hash_key)
+
+
+def _at(*places):
+    return tuple(sorted(ORDER[place % len(ORDER)] for place in places))
+
+
+@pytest.mark.parametrize("place", range(9))
+def test_neighbours_are_the_nearest_on_both_sides(place):
+    found = Ring(NAMES).neighbours(ORDER[place], 2)
+    assert found == _at(place - 2, place - 1, place + 1, place + 2)
+
+
+def test_relation_is_symmetric():
+    ring = Ring(NAMES)
+    for name in NAMES:
+        for other in ring.neighbours(name, 2):
+            assert name in ring.neighbours(other, 2)
+
+
+def test_skipped_ones_do_not_count():
+    skipped = ORDER[1]
+    found = Ring(NAMES).neighbours(ORDER[0], 1, lambda name: name == skipped)
+    assert found == _at(-1, 1, 2)
+
+
+@pytest.mark.parametrize("n_names", [1, 2, 3, 4])
+def test_small_rings_have_each_other_once(n_names):
+    ring = Ring(NAMES[:n_names])
+    others = tuple(sorted(NAMES[1:n_names]))
+    assert ring.neighbours(NAMES[0], 2) == others
+
+
+def test_instance_off_the_ring_has_neighbours():
+    rest = [name for name in NAMES if name != ORDER[4]]
+    assert Ring(rest).neighbours(ORDER[4], 1) == _at(3, 5)
