--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/config.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/config.py
@@ -23,6 +23,8 @@
         instance.
     n_immediate_per_s : int
         Exceptions a second that are sent at once; more wait for the next batch.
+    batch_ms : int
+        Time that records other than exceptions wait for a fuller batch.
     ack_timeout_ms : int
         A batch that is not acknowledged is sent again after this time.
     n_attempts_max : int
@@ -41,9 +43,10 @@
         Share by which probe times are spread.
     n_probes_per_s : int
         Budget of probes.
-    n_mends_max : int
-        Flows that are being searched for at a time.
-    mend_timeout_ms : int
+    n_searches_max : int
+        Flows that are being searched for at a time, and datagrams that are kept
+        for it.
+    search_timeout_ms : int
         Time for a search through the servers of a service.
     n_swept_per_tick : int
         Table entries that one pass looks at in one tick, after a change of plan
@@ -63,6 +66,7 @@
     refresh_period_ms: int = 600_000
     way_back_after_ms: int = 2_000
     n_immediate_per_s: int = 20
+    batch_ms: int = 500
     ack_timeout_ms: int = 300
     n_attempts_max: int = 6
     plan_grace_ms: int = 10_000
@@ -72,8 +76,8 @@
     probe_timeout_ms: int = 1_000
     probe_jitter_share: float = 0.2
     n_probes_per_s: int = 50
-    n_mends_max: int = 256
-    mend_timeout_ms: int = 1_000
+    n_searches_max: int = 256
+    search_timeout_ms: int = 1_000
     n_swept_per_tick: int = 2_000
     cache_life_ms: int = 600_000
     ended_life_ms: int = 10_000
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/director.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/director.py
@@ -3,8 +3,6 @@
 import random
 from functools import singledispatchmethod
 
-import msgspec
-
 from ..datagram import Datagram
 from ..effects import Effect, Message
 from ..fleet.view import FleetView
@@ -14,7 +12,6 @@
     FlowId,
     InstanceId,
     InstanceState,
-    Revision,
     ServerId,
     ServerState,
     ServiceId,
@@ -40,58 +37,16 @@
 from .returning import Returning
 from .search import Search
 from .silence import Silence
+from .status import FlowStatus
 from .sweep import Sweep
 from .table import FlowMark
 from .way_back import WayBack
 
-__all__ = ["FlowDirector", "FlowStatus"]
+__all__ = ["FlowDirector"]
 
 _N_EXPIRED_PER_TICK = 1_000
 
 
-class FlowStatus(msgspec.Struct, frozen=True, kw_only=True):
-    """What operators may ask of the flows of one instance.
-
-    Parameters
-    ----------
-    revision : Revision
-        Plan in force.
-    n_flows : int
-        Flows in the local table.
-    n_records : int
-        Records kept as an owner.
-    n_unacknowledged : int
-        Batches and records that owners have not acknowledged.
-    n_orphans : int
-        Flows of lost instances that wait to be taken over.
-    n_evicted : int
-        Flows that went because the table was full.
-    n_searches, n_found : int
-        Searches through the servers, and those with success.
-    n_probes : int
-        Probes of silent or idle flows.
-    n_handed_over : int
-        Silent flows that were handed over to another instance.
-    n_lost : int
-        Flows that were given up.
-    draining : dict of ServerId to int
-        Flows in the local table of each draining server.
-    """
-
-    revision: Revision
-    n_flows: int
-    n_records: int
-    n_unacknowledged: int
-    n_orphans: int
-    n_evicted: int
-    n_searches: int
-    n_found: int
-    n_probes: int
-    n_handed_over: int
-    n_lost: int
-    draining: dict[ServerId, int]
-
-
 class FlowDirector:
     """Decides where packets of flows go, and keeps their records.
 
@@ -186,6 +141,7 @@
         context.plan_changed_ms = now_ms
         context.placement = after
         context.codes = ServerCodes(plan)
+        self._store.forget_unknown()
         self._sweep.on_defaults_changed(_moved_services(before, after))
         lost = {name for name in before.plan.servers if not after.is_reachable(name)}
         self._sweep.on_servers_lost(lost)
@@ -210,7 +166,8 @@
             The records of an exception.
         """
         context = self._context
-        row = context.add(datagram, server, now_ms, FlowMark.CONFIRMED)
+        marks = FlowMark.CONFIRMED | FlowMark.ANSWERING
+        row = context.add(datagram, server, now_ms, marks)
         context.table.hear_caller(row, now_ms)
         context.journal.note(
             now_ms, Reason.FLOW_OPENED, flow=datagram.flow, server=server
@@ -220,6 +177,23 @@
             return []
         return self._registrar.register(row, now_ms, at_once=True)
 
+    def refused(self, datagram: Datagram, server: ServerId, now_ms: int) -> None:
+        """Note that a server refused to open a flow.
+
+        Parameters
+        ----------
+        datagram : Datagram
+            The caller's OPEN, or the server's refusal of it.
+        server : ServerId
+            The server that refused.
+        now_ms : int
+            The time.
+        """
+        row = self._context.table.find(datagram.service, datagram.flow)
+        if row is not None and self._context.table.server(row) == server:
+            self._registrar.forget(row, now_ms)
+            self._context.table.remove(row)
+
     def on_caller_datagram(self, datagram: Datagram, now_ms: int) -> list[Effect]:
         """Forward a caller's DATA, KEEPALIVE, ACK or CLOSE."""
         return self._forwarding.on_caller_datagram(datagram, now_ms)
@@ -295,6 +269,7 @@
         self._store.expire(now_ms, _N_EXPIRED_PER_TICK)
         effects = self._silence.tick(now_ms)
         effects += self._search.tick(now_ms)
+        effects += self._forwarding.ask_again(now_ms)
         effects += self._way_back.tick(now_ms)
         effects += self._sweep.tick(now_ms)
         effects += self._registrar.flush(now_ms)
@@ -310,7 +285,7 @@
             self._context.fleet, self._context.plan, self._context.self_id
         )
         self._way_back.hand_over_all(owners)
-        return self._registrar.flush(now_ms)
+        return self._registrar.flush(now_ms, everything=True)
 
     def _update_owners(self, now_ms: int) -> None:
         context = self._context
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/forwarding.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/forwarding.py
@@ -1,5 +1,7 @@
 """Sends callers' datagrams of open flows to the flows' servers."""
 
+import msgspec
+
 from ..datagram import Datagram, Kind, RefusalCode
 from ..effects import Effect, SendToPeer, SendToServer
 from ..journal import Reason
@@ -73,7 +75,12 @@
         return self.ask_owners(datagram, (), now_ms)
 
     def ask_owners(
-        self, datagram: Datagram, refused_by: tuple[ServerId, ...], now_ms: int
+        self,
+        datagram: Datagram,
+        refused_by: tuple[ServerId, ...],
+        now_ms: int,
+        *,
+        is_last: bool = False,
     ) -> list[Effect]:
         """Send a datagram through the owners of its flow."""
         context = self._context
@@ -87,7 +94,19 @@
             # The first owner may have failed unnoticed; a retransmission starts
             # at the second one.
             path[0], path[1] = path[1], path[0]
-        return self._pass_on(self._locate(datagram, tuple(path), refused_by), now_ms)
+        locate = self._locate(datagram, tuple(path), refused_by, is_last=is_last)
+        return self._pass_on(locate, now_ms)
+
+    def ask_again(self, now_ms: int) -> list[Effect]:
+        """Ask the owners once more for the flows that no server had.
+
+        A record that was lost on its way has been sent again by now, and a plan
+        that was late may have arrived.
+        """
+        effects: list[Effect] = []
+        for datagram in self._search.take_failed(now_ms):
+            effects += self.ask_owners(datagram, (), now_ms, is_last=True)
+        return effects
 
     def on_locate(self, message: Locate, now_ms: int) -> list[Effect]:
         """Forward a datagram whose flow is known here, or pass it on."""
@@ -103,7 +122,7 @@
 
     def on_not_located(self, message: NotLocated, now_ms: int) -> list[Effect]:
         """Apply the default here, because this instance's plan is the newest."""
-        return self._assume(message.datagram, (), now_ms)
+        return self._assume(self._locate(message.datagram, (), ()), now_ms)
 
     def on_located(self, message: Located, now_ms: int) -> None:
         """Remember where an owner says that a flow is."""
@@ -124,10 +143,18 @@
         datagram: Datagram,
         path: tuple[InstanceId, ...],
         refused_by: tuple[ServerId, ...],
+        *,
+        is_last: bool = False,
     ) -> Locate:
         context = self._context
-        revision = context.plan.revision
-        return Locate(context.self_id, revision, path, refused_by, datagram)
+        return Locate(
+            context.self_id,
+            context.plan.revision,
+            path,
+            refused_by,
+            datagram,
+            is_last,
+        )
 
     def _is_stale(self, row: int) -> bool:
         """Return whether a guess has become wrong since it was made."""
@@ -151,19 +178,16 @@
 
     def _pass_on(self, message: Locate, now_ms: int) -> list[Effect]:
         context = self._context
+        holder = self._store.holder_of_unknown(message.datagram.flow)
+        if holder is not None and holder != message.asker:
+            return [SendToPeer(holder, message)]
         if message.path:
-            following = Locate(
-                message.asker,
-                message.revision,
-                message.path[1:],
-                message.refused_by,
-                message.datagram,
-            )
+            following = msgspec.structs.replace(message, path=message.path[1:])
             return [SendToPeer(message.path[0], following)]
         if context.plan.revision < message.revision:
             # The asker knows a newer plan; its default counts.
             return [SendToPeer(message.asker, NotLocated(message.datagram))]
-        effects = self._assume(message.datagram, message.refused_by, now_ms)
+        effects = self._assume(message, now_ms)
         row = context.table.find(message.datagram.service, message.datagram.flow)
         if message.asker != context.self_id and row is not None:
             effects.append(self._guess(message, context.table.server(row)))
@@ -174,23 +198,22 @@
         located = Located(datagram.service, datagram.flow, server, confirmed=False)
         return SendToPeer(message.asker, located)
 
-    def _assume(
-        self, datagram: Datagram, refused_by: tuple[ServerId, ...], now_ms: int
-    ) -> list[Effect]:
+    def _assume(self, message: Locate, now_ms: int) -> list[Effect]:
         """Go by the default, or ask all servers if it is known to be wrong."""
         context = self._context
-        if refused_by:
-            return self._search.start(datagram, refused_by, now_ms)
+        datagram = message.datagram
+        if message.refused_by or message.is_last:
+            return self._search.start(
+                datagram, message.refused_by, now_ms, is_last=message.is_last
+            )
         if datagram.service not in context.plan.services:
             code = RefusalCode.UNKNOWN_SERVICE
             return context.give_up(datagram, code, Reason.FLOW_LOST, now_ms)
         server = context.placement.default(datagram.service, datagram.flow)
-        if server is None:
-            code = RefusalCode.FLOW_LOST
-            return context.give_up(datagram, code, Reason.FLOW_LOST, now_ms)
-        if context.placement.is_out(server):
-            code = RefusalCode.DATA_CENTRE_OUT
-            return context.give_up(datagram, code, Reason.FLOW_GIVEN_UP, now_ms)
+        if server is None or not context.placement.is_reachable(server):
+            # The flow is given up, unless its record was lost.
+            refused_by = () if server is None else (server,)
+            return self._search.start(datagram, refused_by, now_ms)
         context.journal.note(
             now_ms, Reason.FLOW_UNRECORDED, flow=datagram.flow, server=server
         )
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/messages.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/messages.py
@@ -72,6 +72,8 @@
         Servers that said that they do not know the flow.
     datagram : Datagram
         What the caller sent.
+    is_last : bool
+        Whether the flow is lost if it is not found now.
     """
 
     asker: InstanceId
@@ -79,6 +81,7 @@
     path: tuple[InstanceId, ...]
     refused_by: tuple[ServerId, ...]
     datagram: Datagram
+    is_last: bool = False
 
 
 class NotLocated(Message, frozen=True, array_like=True, tag=15):
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/owners.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/owners.py
@@ -13,6 +13,7 @@
 __all__ = ["N_OWNERS", "OwnerMap", "OwnerHistory"]
 
 N_OWNERS = 2
+_CUT_OFF_MS = 3_900_000  # regions lose each other for an hour now and then
 
 
 class OwnerMap:
@@ -83,6 +84,7 @@
     def __init__(self, grace_ms: int) -> None:
         self._grace_ms = grace_ms
         self._previous: deque[tuple[int, OwnerMap]] = deque(maxlen=4)
+        self._places_seen_ms: dict[DataCentreId, int] = {}
         self.now = OwnerMap({})
 
     def replace(self, owners: OwnerMap, now_ms: int) -> OwnerMap | None:
@@ -90,10 +92,24 @@
         if owners.members == self.now.members:
             return None
         replaced = self.now
+        for place in replaced.members:
+            self._places_seen_ms[place] = now_ms
         self._previous.appendleft((now_ms, replaced))
         self.now = owners
         return replaced
 
+    def is_cut_off(self, plan: Plan, now_ms: int) -> bool:
+        """Return whether a data centre that is in was lost from sight lately.
+
+        Its instances may still serve flows that this one knows nothing of.
+        """
+        return any(
+            place not in self.now.members
+            and now_ms - seen_ms < _CUT_OFF_MS
+            and not _is_out(plan, place)
+            for place, seen_ms in self._places_seen_ms.items()
+        )
+
     def path(self, key: int, now_ms: int) -> tuple[InstanceId, ...]:
         """Return whom to ask for a flow, present owners first."""
         path = list(self.now.of(key))
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/record_codec.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/record_codec.py
@@ -60,14 +60,17 @@
     def __init__(self, plan: Plan) -> None:
         self._servers = {_code(server): server for server in plan.servers}
 
-    def unpack(self, payload: bytes) -> Iterator[FlowRecord | None]:
-        """Yield the records of a payload; None for a server not in the plan."""
+    def unpack(self, payload: bytes) -> Iterator[FlowRecord | FlowId]:
+        """Yield the records of a payload.
+
+        Where the server is not in the plan, only the flow is yielded.
+        """
         whole = len(payload) - len(payload) % RECORD_BYTES
         for flow, low, high in _FORMAT.iter_unpack(payload[:whole]):
             tail = high << 64 | low
             server = self._servers.get(tail & _CODE_MASK)
             if server is None:
-                yield None
+                yield FlowId(flow)
                 continue
             number = tail >> _CODE_BITS & (1 << _CLASS_BITS) - 1
             known = number <= TrafficClass.UPLOAD
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/record_store.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/record_store.py
@@ -1,11 +1,15 @@
 """The records that this instance keeps as an owner of flows."""
 
+from collections import OrderedDict
+
 from ..types import FlowId, InstanceId, ServerId, ServiceId
 from .context import FlowContext
 from .record_codec import FlowRecord
 
 __all__ = ["RecordStore"]
 
+_N_UNKNOWN_MAX = 4_096
+
 
 class RecordStore:
     """Keeps, finds and expires records.
@@ -18,6 +22,21 @@
 
     def __init__(self, context: FlowContext) -> None:
         self._context = context
+        self._unknown: OrderedDict[FlowId, InstanceId] = OrderedDict()
+
+    def keep_unknown(self, flow: FlowId, holder: InstanceId) -> None:
+        """Remember who holds a flow whose server this plan does not know yet."""
+        self._unknown[flow] = holder
+        if len(self._unknown) > _N_UNKNOWN_MAX:
+            self._unknown.popitem(last=False)
+
+    def forget_unknown(self) -> None:
+        """Drop what `keep_unknown` noted; a new plan knows the servers."""
+        self._unknown.clear()
+
+    def holder_of_unknown(self, flow: FlowId) -> InstanceId | None:
+        """Return who holds a flow at a server that this plan does not know."""
+        return self._unknown.get(flow) if self._unknown else None
 
     def keep(
         self, record: FlowRecord, holder: InstanceId, now_ms: int
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/registrar.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/registrar.py
@@ -40,6 +40,7 @@
     def __init__(self, context: FlowContext, store: RecordStore) -> None:
         self._context = context
         self._store = store
+        self._urgent: dict[InstanceId, list[FlowRecord]] = {}
         self._waiting: dict[InstanceId, list[FlowRecord]] = {}
         self._taken_over: dict[InstanceId, list[FlowRecord]] = {}
         self._silent: dict[InstanceId, list[FlowRecord]] = {}
@@ -50,13 +51,14 @@
         self._serial = 0
         self._n_immediate = 0
         self._second = 0
+        self._batched_ms = 0
 
     @property
     def n_unacknowledged(self) -> int:
         """Records that wait for a batch or for its acknowledgement."""
-        waiting = sum(map(len, self._waiting.values()))
-        waiting += sum(map(len, self._taken_over.values()))
-        return waiting + len(self._batches)
+        batches = (self._urgent, self._waiting, self._taken_over, self._silent)
+        n_waiting = sum(len(records) for b in batches for records in b.values())
+        return n_waiting + len(self._batches)
 
     def register(self, row: int, now_ms: int, *, at_once: bool = False) -> list[Effect]:
         """Record a flow of the table at its owners.
@@ -68,10 +70,11 @@
         now_ms : int
             The time.
         at_once : bool
-            Whether to send without waiting for a batch, budget permitting.
+            Whether the record is an exception, which other instances need soon:
+            it is sent at once, or with the next tick if the budget is spent.
         """
         context = self._context
-        context.table.mark(row, FlowMark.REGISTERED)
+        context.table.mark(row, FlowMark.REGISTERED | FlowMark.HOLDING)
         record = context.record(row)
         immediate = at_once and self._may_send_at_once(now_ms)
         effects: list[Effect] = []
@@ -81,7 +84,8 @@
             elif immediate:
                 effects.append(self._send(owner, [record], now_ms))
             else:
-                self._waiting.setdefault(owner, []).append(record)
+                batch = self._urgent if at_once else self._waiting
+                batch.setdefault(owner, []).append(record)
         return effects
 
     def send_to(self, owner: InstanceId, record: FlowRecord) -> None:
@@ -98,7 +102,7 @@
     def forget(self, row: int, now_ms: int) -> None:
         """Drop the records of a flow of the table at its owners."""
         context = self._context
-        context.table.unmark(row, FlowMark.REGISTERED)
+        context.table.unmark(row, FlowMark.REGISTERED | FlowMark.HOLDING)
         self.forget_record(context.record(row), context.owners_of(row))
 
     def forget_record(self, record: FlowRecord, owners: tuple[InstanceId, ...]) -> None:
@@ -117,23 +121,43 @@
         """Take an acknowledgement."""
         self._batches.pop(message.serial, None)
 
-    def flush(self, now_ms: int) -> list[Effect]:
-        """Send what waits, and again what was not acknowledged in time."""
+    def flush(self, now_ms: int, *, everything: bool = False) -> list[Effect]:
+        """Send what waits, and again what was not acknowledged in time.
+
+        Parameters
+        ----------
+        now_ms : int
+            The time.
+        everything : bool
+            Whether to send also what may wait for a fuller batch.
+        """
         effects = self._send_again(now_ms)
-        for batches, takes_over, silent in (
-            (self._waiting, False, False),
-            (self._taken_over, True, False),
-            (self._silent, True, True),
-        ):
-            for owner, records in batches.items():
-                for part in _parts(records):
-                    effects.append(self._send(owner, part, now_ms, takes_over, silent))
-            batches.clear()
-        for told, kind in ((self._ended, Forget), (self._released, Release)):
-            for peer, records in told.items():
-                for part in _parts(records):
-                    effects.append(SendToPeer(peer, kind(pack_records(part))))
-            told.clear()
+        effects += self._send_batches(self._urgent, now_ms)
+        effects += self._send_batches(self._taken_over, now_ms, takes_over=True)
+        effects += self._send_batches(
+            self._silent, now_ms, takes_over=True, silent=True
+        )
+        if everything or now_ms - self._batched_ms >= self._context.config.batch_ms:
+            self._batched_ms = now_ms
+            effects += self._send_batches(self._waiting, now_ms)
+            effects += _messages(self._ended, Forget)
+            effects += _messages(self._released, Release)
+        return effects
+
+    def _send_batches(
+        self,
+        batches: dict[InstanceId, list[FlowRecord]],
+        now_ms: int,
+        *,
+        takes_over: bool = False,
+        silent: bool = False,
+    ) -> list[Effect]:
+        effects = [
+            self._send(owner, part, now_ms, takes_over, silent)
+            for owner, records in batches.items()
+            for part in _parts(records)
+        ]
+        batches.clear()
         return effects
 
     def on_owners_changed(
@@ -197,6 +221,18 @@
         return gone or batch.n_attempts >= self._context.config.n_attempts_max
 
 
+def _messages(
+    batches: dict[InstanceId, list[FlowRecord]], kind: type[Forget] | type[Release]
+) -> list[Effect]:
+    effects: list[Effect] = [
+        SendToPeer(peer, kind(pack_records(part)))
+        for peer, records in batches.items()
+        for part in _parts(records)
+    ]
+    batches.clear()
+    return effects
+
+
 def _parts(records: list[FlowRecord]) -> list[list[FlowRecord]]:
     step = N_RECORDS_PER_MESSAGE
     return [records[start : start + step] for start in range(0, len(records), step)]
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/search.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/search.py
@@ -1,6 +1,6 @@
 """Asks the servers themselves for a flow that nobody else knows."""
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from dataclasses import dataclass
 
 from ..datagram import Datagram, Kind, RefusalCode
@@ -25,6 +25,7 @@
     datagram: Datagram
     asked: set[ServerId]
     due_ms: int
+    is_last: bool
 
 
 class Search:
@@ -44,6 +45,7 @@
         self._context = context
         self._registrar = registrar
         self._open: OrderedDict[_FlowName, _Open] = OrderedDict()
+        self._failed: deque[tuple[int, Datagram]] = deque()
         self._kept: OrderedDict[_FlowName, Datagram] = OrderedDict()
         self.n_found = 0
         self.n_started = 0
@@ -53,7 +55,7 @@
         name = (datagram.service, datagram.flow)
         self._kept[name] = datagram
         self._kept.move_to_end(name)
-        if len(self._kept) > self._context.config.n_mends_max:
+        if len(self._kept) > self._context.config.n_searches_max:
             self._kept.popitem(last=False)
 
     def take_kept(self, service: ServiceId, flow: FlowId) -> Datagram | None:
@@ -65,9 +67,27 @@
         return (service, flow) in self._open
 
     def start(
-        self, datagram: Datagram, refused_by: tuple[ServerId, ...], now_ms: int
+        self,
+        datagram: Datagram,
+        refused_by: tuple[ServerId, ...],
+        now_ms: int,
+        *,
+        is_last: bool = False,
     ) -> list[Effect]:
-        """Ask all servers of the service but those that have refused."""
+        """Ask all servers of the service but those that have refused.
+
+        Parameters
+        ----------
+        datagram : Datagram
+            What the caller sent.
+        refused_by : tuple of ServerId
+            Servers that need not be asked.
+        now_ms : int
+            The time.
+        is_last : bool
+            Whether the flow is lost if no server has it. Otherwise it is given
+            back by `take_failed` after a while.
+        """
         context = self._context
         name = (datagram.service, datagram.flow)
         if name in self._open:
@@ -78,13 +98,13 @@
             for server in context.placement.servers(datagram.service)
             if server.server not in refused_by
         ]
-        full = len(self._open) >= context.config.n_mends_max
+        full = len(self._open) >= context.config.n_searches_max
         if full or not servers:
-            return self._lose(datagram, now_ms)
+            return self._fail(datagram, now_ms, is_last=is_last)
         self.n_started += 1
         context.journal.note(now_ms, Reason.FLOW_SEARCHED, flow=datagram.flow)
-        due_ms = now_ms + context.config.mend_timeout_ms
-        self._open[name] = _Open(datagram, set(servers), due_ms)
+        due_ms = now_ms + context.config.search_timeout_ms
+        self._open[name] = _Open(datagram, set(servers), due_ms, is_last)
         record = FlowRecord(
             datagram.flow,
             servers[0],
@@ -126,7 +146,7 @@
         if search.asked:
             return []
         del self._open[name]
-        return self._lose(search.datagram, now_ms)
+        return self._fail(search.datagram, now_ms, is_last=search.is_last)
 
     def tick(self, now_ms: int) -> list[Effect]:
         """End the searches whose time is up."""
@@ -136,14 +156,43 @@
             if search.due_ms > now_ms:
                 break
             del self._open[name]
-            effects += self._lose(search.datagram, now_ms)
+            effects += self._fail(search.datagram, now_ms, is_last=search.is_last)
         return effects
 
+    def take_failed(self, now_ms: int) -> list[Datagram]:
+        """Return the datagrams whose flows are to be looked up once more."""
+        found: list[Datagram] = []
+        while self._failed and self._failed[0][0] <= now_ms:
+            found.append(self._failed.popleft()[1])
+        return found
+
+    def _fail(self, datagram: Datagram, now_ms: int, *, is_last: bool) -> list[Effect]:
+        full = len(self._failed) >= self._context.config.n_searches_max
+        if is_last or full or datagram.kind is Kind.CLOSE:
+            return self._lose(datagram, now_ms)
+        due_ms = now_ms + self._context.config.search_timeout_ms
+        self._failed.append((due_ms, datagram))
+        return []
+
     def _lose(self, datagram: Datagram, now_ms: int) -> list[Effect]:
         row = self._context.table.find(datagram.service, datagram.flow)
         if row is not None:
             self._context.table.remove(row)
         if datagram.kind is Kind.CLOSE:
             return []
-        code = RefusalCode.FLOW_LOST
-        return self._context.give_up(datagram, code, Reason.FLOW_LOST, now_ms)
+        if self._context.owners.is_cut_off(self._context.plan, now_ms):
+            # The caller tries again and may reach an instance that knows more.
+            self._context.journal.note(
+                now_ms,
+                Reason.DATAGRAM_DROPPED,
+                flow=datagram.flow,
+                detail="not found, but a data centre is out of sight",
+            )
+            return []
+        placement = self._context.placement
+        default = placement.default(datagram.service, datagram.flow)
+        if default is None:
+            code, reason = RefusalCode.FLOW_LOST, Reason.FLOW_LOST
+        else:
+            code, reason = self._context.loss_of(default)
+        return self._context.give_up(datagram, code, reason, now_ms)
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/silence.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/silence.py
@@ -59,8 +59,12 @@
 
     def on_forwarded(self, row: int, kind: Kind, now_ms: int) -> None:
         """Start to wait for the server after a caller's datagram."""
+        table = self._context.table
+        # The server answers this instance from now on; another one may have
+        # registered itself since.
+        table.unmark(row, FlowMark.HOLDING)
         if kind in _ANSWERED_KINDS:
-            self._context.table.mark(row, FlowMark.AWAITING)
+            table.mark(row, FlowMark.AWAITING)
         self.watch(row, now_ms)
 
     def watch(self, row: int, now_ms: int) -> None:
@@ -116,16 +120,16 @@
             return []
         if table.has(row, FlowMark.AWAITING):
             return self.probe(row, now_ms)
-        if not self._is_unregistered(row):
+        if not self._is_to_register(row):
             return []
         if table.caller_idle_ms(row, now_ms) < self._context.config.way_back_after_ms:
             self.watch(row, now_ms)
             return []
         return self._registrar.register(row, now_ms)
 
-    def _is_unregistered(self, row: int) -> bool:
+    def _is_to_register(self, row: int) -> bool:
         table = self._context.table
-        if table.has(row, FlowMark.REGISTERED):
+        if table.has(row, FlowMark.HOLDING):
             return False
         if not table.has(row, FlowMark.ANSWERING):
             return False
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/table.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/table.py
@@ -24,6 +24,7 @@
     SECOND_PATH = 32  # taken over because another instance got no answer
     ANSWERING = 64  # the server sends through this instance
     ENDED = 128  # closed; kept for late datagrams
+    HOLDING = 256  # registered, and no caller's datagram passed since
 
 
 class FlowTable:
@@ -52,7 +53,7 @@
         self._holder = array("H")
         self._caller = array("Q")
         self._class = array("B")
-        self._marks = array("B")
+        self._marks = array("H")
         self._caller_at = array("I")
         self._server_at = array("I")
         self._older = array("I")
@@ -228,10 +229,9 @@
         row = len(self._flow)
         for column in (self._flow, self._caller):
             column.append(0)
-        for column in (self._service, self._server, self._holder):
-            column.append(0)
-        for column in (self._class, self._marks):
+        for column in (self._service, self._server, self._holder, self._marks):
             column.append(0)
+        self._class.append(0)
         for column in (self._caller_at, self._server_at, self._older, self._newer):
             column.append(0)
         return row
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/way_back.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/way_back.py
@@ -20,6 +20,7 @@
 
 _SECOND_OWNER_DELAY_MS = 1_000
 _N_TAKEN_OVER_PER_TICK = 200
+_HOLDER_MARKS = FlowMark.REGISTERED | FlowMark.HOLDING | FlowMark.ANSWERING
 
 
 class _Loss(NamedTuple):
@@ -76,7 +77,8 @@
         effects: list[Effect] = []
         complete = True
         for record in self._context.codes.unpack(message.records):
-            if record is None:
+            if not isinstance(record, FlowRecord):
+                self._store.keep_unknown(record, sender)
                 complete = False
                 continue
             effects += self._take(sender, record, message, now_ms)
@@ -87,19 +89,19 @@
     def on_forget(self, message: Forget) -> None:
         """Drop the records of flows that have ended."""
         for record in self._context.codes.unpack(message.records):
-            if record is not None:
+            if isinstance(record, FlowRecord):
                 self._store.drop(record)
 
     def on_release(self, message: Release) -> None:
         """Stop to answer for flows that another instance answers for."""
         table = self._context.table
         for record in self._context.codes.unpack(message.records):
-            if record is None:
+            if not isinstance(record, FlowRecord):
                 continue
             service = self._context.plan.servers[record.server].service
             row = table.find(service, record.flow)
             if row is not None:
-                table.unmark(row, FlowMark.REGISTERED | FlowMark.ANSWERING)
+                table.unmark(row, _HOLDER_MARKS)
 
     def on_instance_lost(self, instance: InstanceId, now_ms: int) -> None:
         """Plan to become the way back of the flows of a lost instance."""
@@ -175,8 +177,7 @@
             service = self._context.plan.servers[record.server].service
             row = self._context.table.find(service, record.flow)
             if row is not None:
-                marks = FlowMark.REGISTERED | FlowMark.ANSWERING
-                self._context.table.unmark(row, marks)
+                self._context.table.unmark(row, _HOLDER_MARKS)
         elif self._context.fleet.state(previous) is InstanceState.ALIVE:
             self._registrar.release(previous, record)
 
--- /dev/null
+++ b/packages/sapphirerail-core/tests/flow/test_machine.py
@@ -0,0 +1,335 @@
+"""Random changes, crashes and losses on several directors."""
+
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    Bundle,
+    RuleBasedStateMachine,
+    consumes,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from sapphirerail_core.datagram import Kind
+from sapphirerail_core.types import (
+    DataCentreState,
+    FlowId,
+    InstanceId,
+    InstanceState,
+    ServerId,
+    ServerState,
+    ServiceId,
+    TrafficClass,
+)
+from sapphirerail_standins.flow_fleet import FlowFleet
+from sapphirerail_standins.flow_plans import (
+    BOOKINGS,
+    PLACES,
+    SKETCHES,
+    add_server,
+    change_data_centre,
+    change_servers,
+    first_plan,
+    new_server,
+    replace_server,
+)
+
+N_INSTANCES = 6
+N_TRIES = 4
+TRY_MS = 1_500
+
+
+class FlowMachine(RuleBasedStateMachine):
+    """Every flow must stay reachable through any instance."""
+
+    flows = Bundle("flows")
+
+    def __init__(self) -> None:
+        super().__init__()
+        places = {InstanceId(f"i{n}"): PLACES[n % 4] for n in range(N_INSTANCES)}
+        self.fleet = FlowFleet(places, seed=5)
+        self.plan = first_plan()
+        self.fleet.set_plan(self.plan)
+        self.alive: dict[tuple[ServiceId, FlowId], ServerId] = {}
+        self.n_flows = {BOOKINGS: 0, SKETCHES: 0}
+        self.traffic_class: dict[tuple[ServiceId, FlowId], TrafficClass] = {}
+        self.n_joined = N_INSTANCES
+        self.n_servers = 0
+        self.loss_share = 0.0
+        self.cut: set[InstanceId] = set()
+        self.fleet.loses = self.loses
+
+    def loses(self, sender: InstanceId, receiver: InstanceId) -> bool:
+        if (sender in self.cut) != (receiver in self.cut):
+            return True
+        return self.fleet.random.random() < self.loss_share
+
+    @initialize()
+    def start(self) -> None:
+        self.fleet.run(100)
+
+    def instance(self, n: int) -> InstanceId:
+        names = sorted(self.fleet.nodes)
+        return names[n % len(names)]
+
+    @rule(
+        target=flows,
+        at=st.integers(0, 99),
+        service=st.sampled_from([BOOKINGS, SKETCHES]),
+        choice=st.integers(0, 2),
+        traffic_class=st.sampled_from(list(TrafficClass)),
+    )
+    def open(
+        self, at: int, service: ServiceId, choice: int, traffic_class: TrafficClass
+    ) -> tuple[ServiceId, FlowId]:
+        # The same numbers are in use at both services.
+        self.n_flows[service] += 1
+        flow = FlowId(self.n_flows[service] * 0x9E3779B97F4A7C15 % 2**64)
+        name = (service, flow)
+        server = self.fleet.open(
+            self.instance(at), service, flow, traffic_class, choice
+        )
+        if server is not None and not self.is_given_up(server):
+            self.alive[name] = server
+            self.traffic_class[name] = traffic_class
+        self.fleet.run(10)
+        return name
+
+    def is_given_up(self, server: ServerId) -> bool:
+        """Return whether flows of a server are lost under the newest plan."""
+        known = self.plan.servers[server]
+        left = known.state is ServerState.LEFT
+        return left or self.plan.is_out(known.data_centre)
+
+    @rule(name=flows, at=st.integers(0, 99))
+    def send(self, name: tuple[ServiceId, FlowId], at: int) -> None:
+        if name in self.alive:
+            self.reach(name, at)
+
+    @rule(name=consumes(flows), at=st.integers(0, 99))
+    def close(self, name: tuple[ServiceId, FlowId], at: int) -> None:
+        if name in self.alive:
+            datagram = self.fleet.datagram(Kind.CLOSE, *name)
+            self.fleet.send(self.instance(at), datagram)
+            del self.alive[name]
+
+    @rule(duration_ms=st.sampled_from([10, 300, 2_500, 12_000, 40_000]))
+    def wait(self, duration_ms: int) -> None:
+        self.fleet.run(duration_ms)
+
+    @rule(share=st.sampled_from([0.0, 0.3]))
+    def lose(self, share: float) -> None:
+        self.loss_share = share
+
+    @rule(
+        n=st.integers(0, 99),
+        state=st.sampled_from(
+            [ServerState.DRAINING, ServerState.ACTIVE, ServerState.ENTERING]
+        ),
+        n_told=st.integers(0, N_INSTANCES),
+    )
+    def change_server(self, n: int, state: ServerState, n_told: int) -> None:
+        names = sorted(
+            name
+            for name, server in self.plan.servers.items()
+            if server.state is not ServerState.LEFT
+        )
+        self.plan = change_servers(
+            self.plan, {names[n % len(names)]: state}, self.fleet.now_ms
+        )
+        self.spread(n_told)
+
+    @rule(n=st.integers(0, 99), n_told=st.integers(0, N_INSTANCES))
+    def leave(self, n: int, n_told: int) -> None:
+        used = set(self.alive.values())
+        names = sorted(
+            name
+            for name, server in self.plan.servers.items()
+            if server.state is ServerState.DRAINING and name not in used
+        )
+        if names:
+            left = {names[n % len(names)]: ServerState.LEFT}
+            self.plan = change_servers(self.plan, left, self.fleet.now_ms)
+            self.spread(n_told)
+
+    @rule(n=st.integers(0, 99), n_told=st.integers(0, N_INSTANCES))
+    def replace(self, n: int, n_told: int) -> None:
+        names = sorted(
+            name
+            for name, server in self.plan.servers.items()
+            if server.state is ServerState.ACTIVE
+        )
+        if not names:
+            return
+        self.n_servers += 1
+        replacement = ServerId(f"replacement-{self.n_servers}")
+        self.plan = replace_server(
+            self.plan, names[n % len(names)], replacement, self.fleet.now_ms
+        )
+        self.spread(n_told)
+
+    @rule(service=st.sampled_from([BOOKINGS, SKETCHES]), n_told=st.integers(0, 6))
+    def enter(self, service: ServiceId, n_told: int) -> None:
+        self.n_servers += 1
+        server = new_server(service, 10 + self.n_servers, 9900)
+        self.plan = add_server(self.plan, server, self.fleet.now_ms)
+        self.spread(n_told)
+
+    @rule(n=st.integers(0, 3), n_told=st.integers(0, N_INSTANCES))
+    def take_out(self, n: int, n_told: int) -> None:
+        state = DataCentreState.OUT
+        self.plan = change_data_centre(self.plan, PLACES[n], state, self.fleet.now_ms)
+        self.alive = {
+            name: server
+            for name, server in self.alive.items()
+            if not self.is_given_up(server)
+        }
+        self.spread(n_told)
+
+    @rule(n=st.integers(0, 3), n_told=st.integers(0, N_INSTANCES))
+    def bring_back(self, n: int, n_told: int) -> None:
+        state = DataCentreState.IN
+        self.plan = change_data_centre(self.plan, PLACES[n], state, self.fleet.now_ms)
+        self.spread(n_told)
+
+    def spread(self, n_told: int) -> None:
+        """Give the plan to some instances; the others are late."""
+        self.fleet.set_plan(self.plan, sorted(self.fleet.nodes)[:n_told])
+
+    @rule()
+    def converge(self) -> None:
+        self.fleet.set_plan(self.plan)
+
+    @precondition(lambda self: len(self.fleet.nodes) > 2)
+    @rule(n=st.integers(0, 99), delay_ms=st.sampled_from([0, 2_000]))
+    def crash(self, n: int, delay_ms: int) -> None:
+        name = self.instance(n)
+        self.fleet.kill(name)
+        self.fleet.run(delay_ms)
+        self.fleet.tell_all(name, InstanceState.DEAD)
+
+    @precondition(lambda self: len(self.fleet.nodes) > 2)
+    @rule(n=st.integers(0, 99))
+    def stop(self, n: int) -> None:
+        name = self.instance(n)
+        self.fleet.drain(name)
+        self.fleet.run(1_000)
+        self.fleet.kill(name)
+        self.fleet.tell_all(name, InstanceState.LEFT)
+
+    @precondition(lambda self: not self.cut and len(self.fleet.nodes) > 2)
+    @rule(n=st.integers(0, 99))
+    def crash_after_quiet(self, n: int) -> None:
+        """Every feed has a way back again, without a word from its caller."""
+        self.loss_share = 0.0
+        self.converge()
+        self.fleet.run(13_000)
+        if self.n_possible_owners() < 2:
+            return
+        self.crash(n, 0)
+        self.fleet.run(4_000)
+        for name, server in self.alive.items():
+            if self.traffic_class[name] is not TrafficClass.TRANSACTION:
+                answering = self.fleet.servers[server].flows[name[1]][0]
+                assert answering in self.fleet.nodes, self.explain(name)
+
+    def n_possible_owners(self) -> int:
+        places = [node.fleet.self_data_centre for node in self.fleet.nodes.values()]
+        return sum(not self.plan.is_out(place) for place in places)
+
+    @precondition(lambda self: not self.cut)
+    @rule(n=st.integers(1, 3), delay_ms=st.sampled_from([0, 3_000]))
+    def separate(self, n: int, delay_ms: int) -> None:
+        """Cut the data centres into two parts that take each other for dead."""
+        self.cut = {
+            name
+            for name, node in self.fleet.nodes.items()
+            if node.fleet.self_data_centre in PLACES[:n]
+        }
+        self.fleet.run(delay_ms)
+        self.tell_across(InstanceState.DEAD)
+
+    @precondition(lambda self: self.cut)
+    @rule()
+    def heal(self) -> None:
+        cut, self.cut = self.cut, set()
+        self.tell_across(InstanceState.ALIVE, cut)
+
+    def tell_across(
+        self, state: InstanceState, cut: set[InstanceId] | None = None
+    ) -> None:
+        cut = self.cut if cut is None else cut
+        for at in list(self.fleet.nodes):
+            for about, node in list(self.fleet.nodes.items()):
+                if (at in cut) != (about in cut):
+                    place = node.fleet.self_data_centre
+                    self.fleet.tell(at, about, state, place)
+
+    @precondition(lambda self: not self.cut)
+    @precondition(lambda self: len(self.fleet.nodes) < N_INSTANCES + 2)
+    @rule()
+    def join(self) -> None:
+        name = InstanceId(f"i{self.n_joined}")
+        self.fleet.join(name, PLACES[self.n_joined % 4], self.plan)
+        self.n_joined += 1
+
+    def reach(self, name: tuple[ServiceId, FlowId], at: int) -> None:
+        """Send a part as a caller does, again and again until it is acknowledged."""
+        part = len(self.fleet.received.get(name, ())) + 1
+        for attempt in range(N_TRIES):
+            datagram = self.fleet.datagram(Kind.DATA, *name, part=part, attempt=attempt)
+            self.fleet.send(self.instance(at + attempt), datagram)
+            self.fleet.run(TRY_MS)
+            kinds = (
+                [(answer.kind, answer.part) for answer in self.fleet.received[name]]
+                if name in self.fleet.received
+                else []
+            )
+            assert all(kind is not Kind.RESET for kind, _ in kinds), self.explain(name)
+            if (Kind.ACK, part) in kinds:
+                return
+        raise AssertionError(self.explain(name))
+
+    def explain(self, name: tuple[ServiceId, FlowId]) -> str:
+        """Return what the instances noted about a flow."""
+        entries = [
+            entry
+            for node in self.fleet.nodes.values()
+            for entry in node.journal.entries()
+            if entry.flow == name[1]
+        ]
+        entries.sort(key=lambda entry: entry.at_ms)
+        lines = [
+            f"{entry.at_ms} {entry.instance} r{entry.revision} {entry.reason.value} "
+            f"{entry.server} {entry.detail}"
+            for entry in entries
+        ]
+        server = self.plan.servers[self.alive[name]]
+        lines += [
+            f"{instance} r{node.journal.revision} knows {node.director.lookup(*name)}"
+            for instance, node in self.fleet.nodes.items()
+        ]
+        return "\n".join([f"{name} is at {server}, now {self.fleet.now_ms}", *lines])
+
+    @invariant()
+    def no_packet_at_another_service(self) -> None:
+        assert self.fleet.n_misdirected == 0
+
+    def teardown(self) -> None:
+        self.loss_share = 0.0
+        self.fleet.set_plan(self.plan)
+        for n, name in enumerate(list(self.alive)):
+            self.reach(name, n)
+
+
+FlowMachine.TestCase.settings = settings(
+    max_examples=60,
+    stateful_step_count=30,
+    deadline=None,
+    derandomize=True,
+    phases=[Phase.generate],
+    suppress_health_check=[HealthCheck.too_slow],
+)
+TestFlowMachine = FlowMachine.TestCase
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/flow_fleet.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/flow_fleet.py
@@ -121,9 +121,17 @@
         for name in self.nodes if at is None else at:
             if name in self.nodes:
                 node = self.nodes[name]
+                node.journal.revision = plan.revision
                 self._carry_out(name, node.director.on_plan(plan, self.now_ms))
 
-    def join(self, name: InstanceId, place: DataCentreId, plan: Plan) -> None:
+    def join(
+        self,
+        name: InstanceId,
+        place: DataCentreId,
+        plan: Plan,
+        *,
+        announce: bool = True,
+    ) -> None:
         """Start an instance that knows the plan and the other instances."""
         places = {
             other: node.fleet.self_data_centre for other, node in self.nodes.items()
@@ -132,7 +140,7 @@
         self._add_node(name, places)
         self.set_plan(plan, [name])
         for other in list(self.nodes):
-            if other != name:
+            if other != name and announce:
                 self.tell(other, name, InstanceState.ALIVE, place)
 
     def tell(
@@ -186,6 +194,7 @@
         flow: FlowId,
         traffic_class: TrafficClass = TrafficClass.FEED,
         part: int = 0,
+        attempt: int = 0,
     ) -> Datagram:
         """Return a caller's datagram."""
         return Datagram(
@@ -194,6 +203,7 @@
             flow=flow,
             traffic_class=traffic_class,
             part=part,
+            attempt=attempt,
             caller=f"10.0.{flow >> 8 & 255}.{flow & 255}:4000",
         )
 
--- /dev/null
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/flow_plans.py
@@ -0,0 +1,120 @@
+"""Plans of the users' sizes and changes of them, for tests and bench."""
+
+from collections.abc import Mapping
+
+import msgspec
+
+from sapphirerail_core.plan import DataCentre, Plan, Server, Service, next_layers
+from sapphirerail_core.types import (
+    DataCentreId,
+    DataCentreState,
+    Revision,
+    ServerId,
+    ServerState,
+    ServiceId,
+    TenantId,
+)
+
+__all__ = [
+    "BOOKINGS",
+    "PLACES",
+    "SKETCHES",
+    "add_server",
+    "change_data_centre",
+    "change_servers",
+    "first_plan",
+    "new_server",
+    "replace_server",
+]
+
+BOOKINGS = ServiceId("bookings")
+SKETCHES = ServiceId("sketches")
+PLACES = tuple(DataCentreId(name) for name in ("osu", "madina", "tema", "kaneshie"))
+_TENANT = TenantId("adwinsa")
+_N_SERVERS = {BOOKINGS: 7, SKETCHES: 4}
+
+
+def first_plan(n_servers: Mapping[ServiceId, int] | None = None) -> Plan:
+    """Return a plan with active servers spread over the data centres.
+
+    Parameters
+    ----------
+    n_servers : mapping of ServiceId to int or None
+        Servers of each service; those of Adwinsa by default.
+    """
+    sizes = _N_SERVERS if n_servers is None else n_servers
+    servers: dict[ServerId, Server] = {}
+    for service, count in sizes.items():
+        for seat in range(count):
+            server = new_server(service, seat, 9000 + len(servers))
+            servers[server.server] = server
+    return Plan(
+        revision=Revision(1),
+        data_centres={place: DataCentre(place) for place in PLACES},
+        services={name: Service(name, _TENANT) for name in sizes},
+        servers=servers,
+    )
+
+
+def new_server(service: ServiceId, seat: int, port: int, suffix: str = "") -> Server:
+    """Return an active server on a seat."""
+    return Server(
+        server=ServerId(f"{service}-{seat}{suffix}"),
+        service=service,
+        data_centre=PLACES[seat % len(PLACES)],
+        address=f"127.0.0.1:{port}",
+        seat=seat,
+    )
+
+
+def change_servers(
+    plan: Plan, states: Mapping[ServerId, ServerState], now_ms: int = 0
+) -> Plan:
+    """Return the next plan, with other states of some servers."""
+    servers = dict(plan.servers)
+    for name, state in states.items():
+        servers[name] = msgspec.structs.replace(servers[name], state=state)
+    return _next(plan, plan.data_centres, servers, now_ms)
+
+
+def replace_server(
+    plan: Plan, name: ServerId, replacement: ServerId, now_ms: int = 0
+) -> Plan:
+    """Return the next plan, in which a new server takes a draining one's seat."""
+    servers = dict(plan.servers)
+    known = servers[name]
+    servers[name] = msgspec.structs.replace(known, state=ServerState.DRAINING)
+    servers[replacement] = msgspec.structs.replace(
+        known, server=replacement, state=ServerState.ACTIVE
+    )
+    return _next(plan, plan.data_centres, servers, now_ms)
+
+
+def add_server(plan: Plan, server: Server, now_ms: int = 0) -> Plan:
+    """Return the next plan, with one more server."""
+    servers = {**plan.servers, server.server: server}
+    return _next(plan, plan.data_centres, servers, now_ms)
+
+
+def change_data_centre(
+    plan: Plan, name: DataCentreId, state: DataCentreState, now_ms: int = 0
+) -> Plan:
+    """Return the next plan, with a data centre taken out or back in."""
+    data_centres = {**plan.data_centres, name: DataCentre(name, state)}
+    return _next(plan, data_centres, plan.servers, now_ms)
+
+
+def _next(
+    plan: Plan,
+    data_centres: dict[DataCentreId, DataCentre],
+    servers: dict[ServerId, Server],
+    now_ms: int,
+) -> Plan:
+    following = msgspec.structs.replace(
+        plan,
+        revision=Revision(plan.revision + 1),
+        data_centres=data_centres,
+        servers=servers,
+    )
+    layers = next_layers(plan, following, now_ms)
+    return msgspec.structs.replace(following, layers=layers)
