--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/delta.py
@@ -0,0 +1,252 @@
+"""What changed between two revisions of a plan, and whole plans on the wire."""
+
+from collections.abc import Iterable
+from typing import TypeVar
+
+import msgspec
+
+from ..errors import InputError
+from ..types import Revision, ServerId, ServiceId
+from . import layout
+from .digest import Part, part_digest
+from .layout import Root, Shard
+from .model import (
+    DataCentre,
+    Layer,
+    Plan,
+    Server,
+    Service,
+    ServiceLayers,
+    Write,
+    in_seat_order,
+)
+from .retention import forget_left
+
+__all__ = [
+    "FullPlan",
+    "PlanAnswer",
+    "PlanDelta",
+    "delta_of_shards",
+    "delta_since",
+    "merge",
+]
+
+PartT = TypeVar("PartT", DataCentre, Service, Server)
+
+
+class PlanDelta(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """The parts that changed after one revision, up to another.
+
+    Parameters
+    ----------
+    since, revision : Revision
+        Both ends.
+    digest : int
+        Digest of the plan at the newer end.
+    data_centres, services, servers : tuple
+        Changed parts; servers that left are among them.
+    layers : tuple of ServiceLayers
+        Layers of the changed services that have any.
+    history : tuple of Write
+        The writes that made the changes, as far as the giver keeps them.
+    forgotten_at : Revision
+        As in `Plan`.
+    """
+
+    since: Revision
+    revision: Revision
+    digest: int
+    data_centres: tuple[DataCentre, ...] = ()
+    services: tuple[Service, ...] = ()
+    servers: tuple[Server, ...] = ()
+    layers: tuple[ServiceLayers, ...] = ()
+    history: tuple[Write, ...] = ()
+    forgotten_at: Revision = Revision(0)
+
+
+class FullPlan(msgspec.Struct, frozen=True):
+    """A whole plan: its root, without keys of the store, and packed shards."""
+
+    root: Root
+    shards: tuple[str, ...]
+
+    def plan(self) -> Plan:
+        """Return the plan.
+
+        Raises
+        ------
+        InputError
+            ``plan.malformed_shard`` or ``plan.digest_mismatch``.
+        """
+        return layout.assemble(self.root, [layout.unpack(text) for text in self.shards])
+
+
+class PlanAnswer(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Answer of one instance to another that asks for its plan.
+
+    Parameters
+    ----------
+    revision : Revision
+        Revision of the giver's plan.
+    contact_age_ms : int
+        As in `PlanNews`.
+    delta : PlanDelta or None
+        What changed, if that can be told.
+    full : FullPlan or None
+        The whole plan, if it can't; both are None if the giver has nothing newer.
+    """
+
+    revision: Revision
+    contact_age_ms: int
+    delta: PlanDelta | None = None
+    full: FullPlan | None = None
+
+
+def delta_since(plan: Plan, since: Revision) -> PlanDelta | None:
+    """Return what changed after a revision, or None if that is not known any more."""
+    if since < plan.forgotten_at or since > plan.revision:
+        return None
+    services = _changed(plan.services.values(), since)
+    return PlanDelta(
+        since=since,
+        revision=plan.revision,
+        digest=plan.digest,
+        data_centres=_changed(plan.data_centres.values(), since),
+        services=services,
+        servers=_changed(plan.servers.values(), since),
+        layers=tuple(
+            ServiceLayers(part.service, plan.layers[part.service])
+            for part in services
+            if part.service in plan.layers
+        ),
+        history=_history_since(plan.history, since),
+        forgotten_at=plan.forgotten_at,
+    )
+
+
+def delta_of_shards(root: Root, shards: Iterable[Shard], since: Revision) -> PlanDelta:
+    """Return what changed after a revision, from the shards that were written since.
+
+    `merge` refuses the result if the plan at that revision was another one.
+    """
+    found = tuple(shards)
+    services = _changed((p for shard in found for p in shard.services), since)
+    names = {part.service for part in services}
+    return PlanDelta(
+        since=since,
+        revision=root.revision,
+        digest=root.digest,
+        data_centres=_changed(root.data_centres, since),
+        services=services,
+        servers=_changed((p for shard in found for p in shard.servers), since),
+        layers=tuple(
+            part for shard in found for part in shard.layers if part.service in names
+        ),
+        history=_history_since(root.history, since),
+        forgotten_at=root.forgotten_at,
+    )
+
+
+def merge(plan: Plan, delta: PlanDelta) -> Plan:
+    """Return the newer plan that a delta leads to.
+
+    Parameters
+    ----------
+    plan : Plan
+        The plan that is held; at least at the delta's older end.
+    delta : PlanDelta
+        The changes.
+
+    Returns
+    -------
+    Plan
+        The plan at the delta's newer end, or the given one if that is not older.
+
+    Raises
+    ------
+    InputError
+        ``plan.gap`` if changes in between are missing; ``plan.digest_mismatch`` if
+        the result is not what the giver holds, as after a store that lost writes.
+    """
+    if delta.revision <= plan.revision:
+        return plan
+    if delta.since > plan.revision:
+        text = f"changes from {plan.revision} to {delta.since} are missing"
+        raise InputError("plan.gap", text)
+    merged = msgspec.structs.replace(
+        plan,
+        revision=delta.revision,
+        data_centres=plan.data_centres | {p.data_centre: p for p in delta.data_centres},
+        services=plan.services | {p.service: p for p in delta.services},
+        servers=plan.servers | {p.server: p for p in delta.servers},
+        layers=_merged_layers(plan, delta),
+        digest=_merged_digest(plan, delta),
+        history=_joined(plan.history, delta.history),
+    )
+    merged = forget_left(merged, delta.forgotten_at)
+    _carry_index(plan, merged, delta)
+    if merged.digest != delta.digest:
+        text = f"revision {delta.revision} does not follow from {plan.revision}"
+        raise InputError("plan.digest_mismatch", text)
+    return merged
+
+
+def _carry_index(plan: Plan, merged: Plan, delta: PlanDelta) -> None:
+    """Derive the merged plan's index of servers from that of the plan before.
+
+    Building it anew would stop all other work for tens of milliseconds at 28,000
+    servers.
+    """
+    known = plan.__dict__.get("servers_by_service")
+    if known is None:
+        return
+    index = known | {
+        part.service: known.get(part.service, ()) for part in delta.services
+    }
+    changed: dict[ServiceId, dict[ServerId, Server]] = {}
+    for server in delta.servers:
+        changed.setdefault(server.service, {})[server.server] = server
+    for service, servers in changed.items():
+        kept = {server.server: server for server in index.get(service, ())}
+        index[service] = in_seat_order((kept | servers).values())
+    merged.__dict__["servers_by_service"] = index
+
+
+def _changed(parts: Iterable[PartT], since: Revision) -> tuple[PartT, ...]:
+    return tuple(part for part in parts if part.changed_at > since)
+
+
+def _history_since(history: tuple[Write, ...], since: Revision) -> tuple[Write, ...]:
+    return tuple(write for write in history if write.revision > since)
+
+
+def _merged_layers(plan: Plan, delta: PlanDelta) -> dict[ServiceId, tuple[Layer, ...]]:
+    """Return the layers: a changed service without layers in the delta has none."""
+    changed = {part.service for part in delta.services}
+    kept = {k: v for k, v in plan.layers.items() if k not in changed}
+    return kept | {part.service: part.layers for part in delta.layers}
+
+
+def _merged_digest(plan: Plan, delta: PlanDelta) -> int:
+    digest = plan.digest
+    pairs: list[tuple[Part | None, Part]] = []
+    pairs += [(plan.data_centres.get(p.data_centre), p) for p in delta.data_centres]
+    pairs += [(plan.services.get(p.service), p) for p in delta.services]
+    pairs += [(plan.servers.get(p.server), p) for p in delta.servers]
+    for service in delta.services:
+        layers = plan.layers.get(service.service)
+        if layers is not None:
+            digest ^= part_digest(ServiceLayers(service.service, layers))
+    pairs += [(None, part) for part in delta.layers]
+    for old, new in pairs:
+        if old is not None:
+            digest ^= part_digest(old)
+        digest ^= part_digest(new)
+    return digest
+
+
+def _joined(old: tuple[Write, ...], new: tuple[Write, ...]) -> tuple[Write, ...]:
+    if not new:
+        return old
+    kept = tuple(write for write in old if write.revision < new[0].revision)
+    return (kept + new)[-layout.HISTORY_LENGTH :]
