--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -6,7 +6,7 @@
 
 from .result import Figure, emit
 
-MODULES: tuple[str, ...] = ("plan",)
+MODULES: tuple[str, ...] = ("plan", "placement", "flow_state")
 
 
 def _figures() -> Iterator[Figure]:
