Hand over at once what reaches a draining instance

Cause: a machine run showed a record whose holder was an instance that only knew the flow, so that nobody became the way back when the true one died; and a draining instance became the way back again with each late packet.

--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/context.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/context.py
@@ -55,6 +55,7 @@
     plan_changed_ms: int = 0
     codes: ServerCodes = field(default_factory=lambda: ServerCodes(EMPTY_PLAN))
     n_lost: int = 0
+    is_draining: bool = False
 
     def __post_init__(self) -> None:
         self.table = FlowTable(self.config.n_flows_max)
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/director.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/director.py
@@ -278,18 +278,18 @@
     def drain(self, now_ms: int) -> list[Effect]:
         """Hand over all flows and records before a planned stop.
 
-        The instance goes on to work; it may end once `status` shows nothing that
-        is unacknowledged.
+        The instance goes on to work, and hands over at once what reaches it
+        still. It may end once `status` shows nothing that is unacknowledged.
         """
-        owners = OwnerMap.from_fleet(
-            self._context.fleet, self._context.plan, self._context.self_id
-        )
-        self._way_back.hand_over_all(owners)
+        self._context.is_draining = True
+        self._update_owners(now_ms)
+        self._way_back.hand_over_all(now_ms)
         return self._registrar.flush(now_ms, everything=True)
 
     def _update_owners(self, now_ms: int) -> None:
         context = self._context
-        owners = OwnerMap.from_fleet(context.fleet, context.plan)
+        leaving = context.self_id if context.is_draining else None
+        owners = OwnerMap.from_fleet(context.fleet, context.plan, leaving)
         previous = context.owners.replace(owners, now_ms)
         if previous is not None:
             self._sweep.on_owners_changed(previous)
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/messages.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/messages.py
@@ -1,5 +1,7 @@
 """Messages between instances about flows."""
 
+from enum import IntEnum
+
 from ..datagram import Datagram
 from ..effects import Message
 from ..types import FlowId, InstanceId, Revision, ServerId, ServiceId
@@ -11,12 +13,26 @@
     "Located",
     "NotLocated",
     "Register",
+    "RegisterMode",
     "Registered",
     "Release",
     "Return",
 ]
 
 
+class RegisterMode(IntEnum):
+    """What the sender of records says about the way back."""
+
+    HOLD = 0
+    """The sender answers for the flows now."""
+    REFRESH = 1
+    """The sender knows the flows; another holder that is known stays."""
+    TAKE_OVER = 2
+    """The receiver is to answer for the flows from now on."""
+    TAKE_OVER_SILENT = 3
+    """As before, because the sender got no answer from the servers."""
+
+
 class Register(Message, frozen=True, array_like=True, tag=10):
     """Asks an owner to keep records.
 
@@ -26,17 +42,13 @@
         Number of the batch at its sender, for the acknowledgement.
     records : bytes
         As from `record_codec.pack_records`.
-    takes_over : bool
-        Whether the owner is to become the way back at once, because the sender
-        stops or gets no answer from the server.
-    silent : bool
-        Whether the sender got no answer from the servers.
+    mode : RegisterMode
+        Who is the way back.
     """
 
     serial: int
     records: bytes
-    takes_over: bool = False
-    silent: bool = False
+    mode: RegisterMode = RegisterMode.HOLD
 
 
 class Registered(Message, frozen=True, array_like=True, tag=11):
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/record_store.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/record_store.py
@@ -2,7 +2,7 @@
 
 from collections import OrderedDict
 
-from ..types import FlowId, InstanceId, ServerId, ServiceId
+from ..types import FlowId, InstanceId, InstanceState, ServerId, ServiceId
 from .context import FlowContext
 from .record_codec import FlowRecord
 
@@ -39,9 +39,26 @@
         return self._unknown.get(flow) if self._unknown else None
 
     def keep(
-        self, record: FlowRecord, holder: InstanceId, now_ms: int
+        self,
+        record: FlowRecord,
+        holder: InstanceId,
+        now_ms: int,
+        *,
+        claims: bool = True,
     ) -> InstanceId | None:
-        """Keep a record; return the holder that it had before."""
+        """Keep a record; return the holder that it had before.
+
+        Parameters
+        ----------
+        record : FlowRecord
+            Where the flow is.
+        holder : InstanceId
+            The instance that says so.
+        now_ms : int
+            The time.
+        claims : bool
+            Whether it is the way back. Otherwise a live holder stays.
+        """
         server = self._context.plan.servers.get(record.server)
         if server is None:
             return None
@@ -55,7 +72,8 @@
         else:
             previous = table.holder(row)
             table.set_server(row, record.server)
-        table.set_holder(row, holder)
+        if claims or previous is None or self._is_gone(previous):
+            table.set_holder(row, holder)
         table.set_caller(row, record.caller)
         table.set_traffic_class(row, record.traffic_class)
         table.hear_caller(row, now_ms)
@@ -97,6 +115,10 @@
                 return
             table.remove(row)
 
+    def _is_gone(self, instance: InstanceId) -> bool:
+        state = self._context.fleet.state(instance)
+        return state in (InstanceState.DEAD, InstanceState.LEFT)
+
     def _evict(self) -> None:
         table = self._context.records
         row = table.oldest()
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/registrar.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/registrar.py
@@ -1,12 +1,13 @@
 """Keeps the records of this instance's flows at their owners."""
 
 from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from ..effects import Effect, SendToPeer
 from ..types import InstanceId, InstanceState
 from .context import FlowContext
-from .messages import Forget, Register, Registered, Release
+from .messages import Forget, Register, Registered, RegisterMode, Release
 from .record_codec import FlowRecord, pack_records
 from .record_store import RecordStore
 from .table import FlowMark
@@ -14,6 +15,7 @@
 __all__ = ["N_RECORDS_PER_MESSAGE", "Registrar"]
 
 N_RECORDS_PER_MESSAGE = 48
+_Waiting = dict[tuple[InstanceId, RegisterMode], list[FlowRecord]]
 
 
 @dataclass(slots=True)
@@ -40,10 +42,8 @@
     def __init__(self, context: FlowContext, store: RecordStore) -> None:
         self._context = context
         self._store = store
-        self._urgent: dict[InstanceId, list[FlowRecord]] = {}
-        self._waiting: dict[InstanceId, list[FlowRecord]] = {}
-        self._taken_over: dict[InstanceId, list[FlowRecord]] = {}
-        self._silent: dict[InstanceId, list[FlowRecord]] = {}
+        self._urgent: _Waiting = {}
+        self._waiting: _Waiting = {}
         self._ended: dict[InstanceId, list[FlowRecord]] = {}
         self._released: dict[InstanceId, list[FlowRecord]] = {}
         self._batches: dict[int, _Batch] = {}
@@ -56,8 +56,8 @@
     @property
     def n_unacknowledged(self) -> int:
         """Records that wait for a batch or for its acknowledgement."""
-        batches = (self._urgent, self._waiting, self._taken_over, self._silent)
-        n_waiting = sum(len(records) for b in batches for records in b.values())
+        n_waiting = sum(map(len, self._urgent.values()))
+        n_waiting += sum(map(len, self._waiting.values()))
         return n_waiting + len(self._batches)
 
     def register(self, row: int, now_ms: int, *, at_once: bool = False) -> list[Effect]:
@@ -82,22 +82,43 @@
             if owner == context.self_id:
                 self._store.keep(record, owner, now_ms)
             elif immediate:
-                effects.append(self._send(owner, [record], now_ms))
+                effects.append(self._send(owner, RegisterMode.HOLD, [record], now_ms))
             else:
                 batch = self._urgent if at_once else self._waiting
-                batch.setdefault(owner, []).append(record)
+                batch.setdefault((owner, RegisterMode.HOLD), []).append(record)
         return effects
 
-    def send_to(self, owner: InstanceId, record: FlowRecord) -> None:
-        """Record a flow at one owner with the next batch."""
-        self._waiting.setdefault(owner, []).append(record)
+    def refresh(self, row: int, owners: Iterable[InstanceId], now_ms: int) -> None:
+        """Record a flow of the table without a claim to be its way back."""
+        context = self._context
+        context.table.mark(row, FlowMark.REGISTERED)
+        record = context.record(row)
+        for owner in owners:
+            if owner == context.self_id:
+                self._store.keep(record, owner, now_ms, claims=False)
+            else:
+                batch = (owner, RegisterMode.REFRESH)
+                self._waiting.setdefault(batch, []).append(record)
 
     def hand_over(
-        self, owner: InstanceId, record: FlowRecord, *, silent: bool = False
+        self,
+        owner: InstanceId,
+        record: FlowRecord,
+        mode: RegisterMode = RegisterMode.TAKE_OVER,
     ) -> None:
-        """Ask an owner to become the way back with the next batch."""
-        batch = self._silent if silent else self._taken_over
-        batch.setdefault(owner, []).append(record)
+        """Ask an owner to become the way back with the next tick."""
+        self._urgent.setdefault((owner, mode), []).append(record)
+
+    def hand_over_row(self, row: int, now_ms: int) -> None:
+        """Ask the first owner of a flow of the table to become its way back."""
+        context = self._context
+        owners = context.owners_of(row)
+        if not owners:
+            return
+        self.hand_over(owners[0], context.record(row))
+        self.refresh(row, owners[1:], now_ms)
+        marks = FlowMark.REGISTERED | FlowMark.HOLDING | FlowMark.ANSWERING
+        context.table.unmark(row, marks)
 
     def forget(self, row: int, now_ms: int) -> None:
         """Drop the records of a flow of the table at its owners."""
@@ -133,10 +154,6 @@
         """
         effects = self._send_again(now_ms)
         effects += self._send_batches(self._urgent, now_ms)
-        effects += self._send_batches(self._taken_over, now_ms, takes_over=True)
-        effects += self._send_batches(
-            self._silent, now_ms, takes_over=True, silent=True
-        )
         if everything or now_ms - self._batched_ms >= self._context.config.batch_ms:
             self._batched_ms = now_ms
             effects += self._send_batches(self._waiting, now_ms)
@@ -144,17 +161,10 @@
             effects += _messages(self._released, Release)
         return effects
 
-    def _send_batches(
-        self,
-        batches: dict[InstanceId, list[FlowRecord]],
-        now_ms: int,
-        *,
-        takes_over: bool = False,
-        silent: bool = False,
-    ) -> list[Effect]:
+    def _send_batches(self, batches: _Waiting, now_ms: int) -> list[Effect]:
         effects = [
-            self._send(owner, part, now_ms, takes_over, silent)
-            for owner, records in batches.items()
+            self._send(owner, mode, part, now_ms)
+            for (owner, mode), records in batches.items()
             for part in _parts(records)
         ]
         batches.clear()
@@ -164,15 +174,8 @@
         self, row: int, previous: tuple[InstanceId, ...], now_ms: int
     ) -> None:
         """Record a flow of the table at the owners that are new."""
-        context = self._context
-        record = context.record(row)
-        for owner in context.owners_of(row):
-            if owner in previous:
-                continue
-            if owner == context.self_id:
-                self._store.keep(record, owner, now_ms)
-            else:
-                self.send_to(owner, record)
+        new = [owner for owner in self._context.owners_of(row) if owner not in previous]
+        self.refresh(row, new, now_ms)
 
     def _may_send_at_once(self, now_ms: int) -> bool:
         second = now_ms // 1000
@@ -185,13 +188,12 @@
     def _send(
         self,
         owner: InstanceId,
+        mode: RegisterMode,
         records: list[FlowRecord],
         now_ms: int,
-        takes_over: bool = False,
-        silent: bool = False,
     ) -> Effect:
         self._serial += 1
-        message = Register(self._serial, pack_records(records), takes_over, silent)
+        message = Register(self._serial, pack_records(records), mode)
         due_ms = now_ms + self._context.config.ack_timeout_ms
         self._batches[self._serial] = _Batch(owner, message, 1, due_ms)
         self._due.append(self._serial)
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/silence.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/silence.py
@@ -8,11 +8,13 @@
 from ..journal import Reason
 from ..types import FlowId, InstanceId, InstanceState, ServiceId, TrafficClass
 from .context import FlowContext
+from .messages import RegisterMode
 from .registrar import Registrar
 from .table import FlowMark
 
 __all__ = ["Silence"]
 
+_HAND_OVER_MS = 200  # the answer to the caller's datagram comes through first
 _ANSWERED_KINDS = frozenset({Kind.DATA, Kind.KEEPALIVE})
 _LONG_LIVED = frozenset({TrafficClass.FEED, TrafficClass.UPLOAD})
 
@@ -73,7 +75,9 @@
         if table.has(row, FlowMark.WATCHED):
             return
         table.mark(row, FlowMark.WATCHED)
-        due_ms = now_ms + self._context.config.silent_ms
+        draining = self._context.is_draining
+        wait_ms = _HAND_OVER_MS if draining else self._context.config.silent_ms
+        due_ms = now_ms + wait_ms
         self._watched.append(_Timer(due_ms, table.service(row), table.flow(row)))
 
     def on_server_heard(self, row: int, now_ms: int) -> None:
@@ -118,6 +122,9 @@
         table.unmark(row, FlowMark.WATCHED)
         if table.has(row, FlowMark.ENDED | FlowMark.PROBED):
             return []
+        if self._context.is_draining and table.has(row, FlowMark.ANSWERING):
+            self._registrar.hand_over_row(row, now_ms)
+            return []
         if table.has(row, FlowMark.AWAITING):
             return self.probe(row, now_ms)
         if not self._is_to_register(row):
@@ -152,7 +159,8 @@
             code = RefusalCode.UNREACHABLE
             return context.give_up_row(row, code, Reason.FLOW_LOST, now_ms)
         self.n_handed_over += 1
-        self._registrar.hand_over(peer, context.record(row), silent=True)
+        record = context.record(row)
+        self._registrar.hand_over(peer, record, RegisterMode.TAKE_OVER_SILENT)
         self._add_detour(row, peer)
         table.remove(row)
         return []
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/sweep.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/sweep.py
@@ -84,8 +84,8 @@
         """Visit the next slices."""
         effects = self._give_up_some(now_ms)
         effects += self._visit_idle(now_ms)
-        effects += self._visit_refreshed(now_ms)
-        effects += self._visit_moved(now_ms)
+        self._visit_refreshed(now_ms)
+        self._visit_moved(now_ms)
         self._visit_owned(now_ms)
         return effects
 
@@ -139,37 +139,36 @@
             table.remove(row)
         return []
 
-    def _visit_refreshed(self, now_ms: int) -> list[Effect]:
+    def _visit_refreshed(self, now_ms: int) -> None:
         table = self._context.table
-        effects: list[Effect] = []
         for row in table.rows(*self._refresh.next_rows(table.n_rows)):
             if table.has(row, FlowMark.REGISTERED):
-                effects += self._registrar.register(row, now_ms)
-        return effects
+                self._registrar.refresh(row, self._context.owners_of(row), now_ms)
 
-    def _visit_moved(self, now_ms: int) -> list[Effect]:
+    def _visit_moved(self, now_ms: int) -> None:
         if self._plan_row is None:
-            return []
-        context = self._context
-        table = context.table
-        effects: list[Effect] = []
-        count = context.config.n_swept_per_tick
+            return
+        table = self._context.table
+        count = self._context.config.n_swept_per_tick
         for row in table.rows(self._plan_row, count):
-            service = table.service(row)
-            if service not in self._moved_services:
-                continue
-            if table.has(row, FlowMark.REGISTERED | FlowMark.ENDED):
-                continue
-            if not table.has(row, FlowMark.CONFIRMED):
-                continue
-            flow, server = table.flow(row), table.server(row)
-            if context.needs_record(service, flow, server):
-                effects += self._registrar.register(row, now_ms)
+            if self._is_new_exception(row):
+                self._registrar.refresh(row, self._context.owners_of(row), now_ms)
         self._plan_row += count
         if self._plan_row >= table.n_rows:
             self._plan_row = None
             self._moved_services.clear()
-        return effects
+
+    def _is_new_exception(self, row: int) -> bool:
+        table = self._context.table
+        service = table.service(row)
+        if service not in self._moved_services:
+            return False
+        if table.has(row, FlowMark.REGISTERED | FlowMark.ENDED):
+            return False
+        if not table.has(row, FlowMark.CONFIRMED):
+            return False
+        flow, server = table.flow(row), table.server(row)
+        return self._context.needs_record(service, flow, server)
 
     def _visit_owned(self, now_ms: int) -> None:
         previous = self._previous_owners
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/way_back.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/way_back.py
@@ -7,8 +7,7 @@
 from ..journal import Reason
 from ..types import InstanceId, InstanceState
 from .context import FlowContext, keepalive_of
-from .messages import Forget, Register, Registered, Release
-from .owners import OwnerMap
+from .messages import Forget, Register, Registered, RegisterMode, Release
 from .placement import flow_key
 from .record_codec import FlowRecord
 from .record_store import RecordStore
@@ -137,22 +136,14 @@
         effects = self._registrar.register(row, now_ms)
         return [*effects, context.keepalive(row)]
 
-    def hand_over_all(self, owners: OwnerMap) -> None:
-        """Give the way back of all flows, and all records, to other instances."""
-        context = self._context
-        table = context.table
+    def hand_over_all(self, now_ms: int) -> None:
+        """Give the way back of all flows to their owners."""
+        table = self._context.table
         for row in table.rows(0, table.n_rows):
             if table.has(row, FlowMark.ENDED):
                 continue
-            if not table.has(row, FlowMark.ANSWERING | FlowMark.REGISTERED):
-                continue
-            record = context.record(row)
-            chosen = owners.of(flow_key(table.service(row), record.flow))
-            for position, owner in enumerate(chosen):
-                if position == 0:
-                    self._registrar.hand_over(owner, record)
-                else:
-                    self._registrar.send_to(owner, record)
+            if table.has(row, FlowMark.ANSWERING | FlowMark.REGISTERED):
+                self._registrar.hand_over_row(row, now_ms)
 
     def _take(
         self,
@@ -161,25 +152,25 @@
         message: Register,
         now_ms: int,
     ) -> list[Effect]:
-        previous = self._store.keep(record, sender, now_ms)
-        if message.takes_over:
-            marks = FlowMark.SECOND_PATH if message.silent else 0
-            return self.take_over(record, now_ms, marks)
-        self._release_previous(previous, sender, record)
+        claims = message.mode is not RegisterMode.REFRESH
+        previous = self._store.keep(record, sender, now_ms, claims=claims)
+        if message.mode is RegisterMode.TAKE_OVER:
+            return self.take_over(record, now_ms)
+        if message.mode is RegisterMode.TAKE_OVER_SILENT:
+            return self.take_over(record, now_ms, FlowMark.SECOND_PATH)
+        if previous is not None and previous != sender and self._is_first(record):
+            self._tell_released(previous if claims else sender, record)
         return []
 
-    def _release_previous(
-        self, previous: InstanceId | None, holder: InstanceId, record: FlowRecord
-    ) -> None:
-        if previous is None or previous == holder or not self._is_first(record):
-            return
-        if previous == self._context.self_id:
+    def _tell_released(self, holder: InstanceId, record: FlowRecord) -> None:
+        """Tell an instance that another one answers for a flow."""
+        if holder == self._context.self_id:
             service = self._context.plan.servers[record.server].service
             row = self._context.table.find(service, record.flow)
             if row is not None:
                 self._context.table.unmark(row, _HOLDER_MARKS)
-        elif self._context.fleet.state(previous) is InstanceState.ALIVE:
-            self._registrar.release(previous, record)
+        elif self._context.fleet.state(holder) is InstanceState.ALIVE:
+            self._registrar.release(holder, record)
 
     def _is_first(self, record: FlowRecord) -> bool:
         service = self._context.plan.servers[record.server].service
--- /dev/null
+++ b/packages/sapphirerail-core/tests/flow/conftest.py
@@ -0,0 +1,14 @@
+import pytest
+
+from sapphirerail_core.types import InstanceId
+from sapphirerail_standins.flow_fleet import FlowFleet
+from sapphirerail_standins.flow_plans import PLACES, first_plan
+
+
+@pytest.fixture
+def fleet() -> FlowFleet:
+    """Return fourteen instances with the first plan in force."""
+    places = {InstanceId(f"i{n}"): PLACES[n % 4] for n in range(14)}
+    fleet = FlowFleet(places)
+    fleet.set_plan(first_plan())
+    return fleet
