--- a/packages/sapphirerail-core/src/sapphirerail_core/fleet/roster.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/roster.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable, Iterable
 from functools import singledispatchmethod
+from itertools import islice
 
 import msgspec
 
@@ -49,10 +50,10 @@
         self.members: dict[InstanceId, Member] = {}
         self.accused: set[InstanceId] = set()
         self.gone: set[InstanceId] = set()
-        self.version = 0
         self.digest = 0
         self._live: dict[DataCentreId, tuple[InstanceId, ...]] = {}
         self._rings: dict[DataCentreId, Ring] = {}
+        self._data_centres: list[DataCentreId] | None = None
         self._add(own, now_ms)
 
     @property
@@ -80,8 +81,10 @@
 
     def data_centres(self) -> list[DataCentreId]:
         """Return the data centres that have live members, sorted."""
-        found = {m.data_centre for m in self.members.values() if not m.gone}
-        return sorted(found)
+        if self._data_centres is None:
+            found = {m.data_centre for m in self.members.values() if not m.gone}
+            self._data_centres = sorted(found)
+        return self._data_centres
 
     def neighbours(self, instance: InstanceId) -> tuple[InstanceId, ...]:
         """Return who watches an instance: the nearest live ones of its ring."""
@@ -115,12 +118,14 @@
     @apply.register
     def _(self, rumour: Accused, now_ms: int) -> bool:
         member = self.members.get(rumour.instance)
-        if member is None or member is self.own or member.gone:
+        if member is None or member is self.own:
             return False
         if rumour.incarnation != member.incarnation:
             return False
         if rumour.accuser in member.accusers:
             return False
+        if member.gone:
+            return self._add_late_accuser(member, rumour, now_ms)
         self.accuse(member, rumour.accuser, now_ms - rumour.silent_ms, now_ms)
         return True
 
@@ -137,6 +142,15 @@
         self._set_state(member, InstanceState.LEFT, now_ms)
         return True
 
+    def _add_late_accuser(self, member: Member, rumour: Accused, now_ms: int) -> bool:
+        """Keep the second accuser of a dead member for those that need two."""
+        if member.state is not InstanceState.DEAD:
+            return False
+        if len(member.accusers) >= N_ACCUSERS:
+            return False
+        member.accusers[rumour.accuser] = now_ms - rumour.silent_ms
+        return True
+
     def accuse(
         self, member: Member, accuser: InstanceId, heard_ms: int, now_ms: int
     ) -> None:
@@ -188,12 +202,12 @@
         It is two, or one where only one instance of its data centre is left
         that could accuse it.
         """
-        n_possible = sum(
-            1
+        possible = (
+            name
             for name in self.live(member.data_centre)
             if name != member.instance and not self._is_accused(name)
         )
-        return max(1, min(N_ACCUSERS, n_possible))
+        return max(1, len(list(islice(possible, N_ACCUSERS))))
 
     def rumour(
         self, instance: InstanceId, accuser: InstanceId, now_ms: int
@@ -244,8 +258,9 @@
         self, random_state: random.Random, data_centre: DataCentreId, n_wanted: int
     ) -> list[InstanceId]:
         """Return random live members of a data centre, this instance left out."""
-        names = [n for n in self.live(data_centre) if n != self.self_id]
-        return random_state.sample(names, min(n_wanted, len(names)))
+        live = self.live(data_centre)
+        drawn = random_state.sample(live, min(n_wanted + 1, len(live)))
+        return [name for name in drawn if name != self.self_id][:n_wanted]
 
     def _renew(self, member: Member, record: MemberRecord, now_ms: int) -> None:
         """Take over a newer incarnation of a member."""
@@ -291,7 +306,7 @@
         self._on_state(member, now_ms)
 
     def _changed(self, data_centre: DataCentreId) -> None:
-        self.version += 1
+        self._data_centres = None
         self._live.pop(data_centre, None)
         self._rings.pop(data_centre, None)
 
--- a/packages/sapphirerail-core/src/sapphirerail_core/fleet/sync.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/sync.py
@@ -1,5 +1,7 @@
 """Compares members with a peer, page by page, for newcomers and after cuts."""
 
+import random
+
 from ..effects import Effect, SendToPeer
 from ..types import DataCentreId, InstanceId
 from .config import FleetConfig
@@ -13,6 +15,7 @@
 """Factor by which the compared time grows while digests go on to differ."""
 ALL_AFTER_MS = 4_000_000
 PAUSE_BETWEEN_MS = 1000
+ASKED_SHARE = 0.25
 
 
 class MemberSync:
@@ -24,11 +27,20 @@
         Page size and patience.
     roster : Roster
         The members.
+    random_state : random.Random
+        Chooses the peer that is asked.
     now_ms : int
         Time of the start.
     """
 
-    def __init__(self, config: FleetConfig, roster: Roster, now_ms: int) -> None:
+    def __init__(
+        self,
+        config: FleetConfig,
+        roster: Roster,
+        random_state: random.Random,
+        now_ms: int,
+    ) -> None:
+        self._random_state = random_state
         self._config = config
         self._roster = roster
         self._start_ms = now_ms
@@ -51,6 +63,9 @@
             return []
         if now_ms - self._asked_ms < PAUSE_BETWEEN_MS:
             return []
+        # Without this the peer that happens to tick first would always be asked.
+        if self._random_state.random() >= ASKED_SHARE:
+            return []
         self._asked_ms = now_ms
         self._window_ms = max(self._window_ms * GROWTH, differs_ms + SLACK_MS)
         window_ms = 0 if self._window_ms > ALL_AFTER_MS else self._window_ms
