--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/context.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/context.py
@@ -55,6 +55,7 @@
     plan_changed_ms: int = 0
     codes: ServerCodes = field(default_factory=lambda: ServerCodes(EMPTY_PLAN))
     n_lost: int = 0
+    is_draining: bool = False
 
     def __post_init__(self) -> None:
         self.table = FlowTable(self.config.n_flows_max)
@@ -97,6 +98,8 @@
             self._make_room(now_ms)
             row = self.table.insert(datagram.service, datagram.flow, server, now_ms)
         else:
+            if self.table.server(row) != server:
+                self.table.unmark(row, FlowMark.HEARD)
             self.table.set_server(row, server)
             self.table.unmark(row, FlowMark.ENDED)
         self.table.set_traffic_class(row, datagram.traffic_class)
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/record_store.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/record_store.py
@@ -1,11 +1,15 @@
 """The records that this instance keeps as an owner of flows."""
 
-from ..types import FlowId, InstanceId, ServerId, ServiceId
+from collections import OrderedDict
+
+from ..types import FlowId, InstanceId, InstanceState, ServerId, ServiceId
 from .context import FlowContext
 from .record_codec import FlowRecord
 
 __all__ = ["RecordStore"]
 
+_N_UNKNOWN_MAX = 4_096
+
 
 class RecordStore:
     """Keeps, finds and expires records.
@@ -18,11 +22,43 @@
 
     def __init__(self, context: FlowContext) -> None:
         self._context = context
+        self._unknown: OrderedDict[FlowId, InstanceId] = OrderedDict()
+
+    def keep_unknown(self, flow: FlowId, holder: InstanceId) -> None:
+        """Remember who holds a flow whose server this plan does not know yet."""
+        self._unknown[flow] = holder
+        if len(self._unknown) > _N_UNKNOWN_MAX:
+            self._unknown.popitem(last=False)
+
+    def forget_unknown(self) -> None:
+        """Drop what `keep_unknown` noted; a new plan knows the servers."""
+        self._unknown.clear()
+
+    def holder_of_unknown(self, flow: FlowId) -> InstanceId | None:
+        """Return who holds a flow at a server that this plan does not know."""
+        return self._unknown.get(flow) if self._unknown else None
 
     def keep(
-        self, record: FlowRecord, holder: InstanceId, now_ms: int
+        self,
+        record: FlowRecord,
+        holder: InstanceId,
+        now_ms: int,
+        *,
+        claims: bool = True,
     ) -> InstanceId | None:
-        """Keep a record; return the holder that it had before."""
+        """Keep a record; return the holder that it had before.
+
+        Parameters
+        ----------
+        record : FlowRecord
+            Where the flow is.
+        holder : InstanceId
+            The instance that says so.
+        now_ms : int
+            The time.
+        claims : bool
+            Whether it is the way back. Otherwise a live holder stays.
+        """
         server = self._context.plan.servers.get(record.server)
         if server is None:
             return None
@@ -36,7 +72,8 @@
         else:
             previous = table.holder(row)
             table.set_server(row, record.server)
-        table.set_holder(row, holder)
+        if claims or previous is None or self._is_gone(previous):
+            table.set_holder(row, holder)
         table.set_caller(row, record.caller)
         table.set_traffic_class(row, record.traffic_class)
         table.hear_caller(row, now_ms)
@@ -78,6 +115,10 @@
                 return
             table.remove(row)
 
+    def _is_gone(self, instance: InstanceId) -> bool:
+        state = self._context.fleet.state(instance)
+        return state in (InstanceState.DEAD, InstanceState.LEFT)
+
     def _evict(self) -> None:
         table = self._context.records
         row = table.oldest()
