--- a/packages/sapphirerail-core/src/sapphirerail_core/fleet/state.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/state.py
@@ -67,6 +67,7 @@
         self.leaving = False
         self.revision = Revision(0)
         self.sequence = random_state.randrange(1, 1 << 30)
+        self.n_remote_sent = random_state.randrange(1 << 16)
         self.echoes: dict[InstanceId, int] = {}
         self.listed: dict[InstanceId, ListedInstance] = {}
         self.requests: list[Effect] = []
@@ -74,12 +75,12 @@
         self._callback_effects: list[Effect] = []
         self.reach = Reach(own.data_centre, config.unreachable_after_ms)
         self.roster = Roster(config, own, now_ms, self._on_member_state)
-        self.news = RumourQueue(self.roster)
+        self.news = RumourQueue(self.roster, config.rumour_tick_bytes)
         self.detector = Detector(config, self.roster, random_state)
         self.helper = ProbeHelper(config, own.instance)
         self.electorate = Electorate(config, self.roster)
         self.lease = PeerLease(config, now_ms)
-        self.sync = MemberSync(config, self.roster, now_ms)
+        self.sync = MemberSync(config, self.roster, random_state, now_ms)
 
     def is_local(self, instance: InstanceId) -> bool:
         """Return whether an instance is known to stand in the own data centre."""
--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/sync.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/sync.py
@@ -44,8 +44,9 @@
         Time between exchanges with a peer at random.
     poll_ms : int
         Time between readings of the store's root by a reader, beside its watch.
-    fetch_timeout_ms : int
-        Time for an answer of a peer before another one is asked.
+    fetch_timeout_ms, full_timeout_ms : int
+        Time for a peer's answer with a delta, or with a whole plan, before another
+        peer is asked.
     contact_stale_ms : int
         Age of the last contact from which on other instances try the store as well.
     fallback_ms : int
@@ -59,6 +60,7 @@
     round_ms: int = 1000
     poll_ms: int = 2000
     fetch_timeout_ms: int = 700
+    full_timeout_ms: int = 2000
     contact_stale_ms: int = 20_000
     fallback_ms: int = 5000
 
@@ -108,6 +110,21 @@
         Gets refused plans.
     random_state : random.Random
         Chooses peers and jitter.
+
+    Attributes
+    ----------
+    plan : Plan
+        The plan in force.
+    source : PlanSource or None
+        Where it came from.
+    contact_ms : int or None
+        When the store was last known to hold no higher revision.
+    store_revision : Revision or None
+        What this instance itself last read in the store.
+    is_reader : bool
+        Whether this instance reads the store for its data centre.
+    n_stale, n_mismatches : int
+        Plans that were refused, as lower or as not following from the own one.
     """
 
     def __init__(
@@ -121,6 +138,7 @@
         self.source: PlanSource | None = None
         self.contact_ms: int | None = None
         self.store_revision: Revision | None = None
+        self.is_reader = False
         self.n_stale = 0
         self.n_mismatches = 0
         self._config = config
@@ -130,19 +148,12 @@
         self._tellers: dict[InstanceId, Revision] = {}
         self._fetch: _Fetch | None = None
         self._needs_full = False
+        self._last_refusal = ""
         self._n_repeats_left = 0
         self._next_repeat_ms = 0
         self._next_round_ms = 0
         self._next_poll_ms: int | None = None
 
-    @property
-    def is_reader(self) -> bool:
-        """Whether this instance reads the store for its data centre."""
-        readers = self._fleet.owners(
-            READER_KEY, self._config.n_readers, self._fleet.self_data_centre
-        )
-        return self._fleet.self_id in readers
-
     @property
     def is_store_behind(self) -> bool:
         """Whether the store was last seen with a lower revision than this plan."""
@@ -166,7 +177,7 @@
         if message.revision < own.revision:
             return [SendToPeer(sender, self._news(now_ms))]
         if message.digest != own.digest:
-            self._refuse(now_ms, f"{sender} has another revision {own.revision}")
+            self._refuse(now_ms, f"a peer has another revision {own.revision}")
         return []
 
     def on_peer_revision(
@@ -216,7 +227,7 @@
         self.store_revision = plan.revision
         if plan.revision < self.plan.revision:
             # Only a store that lost writes can hold less than was read from it.
-            text = f"the store has revision {plan.revision}"
+            text = f"the store has {plan.revision}, below {self.plan.revision}"
             self._refuse(now_ms, text)
             return []
         taken = self._take(plan, PlanSource(None, now_ms), now_ms)
@@ -249,6 +260,11 @@
         return self._tell(self._config.fan_out if is_empty else 1, now_ms)
 
     def _poll(self, now_ms: int) -> list[SyncAction]:
+        """Read the store if that is this instance's turn."""
+        readers = self._fleet.owners(
+            READER_KEY, self._config.n_readers, self._fleet.self_data_centre
+        )
+        self.is_reader = self._fleet.self_id in readers
         if self.is_reader:
             self._next_poll_ms = now_ms + self._jittered(self._config.poll_ms)
             return [ReadStore()]
@@ -295,9 +311,10 @@
         if self._fetch is not None or not self._tellers:
             return []
         peer = max(self._tellers, key=lambda name: self._tellers[name])
-        until_ms = now_ms + self._config.fetch_timeout_ms
-        self._fetch = _Fetch(peer, until_ms)
         since = Revision(0) if self._needs_full else self.plan.revision
+        config = self._config
+        wait_ms = config.fetch_timeout_ms if since else config.full_timeout_ms
+        self._fetch = _Fetch(peer, now_ms + wait_ms)
         return [FetchPlan(peer, since)]
 
     def _end_fetch(self, sender: InstanceId) -> None:
@@ -305,11 +322,11 @@
             self._fetch = None
 
     def _tell(self, n_peers: int, now_ms: int) -> list[SyncAction]:
-        own_id = self._fleet.self_id
-        peers = [name for name in self._fleet.live() if name != own_id]
-        chosen = self._random.sample(peers, min(n_peers, len(peers)))
+        live = self._fleet.live()
+        chosen = self._random.sample(live, min(n_peers + 1, len(live)))
+        others = [name for name in chosen if name != self._fleet.self_id]
         news = self._news(now_ms)
-        return [SendToPeer(peer, news) for peer in chosen]
+        return [SendToPeer(peer, news) for peer in others[:n_peers]]
 
     def _news(self, now_ms: int) -> PlanNews:
         age_ms = self.contact_age_ms(now_ms)
@@ -324,6 +341,10 @@
 
     def _refuse(self, now_ms: int, detail: str) -> None:
         self.n_stale += 1
+        if detail == self._last_refusal:
+            return
+        # Readings and exchanges repeat; the journal holds the first of a kind.
+        self._last_refusal = detail
         self._journal.note(now_ms, Reason.PLAN_STALE, detail=detail)
 
     def _jittered(self, time_ms: int) -> int:
