--- a/packages/sapphirerail-core/src/sapphirerail_core/load/gate.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/load/gate.py
@@ -72,8 +72,11 @@
             for part in self._inherited.values()
             if part.until_ms > now_ms
         ]
-        n_own = sum(not work.is_lost for work in self.in_flight.values())
-        return n_own + sum(inherited)
+        return self.n_own() + sum(inherited)
+
+    def n_own(self) -> int:
+        """Return how many requests of this owner the server may be running."""
+        return sum(not work.is_lost for work in self.in_flight.values())
 
     def n_waiting(self) -> int:
         """Return a figure of load that other instances can compare."""
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/claimant.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/claimant.py
@@ -206,11 +206,14 @@
 
     def _ask(self, attempt: _Attempt, now_ms: int, *, is_again: bool) -> list[Effect]:
         effects: list[Effect] = []
+        self_id = self._context.fleet.self_id
         remaining_ms = max(0, attempt.deadline_at_ms - now_ms)
         claim = Claim(attempt.key, remaining_ms, attempt.epoch)
         for panel in attempt.panels:
             wanted = panel.unanswered()
-            if not is_again:
+            if not is_again and attempt.is_first:
+                # Its own grant costs no message.
+                wanted.sort(key=lambda name: name != self_id)
                 wanted = wanted[: panel.quorum]
             effects += self._ask_keepers(attempt, claim, wanted, now_ms)
         return effects + self._decide(attempt, now_ms)
@@ -245,6 +248,8 @@
         if denials:
             return self._on_denied(attempt, denials)
         required = [panel for panel in attempt.panels if not panel.is_optional]
+        if not attempt.is_first and not self._has_waited(attempt, now_ms):
+            return []
         optional = [panel for panel in attempt.panels if panel.is_optional]
         if not required or not all(panel.has_quorum() for panel in required):
             return []
@@ -254,6 +259,13 @@
         self._end(attempt, ClaimDecision.OWNED)
         return []
 
+    @staticmethod
+    def _has_waited(attempt: _Attempt, now_ms: int) -> bool:
+        """Return whether a denial that is on its way would have come by now."""
+        if all(not panel.unanswered() for panel in attempt.panels):
+            return True
+        return now_ms >= attempt.silent_at_ms
+
     def _on_denied(self, attempt: _Attempt, denials: list[InstanceId]) -> list[Effect]:
         holder = max(denials)
         if holder != NOBODY and self._goes_first(attempt.key, holder):
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/context.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/context.py
@@ -23,3 +23,4 @@
     random_state: random.Random
     plan: Plan = EMPTY_PLAN
     is_draining: bool = False
+    woke_at_ms: int | None = None
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/dispatcher.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/dispatcher.py
@@ -52,11 +52,11 @@
     ----------
     context : Context
         Settings, neighbours and the plan in force.
-    started_at_ms : int
-        When the instance started.
+    started_at_ms : int or None
+        When the instance started; None for the time of the first call.
     """
 
-    def __init__(self, context: Context, started_at_ms: int = 0) -> None:
+    def __init__(self, context: Context, started_at_ms: int | None = None) -> None:
         config = context.config
         self._context = context
         self._routes = Routes(context)
@@ -78,7 +78,7 @@
             context, self._routes, self._roles, self._forwarder, self._admission
         )
         self._answers = AnswerHandler(self._admission, self._gates)
-        self._seen_at_ms = started_at_ms
+        self._seen_at_ms: int | None = None
 
     @classmethod
     def from_config(
@@ -88,7 +88,7 @@
         flows: FlowPort,
         journal: Journal,
         random_state: random.Random,
-        started_at_ms: int = 0,
+        started_at_ms: int | None = None,
     ) -> "Dispatcher":
         """Return a dispatcher without a plan yet."""
         context = Context(config, fleet, flows, journal, random_state)
@@ -106,7 +106,8 @@
     @property
     def n_in_flight(self) -> int:
         """Outcomes that are owed; a leaving instance may exit at 0."""
-        return self._admission.ledger.n_open() + len(self._forwarder)
+        n_owed = self._admission.ledger.n_open() + len(self._forwarder)
+        return n_owed + self._gates.n_untold()
 
     def on_plan(self, plan: Plan, now_ms: int) -> list[Effect]:
         """Use a new plan; what waits for leaving servers goes elsewhere."""
@@ -199,8 +200,15 @@
         )
 
     def _check_lease(self, now_ms: int) -> None:
+        if self._seen_at_ms is None:
+            self._seen_at_ms = now_ms
+            self._history.start(now_ms)
+            self._roles.start(now_ms)
         paused = now_ms - self._seen_at_ms > _PAUSE_MS
         self._seen_at_ms = now_ms
+        if paused:
+            self._history.on_pause(now_ms)
+            self._context.woke_at_ms = now_ms
         if paused or not self._context.fleet.holds_lease(now_ms):
             self._roles.suspend()
 
@@ -297,6 +305,7 @@
         gate = self._gates.get(server)
         effects: list[Effect] = []
         if gate is not None:
+            self._roles.release(server, sender, now_ms)
             effects += self._admission.leave(gate, now_ms)
         other = self._roles.other_owner(server, sender)
         release = self._gates.release(server, other, now_ms)
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/gates.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/gates.py
@@ -101,6 +101,7 @@
         if now_ms < self._notice_at_ms:
             return effects
         self._notice_at_ms = now_ms + self._context.config.notice_ms
+        effects += self._tell_again(now_ms)
         for server in self._roles.servers(RoleState.ACTIVE):
             gate = self._gates.get(server)
             if gate is None:
@@ -109,6 +110,17 @@
             effects += self._probe(server)
         return effects
 
+    def n_untold(self) -> int:
+        """Return how many new holders do not know yet what has ended."""
+        pairs = (
+            (self._gates.get(server), self._roles.role(server))
+            for server in self._roles.servers(RoleState.RELEASED)
+        )
+        return sum(
+            gate is not None and role is not None and gate.n_own() != role.n_told
+            for gate, role in pairs
+        )
+
     def status(self, now_ms: int) -> list[ServerStatus]:
         """Return the state of each gate."""
         return [self._status(gate, now_ms) for gate in self._gates.values()]
@@ -148,12 +160,23 @@
         gate = self._gates.get(server)
         if role is None or gate is None:
             return []
-        n_in_flight = gate.n_in_flight(now_ms)
-        if n_in_flight == role.n_told:
+        n_own = gate.n_own()
+        if n_own == role.n_told:
             return []
-        role.n_told = n_in_flight
+        role.n_told = n_own
         return [SendToPeer(role.holder, self.release(server, NOBODY, now_ms))]
 
+    def _tell_again(self, now_ms: int) -> list[Effect]:
+        """Repeat to new holders what has ended, as the message may be lost."""
+        effects: list[Effect] = []
+        memory_ms = self._context.config.deadline_max_ms
+        for server in self._roles.servers(RoleState.RELEASED):
+            role = self._roles.role(server)
+            if role is not None and now_ms - role.since_ms <= memory_ms:
+                release = self.release(server, NOBODY, now_ms)
+                effects.append(SendToPeer(role.holder, release))
+        return effects
+
     def _probe(self, server: ServerId) -> list[Effect]:
         planned = self._context.plan.servers.get(server)
         if planned is None or self._context.plan.is_out(planned.data_centre):
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/history.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/history.py
@@ -15,11 +15,11 @@
     ----------
     context : Context
         Fleet and settings.
-    started_at_ms : int
+    started_at_ms : int or None
         When this instance started; what was before, it does not know.
     """
 
-    def __init__(self, context: Context, started_at_ms: int) -> None:
+    def __init__(self, context: Context, started_at_ms: int | None) -> None:
         config = context.config
         self._context = context
         self._memory_ms = config.deadline_max_ms + config.claim_margin_ms
@@ -32,12 +32,23 @@
         if state is InstanceState.DEAD:
             self._died_at_ms[instance] = now_ms
         elif state is InstanceState.ALIVE:
-            came_back = self._died_at_ms.pop(instance, None) is not None
-            if not came_back:
-                self._joined_at_ms.setdefault(instance, now_ms)
+            # Claims may have been made without it while it was believed dead.
+            self._died_at_ms.pop(instance, None)
+            self._joined_at_ms[instance] = now_ms
+
+    def start(self, now_ms: int) -> None:
+        """Take the present for the start, unless the start is known."""
+        if self._started_at_ms is None:
+            self._started_at_ms = now_ms
+
+    def on_pause(self, now_ms: int) -> None:
+        """Take in that this instance was paused and missed what happened."""
+        self._started_at_ms = now_ms
 
     def is_complete(self, now_ms: int) -> bool:
         """Return whether this instance saw all changes that matter."""
+        if self._started_at_ms is None:
+            return False
         return now_ms >= self._started_at_ms + self._memory_ms
 
     def seasoned(self, keepers: tuple[InstanceId, ...], now_ms: int) -> set[InstanceId]:
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/ingress.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/ingress.py
@@ -17,6 +17,7 @@
 __all__ = ["Ingress"]
 
 _HINT_MS = 300
+_STALE_MS = 1_000
 _N_COMPARED = 2
 _LOAD_MARGIN = 2
 
@@ -61,7 +62,8 @@
         work = self._admission.ledger.get(request_key(datagram))
         if work is not None:
             return self._admission.repeat(work, datagram, now_ms)
-        forward = Forward(datagram, ServerId(""))
+        is_stale = self._may_have_waited(now_ms)
+        forward = Forward(datagram, ServerId(""), is_uncertain=is_stale)
         return self.dispatch(forward, now_ms)
 
     def dispatch(self, forward: Forward, now_ms: int) -> list[Effect]:
@@ -133,6 +135,14 @@
             return self._admission.admit(forward, now_ms)
         return self._admission.relay(forward, now_ms)
 
+    def _may_have_waited(self, now_ms: int) -> bool:
+        """Return whether a datagram may have waited here through a pause.
+
+        Its retransmissions may have been run elsewhere meanwhile.
+        """
+        woke_at_ms = self._context.woke_at_ms
+        return woke_at_ms is not None and now_ms - woke_at_ms < _STALE_MS
+
     def _best(
         self, datagram: Datagram, servers: list[ServerId], now_ms: int
     ) -> ServerId:
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/roles.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/roles.py
@@ -61,11 +61,13 @@
         Fleet and settings.
     routes : Routes
         Who is in line for a server.
-    started_at_ms : int
-        When this instance started.
+    started_at_ms : int or None
+        When this instance started, if that is known yet.
     """
 
-    def __init__(self, context: Context, routes: Routes, started_at_ms: int) -> None:
+    def __init__(
+        self, context: Context, routes: Routes, started_at_ms: int | None
+    ) -> None:
         self._context = context
         self._routes = routes
         self._started_at_ms = started_at_ms
@@ -73,6 +75,11 @@
         self._lost: dict[InstanceId, int] = {}
         self._notices: dict[ServerId, LoadNotice] = {}
 
+    def start(self, now_ms: int) -> None:
+        """Take the present for the start, unless the start is known."""
+        if self._started_at_ms is None:
+            self._started_at_ms = now_ms
+
     def role(self, server: ServerId) -> Role | None:
         """Return the relation to a server, if there is one."""
         return self._roles.get(server)
@@ -120,6 +127,11 @@
             role.n_told = -1
         return False
 
+    def release(self, server: ServerId, holder: InstanceId, now_ms: int) -> None:
+        """Remember who took over a server that still runs requests from here."""
+        role = Role(RoleState.RELEASED, now_ms, holder=holder, n_told=-1)
+        self._roles.setdefault(server, role)
+
     def other_owner(self, server: ServerId, asker: InstanceId) -> InstanceId:
         """Return who else may hold a role, in this instance's opinion."""
         self_id = self._context.fleet.self_id
@@ -238,6 +250,8 @@
             return False
         if role.answered:
             return True
+        if self._started_at_ms is None:
+            return False
         return now_ms >= self._started_at_ms + self._context.config.role_settle_ms
 
     def _has_lapsed(self, instance: InstanceId, now_ms: int) -> bool:
--- a/packages/sapphirerail-core/tests/request/test_dispatcher.py
+++ b/packages/sapphirerail-core/tests/request/test_dispatcher.py
@@ -112,3 +112,74 @@
     world.request(7)
     world.run(1_000)
     assert all(part.service == SERVICE for part in world.answers[7, 1])
+
+
+def test_a_datagram_that_waited_through_a_pause_counts_as_a_retransmission():
+    # A woken instance granted itself a request with an old view of the keepers,
+    # and a refusal by the first owner became false.
+    world = warm_world()
+    world.pause(InstanceId("dc0-0"))
+    world.request(7, name=InstanceId("dc0-0"))
+    world.request(7, attempt=1, name=InstanceId("dc1-0"))
+    world.run(4_000)
+    n_answers = len(world.answers[7, 1])
+    world.wake(InstanceId("dc0-0"))
+    world.run(4_000)
+    assert world.runs[7, 1] == 1
+    assert len(world.answers[7, 1]) >= n_answers
+
+
+def test_a_planned_stop_with_a_hundred_requests_in_flight_cuts_none():
+    world = RequestWorld(small_plan(n_servers=30), n_instances=3)
+    for server in world.servers.values():
+        server.work_ms = 400
+    world.run(1_000)
+    for flow in range(1, 101):
+        world.request(flow, deadline_ms=9_000)
+    world.run(100)
+    world.drain(InstanceId("dc0-0"))
+    world.at(100, lambda: world.stop_when_idle(InstanceId("dc0-0")))
+    world.run(12_000)
+    assert world.nodes[InstanceId("dc0-0")].is_dead
+    assert len(world.answers) == 100
+    assert not world.refusals
+
+
+def test_a_warm_server_that_goes_silent_is_left_and_taken_back():
+    world = warm_world()
+    world.servers["s0"].is_stuck = True
+    for i in range(300):
+        world.at(20 * i, lambda i=i: world.request(i + 1, deadline_ms=600))
+    world.run(6_000)
+    states = {s.server: s.state for s in statuses(world)}
+    assert states["s0"] == "ejected"
+    n_lost = len(world.refusals)
+    assert n_lost < 20
+    world.servers["s0"].is_stuck = False
+    for i in range(1_000):
+        world.at(20 * i, lambda i=i: world.request(i + 1_000, deadline_ms=600))
+    world.run(20_000)
+    assert {s.server: s.state for s in statuses(world)}["s0"] != "ejected"
+
+
+def test_the_last_healthy_server_is_not_buried():
+    world = warm_world()
+    for name, server in world.servers.items():
+        server.is_stuck = name != "s0"
+        server.n_queue_max = 0
+    for i in range(400):
+        world.at(10 * i, lambda i=i: world.request(i + 1, deadline_ms=1_000))
+    world.run(8_000)
+    last = world.servers["s0"]
+    assert last.n_in_flight_max <= last.planned.n_slots
+    assert last.n_answered > 30
+    assert not world.false_refusals()
+
+
+def statuses(world):
+    return [
+        server
+        for node in world.nodes.values()
+        for server in node.dispatcher.status(world.now_ms).servers
+        if server.role == "active"
+    ]
