--- a/packages/sapphirerail-cli/src/sapphirerail_cli/invocation.py
+++ b/packages/sapphirerail-cli/src/sapphirerail_cli/invocation.py
@@ -113,7 +113,11 @@
         is_unknown = error.code == "plan.unknown_outcome"
         code = ExitCode.UNKNOWN_OUTCOME if is_unknown else ExitCode.NOT_WRITTEN
         raise _failed(error, code) from error
-    except (StoreError, InputError) as error:
+    except StoreError as error:
+        told = f"the store gave no answer, and nothing was changed: {error}"
+        typer.echo(told, err=True)
+        raise typer.Exit(ExitCode.NOT_WRITTEN) from error
+    except InputError as error:
         raise _failed(error, ExitCode.NOT_WRITTEN) from error
     except SapphirerailError as error:
         raise _failed(error, ExitCode.FAILED) from error
--- a/packages/sapphirerail-core/tests/plan/test_repository.py
+++ b/packages/sapphirerail-core/tests/plan/test_repository.py
@@ -10,7 +10,7 @@
 from sapphirerail_core.plan.repository import PlanRepository, PlanWriteError
 from sapphirerail_core.plan.sheet import parse_sheet
 from sapphirerail_core.plan.sheet_line import COLUMNS
-from sapphirerail_core.plan.store import StoredValue
+from sapphirerail_core.plan.store import StoredValue, StoreUnknownError
 from sapphirerail_standins.memory_store import MemoryStore
 
 NOW_MS = 1_700_000_000_000
@@ -299,6 +299,39 @@
     _run(scenario())
 
 
+class _LateRoot(MemoryStore):
+    """Lets the first root that is written land only when the next one arrives."""
+
+    def __init__(self):
+        super().__init__()
+        self.late = ()
+
+    async def compare_and_swap(self, key, version, value, lease=None):
+        put = super().compare_and_swap
+        if key == layout.ROOT_KEY and self.late is None:
+            self.late = (key, version, value)
+            raise StoreUnknownError("kv.timeout", "no answer yet")
+        if key == layout.ROOT_KEY and self.late:
+            late, self.late = self.late, ()
+            await put(*late)
+        return await put(key, version, value, lease)
+
+
+def test_root_that_lands_late_keeps_its_shards():
+    async def scenario():
+        store = _LateRoot()
+        operator = _Operator(store)
+        await operator.commit("data_centre,Osu,,,,,in,,,", *SERVICES)
+        store.late = None
+        committed = await operator.commit("server,b1,,s1,Osu,10.0.0.1:1,active,,,")
+        assert committed.change.results[0].outcome is Outcome.CHANGED
+        plan = await _plan(store)
+        assert plan == committed.change.plan
+        assert [write.write_id for write in plan.history] == ["ama-1", "ama-2"]
+
+    _run(scenario())
+
+
 def test_late_write_after_a_lost_call_does_not_revert():
     """A root that was given up as lost arrives after another write."""
 
--- a/packages/sapphirerail-core/tests/plan/test_sync_machine.py
+++ b/packages/sapphirerail-core/tests/plan/test_sync_machine.py
@@ -131,8 +131,8 @@
 
 PlanMachine.TestCase.settings = settings(
     derandomize=True,
-    max_examples=40,
-    stateful_step_count=30,
+    max_examples=100,
+    stateful_step_count=50,
     deadline=None,
     suppress_health_check=list(HealthCheck),
 )
