Add the explain command, and ask the fleet before the store

Cause: a command that raced another one could end with 8 (store behind), because it read the store first and an instance had taken the rival's write meanwhile; seen in a run of the race test.

explain gathers over the instances' GET /explain, which answers a query now.

Conclusion: whatever an instance has taken was in the store before, so the fleet is asked first.

--- a/packages/sapphirerail-cli/src/sapphirerail_cli/__main__.py
+++ b/packages/sapphirerail-cli/src/sapphirerail_cli/__main__.py
@@ -15,6 +15,7 @@
 command.add_typer(plan_commands.plan_command, name="plan")
 command.command("status")(fleet_commands.status)
 command.command("wait")(fleet_commands.wait)
+command.command("explain")(fleet_commands.explain)
 
 
 def main() -> None:
--- a/packages/sapphirerail-cli/src/sapphirerail_cli/fleet_commands.py
+++ b/packages/sapphirerail-cli/src/sapphirerail_cli/fleet_commands.py
@@ -4,6 +4,9 @@
 
 import typer
 
+from sapphirerail_core.errors import InputError
+from sapphirerail_core.explain import Query
+from sapphirerail_core.explain import render as render_explanation
 from sapphirerail_core.types import Revision
 
 from . import render
@@ -11,7 +14,7 @@
 from .invocation import JsonOption, PlatformOption, facades, run
 from .watching import watch_revision
 
-__all__ = ["status", "wait"]
+__all__ = ["explain", "status", "wait"]
 
 DEFAULT_TIMEOUT_S = 30.0
 
@@ -39,3 +42,22 @@
     typer.echo(render.as_json(progress) if json else render.progress(progress))
     if not progress.is_complete:
         raise typer.Exit(ExitCode.NOT_IN_FORCE)
+
+
+def explain(
+    subject: Annotated[str, typer.Argument(help="flow, request, server or revision.")],
+    identifier: Annotated[
+        str, typer.Argument(metavar="ID", help="Its number, FLOW/REQUEST, or name.")
+    ],
+    platform: PlatformOption = "",
+    json: JsonOption = False,
+) -> None:
+    """Tell what was decided about something, where, when, and for which reason."""
+    try:
+        query = Query.from_text(subject, identifier)
+    except InputError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(ExitCode.USAGE) from error
+    fleet = facades(platform).needed_fleet()
+    found = run(lambda: fleet.explain(query))
+    typer.echo(render.as_json(found) if json else render_explanation(found))
--- a/packages/sapphirerail-cli/src/sapphirerail_cli/fleet_operator.py
+++ b/packages/sapphirerail-cli/src/sapphirerail_cli/fleet_operator.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from sapphirerail_core.errors import SapphirerailError
+from sapphirerail_core.explain import Explanation, Query
 from sapphirerail_core.fleet.listing import ListedInstance
 from sapphirerail_core.plan import Plan
 from sapphirerail_core.plan.draft import Change
@@ -18,6 +19,7 @@
 from sapphirerail_core.plan.store import Store
 from sapphirerail_core.types import InstanceId, Revision
 
+from .explain import gather
 from .fleet_client import FleetClient, InstanceRevision, InstanceStatus, Unknown
 from .progress import Progress, progress_of
 
@@ -138,6 +140,10 @@
                 return progress
             await asyncio.sleep(POLL_MS / 1000)
 
+    async def explain(self, query: Query) -> Explanation:
+        """Gather what the listed instances decided about something."""
+        return await gather(self._fleet, query, await self._fleet.listed())
+
     async def highest_known(self) -> Revision:
         """Return the highest revision that a few instances have; 0 if none answers."""
         try:
--- a/packages/sapphirerail-cli/src/sapphirerail_cli/invocation.py
+++ b/packages/sapphirerail-cli/src/sapphirerail_cli/invocation.py
@@ -131,8 +131,9 @@
     """
     if found.fleet is None:
         return
-    in_store: Revision = await found.plan.store_revision()
+    # In this order: whatever an instance has taken was in the store before.
     in_fleet = await found.fleet.highest_known()
+    in_store: Revision = await found.plan.store_revision()
     if in_fleet > in_store:
         typer.echo(
             f"plan.store_behind: the store has revision {in_store}, instances have "
--- a/packages/sapphirerail-cli/tests/test_commands.py
+++ b/packages/sapphirerail-cli/tests/test_commands.py
@@ -9,8 +9,9 @@
 
 from sapphirerail_cli.__main__ import command
 from sapphirerail_cli.exit_code import ExitCode
+from sapphirerail_core.explain import Query, answer
 from sapphirerail_core.fleet import FixedFleet
-from sapphirerail_core.journal import Journal
+from sapphirerail_core.journal import Entry, Journal, Reason
 from sapphirerail_core.plan.repository import PlanRepository
 from sapphirerail_core.plan.sync import PlanSync, SyncConfig
 from sapphirerail_node.plan_service import PlanService
@@ -69,6 +70,8 @@
     async def _handle(self, request):
         if request.path == "/plan":
             return await self.plans.handle_plan(request)
+        if request.path == "/explain":
+            return HttpResponse(self._explain(request.query))
         return HttpResponse(
             {
                 "instance": self.name,
@@ -81,6 +84,11 @@
             }
         )
 
+    def _explain(self, query):
+        asked = Query.from_text(query["subject"], query["id"])
+        entry = Entry(at_ms=40, reason=Reason.FLOW_OPENED, instance=self.name, flow=7)
+        return answer(asked, self.name, [entry], now_ms=100)
+
 
 class _World:
     """A platform, instances, and the command."""
@@ -327,6 +335,27 @@
     play(scenario)
 
 
+def test_explain_gathers_and_names_who_gave_no_answer(play):
+    async def scenario(world):
+        gone = InstanceEntry("i9", "Tema", "", "127.0.0.1:9")
+        await world.list([*world.entries, gone])
+        result = await world.run("explain", "flow", "7")
+        assert result.exit_code == ExitCode.OK
+        assert result.stdout.count("flow.opened") == 2
+        assert "no answer: i9" in result.stdout
+        other = await world.run("explain", "flow", "8", "--json")
+        assert json.loads(other.stdout)["lines"] == []
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("arguments", [("rack", "1"), ("flow", "x")])
+def test_explain_refuses_what_it_does_not_know(arguments):
+    result = CliRunner().invoke(command, ["explain", *arguments])
+    assert result.exit_code == ExitCode.USAGE
+    assert "explain." in result.output
+
+
 def test_wait(play):
     async def scenario(world):
         await world.run("sheet", "apply", "FILE", sheet=SHEET)
--- a/packages/sapphirerail-node/src/sapphirerail_node/application.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/application.py
@@ -13,6 +13,7 @@
 from sapphirerail_core.datagram import Datagram, Kind
 from sapphirerail_core.effects import Message
 from sapphirerail_core.errors import SapphirerailError
+from sapphirerail_core.explain import Query, answer
 from sapphirerail_core.plan import Plan
 from sapphirerail_core.plan.messages import MESSAGES as PLAN_MESSAGES
 from sapphirerail_core.request import Outcome
@@ -286,7 +287,11 @@
         )
 
     async def _handle_explain(self, request: HttpRequest) -> HttpResponse:
-        return HttpResponse(self.decisions.journal.entries())
+        subject = request.query.get("subject", "")
+        query = Query.from_text(subject, request.query.get("id", ""))
+        entries = self.decisions.journal.entries()
+        name = self.settings.instance
+        return HttpResponse(answer(query, name, entries, monotonic_ms()))
 
 
 def _closing(close: Callable[[], None]) -> Callable[[], Awaitable[None]]:
--- a/packages/sapphirerail-node/src/sapphirerail_node/decisions.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/decisions.py
@@ -123,7 +123,9 @@
     def on_plan(self, plan: Plan, now_ms: int) -> list[Effect]:
         """Use a new plan everywhere."""
         self.journal.revision = plan.revision
-        self.journal.note(now_ms, Reason.PLAN_APPLIED)
+        write = plan.history[-1] if plan.history else None
+        detail = f"write {write.write_id} by {write.operator}" if write else ""
+        self.journal.note(now_ms, Reason.PLAN_APPLIED, detail=detail)
         self.membership.set_revision(plan.revision)
         effects = self.flows.on_plan(plan, now_ms)
         return effects + self.dispatcher.on_plan(plan, now_ms)
