--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -15,6 +15,8 @@
     "journal",
     "membership",
     "plan",
+    "placement",
+    "flow_state",
 )
 KNOWN_RED_PATH = Path(__file__).parent.parent / "KNOWN-RED.txt"
 ENTRY_PREFIX = "figure: "
