--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/forwarding.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/forwarding.py
@@ -18,6 +18,8 @@
 
 __all__ = ["Forwarding"]
 
+_N_HOPS_MAX = 8  # owners now and before, and one holder each
+
 
 class Forwarding:
     """Finds the server of a caller's datagram.
@@ -122,7 +124,10 @@
 
     def on_not_located(self, message: NotLocated, now_ms: int) -> list[Effect]:
         """Apply the default here, because this instance's plan is the newest."""
-        return self._assume(self._locate(message.datagram, (), ()), now_ms)
+        locate = self._locate(
+            message.datagram, (), message.refused_by, is_last=message.is_last
+        )
+        return self._assume(locate, now_ms)
 
     def on_located(self, message: Located, now_ms: int) -> None:
         """Remember where an owner says that a flow is."""
@@ -178,21 +183,43 @@
 
     def _pass_on(self, message: Locate, now_ms: int) -> list[Effect]:
         context = self._context
-        holder = self._store.holder_of_unknown(message.datagram.flow)
-        if holder is not None and holder != message.asker:
-            return [SendToPeer(holder, message)]
-        if message.path:
-            following = msgspec.structs.replace(message, path=message.path[1:])
-            return [SendToPeer(message.path[0], following)]
+        following = self._next_instance(message)
+        if following is not None:
+            return self._pass_to(following, message, now_ms)
         if context.plan.revision < message.revision:
             # The asker knows a newer plan; its default counts.
-            return [SendToPeer(message.asker, NotLocated(message.datagram))]
+            answer = NotLocated(message.refused_by, message.datagram, message.is_last)
+            return [SendToPeer(message.asker, answer)]
         effects = self._assume(message, now_ms)
         row = context.table.find(message.datagram.service, message.datagram.flow)
         if message.asker != context.self_id and row is not None:
             effects.append(self._guess(message, context.table.server(row)))
         return effects
 
+    def _next_instance(self, message: Locate) -> InstanceId | None:
+        """Return who is to be asked next, or None at the end of the path."""
+        holder = self._store.holder_of_unknown(message.datagram.flow)
+        if holder is not None and holder != message.asker:
+            return holder
+        return message.path[0] if message.path else None
+
+    def _pass_to(
+        self, instance: InstanceId, message: Locate, now_ms: int
+    ) -> list[Effect]:
+        if message.n_hops >= _N_HOPS_MAX:
+            self._context.journal.note(
+                now_ms,
+                Reason.DATAGRAM_DROPPED,
+                flow=message.datagram.flow,
+                detail="too many instances were asked",
+            )
+            return []
+        path = tuple(name for name in message.path if name != instance)
+        following = msgspec.structs.replace(
+            message, path=path, n_hops=message.n_hops + 1
+        )
+        return [SendToPeer(instance, following)]
+
     def _guess(self, message: Locate, server: ServerId) -> Effect:
         datagram = message.datagram
         located = Located(datagram.service, datagram.flow, server, confirmed=False)
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/messages.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/messages.py
@@ -86,6 +86,8 @@
         What the caller sent.
     is_last : bool
         Whether the flow is lost if it is not found now.
+    n_hops : int
+        Instances that it came through.
     """
 
     asker: InstanceId
@@ -94,12 +96,15 @@
     refused_by: tuple[ServerId, ...]
     datagram: Datagram
     is_last: bool = False
+    n_hops: int = 0
 
 
 class NotLocated(Message, frozen=True, array_like=True, tag=15):
     """Returns a datagram to an asker whose plan is newer than the owner's."""
 
+    refused_by: tuple[ServerId, ...]
     datagram: Datagram
+    is_last: bool = False
 
 
 class Located(Message, frozen=True, array_like=True, tag=16):
--- a/packages/sapphirerail-core/tests/flow/test_search.py
+++ b/packages/sapphirerail-core/tests/flow/test_search.py
@@ -2,7 +2,12 @@
 from sapphirerail_core.journal import Reason
 from sapphirerail_core.types import FlowId, InstanceId, InstanceState, TrafficClass
 from sapphirerail_standins.flow_fleet import FlowFleet
-from sapphirerail_standins.flow_plans import BOOKINGS
+from sapphirerail_standins.flow_plans import (
+    BOOKINGS,
+    add_server,
+    first_plan,
+    new_server,
+)
 
 FLOW = FlowId(500)
 I1 = InstanceId("i1")
@@ -109,3 +114,18 @@
     answers = fleet.received[BOOKINGS, FLOW]
     assert any(a.kind is Kind.ACK and a.part == 3 for a in answers)
     assert not fleet.resets
+
+
+def test_an_asker_with_a_newer_plan_than_the_owners_does_not_ask_in_circles(
+    fleet: FlowFleet,
+) -> None:
+    plan = add_server(first_plan(), new_server(BOOKINGS, 20, 9700))
+    fleet.set_plan(plan, [I1])
+    fleet.send(I1, fleet.datagram(Kind.DATA, BOOKINGS, FLOW, part=1))
+    fleet.run(5_000)
+    n_unrecorded = sum(
+        entry.reason is Reason.FLOW_UNRECORDED
+        for entry in fleet.nodes[I1].journal.entries()
+    )
+    assert n_unrecorded <= 1
+    assert sum(fleet.resets.values()) == 1
