--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/address.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/address.py
@@ -29,18 +29,19 @@
     """
     host, _, port = address.rpartition(":")
     octets = host.split(".")
-    if len(octets) != _N_OCTETS:
-        return NO_ADDRESS
-    try:
-        first, second, third, fourth = map(int, octets)
-        number = int(port)
-    except ValueError:
+    if len(octets) != _N_OCTETS or not all(map(_is_number, [*octets, port])):
         return NO_ADDRESS
+    first, second, third, fourth = map(int, octets)
+    number = int(port)
     if max(first, second, third, fourth) > 0xFF or number > 0xFFFF:
         return NO_ADDRESS
     return first << 40 | second << 32 | third << 24 | fourth << 16 | number
 
 
+def _is_number(text: str) -> bool:
+    return text.isascii() and text.isdecimal()
+
+
 def unpack_address(packed: int) -> str:
     """Return the ``address:port`` of a packed address; empty for `NO_ADDRESS`."""
     if packed == NO_ADDRESS:
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/director.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/director.py
@@ -308,5 +308,14 @@
     return {
         service
         for service in after.plan.services
-        if before.defaults_key(service) != after.defaults_key(service)
+        if _has_changed(before.plan, after.plan, service)
+        and before.defaults_key(service) != after.defaults_key(service)
     }
+
+
+def _has_changed(before: Plan, after: Plan, service: ServiceId) -> bool:
+    """Return whether a service or its past differ; a quick test for most."""
+    if before.layers.get(service) != after.layers.get(service):
+        return True
+    servers = before.servers_by_service.get(service)
+    return servers != after.servers_by_service.get(service)
--- /dev/null
+++ b/packages/sapphirerail-core/tests/flow/test_way_back.py
@@ -0,0 +1,140 @@
+import pytest
+
+from sapphirerail_core.datagram import Kind
+from sapphirerail_core.effects import SendToPeer, SendToServer
+from sapphirerail_core.flow.messages import (
+    Forget,
+    Register,
+    Registered,
+    RegisterMode,
+    Release,
+    Return,
+)
+from sapphirerail_core.flow.placement import flow_key
+from sapphirerail_core.flow.record_codec import FlowRecord, pack_records
+from sapphirerail_core.types import (
+    FlowId,
+    InstanceId,
+    InstanceState,
+    ServerId,
+    TrafficClass,
+)
+from sapphirerail_standins.flow_fleet import FlowFleet, FlowNode
+from sapphirerail_standins.flow_plans import (
+    BOOKINGS,
+    add_server,
+    first_plan,
+    new_server,
+)
+
+I1, I4 = InstanceId("i1"), InstanceId("i4")
+SERVER = ServerId("bookings-2")
+RECORD = FlowRecord(FlowId(3), SERVER, 0x0A00_0001_0FA0, TrafficClass.FEED)
+
+
+@pytest.fixture
+def owner(fleet: FlowFleet) -> FlowNode:
+    """Return the first owner of the record."""
+    return fleet.nodes[owners(fleet)[0]]
+
+
+def owners(fleet: FlowFleet) -> tuple[InstanceId, ...]:
+    context = next(iter(fleet.nodes.values())).director._context
+    return context.owners.now.of(flow_key(BOOKINGS, RECORD.flow))
+
+
+def register(
+    node: FlowNode, sender: InstanceId, mode: RegisterMode = RegisterMode.HOLD
+) -> list[object]:
+    message = Register(1, pack_records([RECORD]), mode)
+    return list(node.director.on_message(sender, message, 0))
+
+
+def keepalives(effects: list[object]) -> list[SendToServer]:
+    return [
+        effect
+        for effect in effects
+        if isinstance(effect, SendToServer) and effect.datagram.kind is Kind.KEEPALIVE
+    ]
+
+
+def test_a_record_is_kept_and_acknowledged(owner: FlowNode) -> None:
+    assert register(owner, I1) == [SendToPeer(I1, Registered(1))]
+    assert owner.director.lookup(BOOKINGS, RECORD.flow) == SERVER
+
+
+def test_a_record_of_an_unknown_server_waits_for_the_plan(owner: FlowNode) -> None:
+    server = new_server(BOOKINGS, 30, 9_950)
+    record = RECORD._replace(server=server.server)
+    message = Register(1, pack_records([record]))
+    assert owner.director.on_message(I1, message, 0) == []
+    owner.director.on_plan(add_server(first_plan(), server), 0)
+    assert owner.director.on_message(I1, message, 0) == [SendToPeer(I1, Registered(1))]
+    assert owner.director.lookup(BOOKINGS, RECORD.flow) == server.server
+
+
+def test_a_taken_over_flow_gets_a_keepalive_with_its_caller(owner: FlowNode) -> None:
+    (sent,) = keepalives(register(owner, I1, RegisterMode.TAKE_OVER))
+    assert sent.server == SERVER
+    assert sent.datagram.caller == "10.0.0.1:4000"
+
+
+def test_the_previous_holder_is_told(fleet: FlowFleet, owner: FlowNode) -> None:
+    register(owner, I1)
+    register(owner, I4)
+    effects = owner.director.tick(fleet.now_ms + 1_000)
+    released = [
+        effect.instance
+        for effect in effects
+        if isinstance(effect, SendToPeer) and isinstance(effect.message, Release)
+    ]
+    assert released == [I1]
+
+
+def test_a_refresh_leaves_the_holder(fleet: FlowFleet, owner: FlowNode) -> None:
+    register(owner, I1)
+    register(owner, I4, RegisterMode.REFRESH)
+    owner.director.on_instance_state(I4, InstanceState.DEAD, fleet.now_ms)
+    assert keepalives(list(owner.director.tick(fleet.now_ms + 100))) == []
+    owner.director.on_instance_state(I1, InstanceState.DEAD, fleet.now_ms)
+    assert len(keepalives(list(owner.director.tick(fleet.now_ms + 200)))) == 1
+
+
+def test_the_second_owner_waits_for_the_first(fleet: FlowFleet) -> None:
+    second = fleet.nodes[owners(fleet)[1]]
+    register(second, I1)
+    second.director.on_instance_state(I1, InstanceState.DEAD, fleet.now_ms)
+    assert keepalives(list(second.director.tick(fleet.now_ms + 100))) == []
+    assert len(keepalives(list(second.director.tick(fleet.now_ms + 1_100)))) == 1
+
+
+def test_a_forgotten_record_is_gone_unless_the_flow_moved(owner: FlowNode) -> None:
+    register(owner, I1)
+    moved = RECORD._replace(server=ServerId("bookings-3"))
+    owner.director.on_message(I1, Forget(pack_records([moved])), 0)
+    assert owner.director.lookup(BOOKINGS, RECORD.flow) == SERVER
+    owner.director.on_message(I1, Forget(pack_records([RECORD])), 0)
+    assert owner.director.lookup(BOOKINGS, RECORD.flow) is None
+
+
+def test_records_expire_without_a_refresh(fleet: FlowFleet, owner: FlowNode) -> None:
+    register(owner, I1)
+    owner.director.tick(fleet.config.record_life_ms + 1_000)
+    assert owner.director.status().n_records == 0
+
+
+def test_an_answer_without_a_caller_goes_by_the_record(
+    fleet: FlowFleet, owner: FlowNode
+) -> None:
+    register(owner, I1)
+    event = fleet.datagram(Kind.DATA, BOOKINGS, RECORD.flow, part=2, caller="")
+    stranger = next(n for n in fleet.nodes if n not in owners(fleet))
+    effects = fleet.nodes[stranger].director.on_server_datagram(
+        SERVER, event, fleet.now_ms
+    )
+    (carried,) = effects
+    assert isinstance(carried, SendToPeer)
+    assert isinstance(carried.message, Return)
+    assert carried.instance == owner.fleet.self_id
+    (sent,) = owner.director.on_message(stranger, carried.message, fleet.now_ms)
+    assert sent.datagram.caller == "10.0.0.1:4000"
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/flow_fleet.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/flow_fleet.py
@@ -195,8 +195,11 @@
         traffic_class: TrafficClass = TrafficClass.FEED,
         part: int = 0,
         attempt: int = 0,
+        caller: str | None = None,
     ) -> Datagram:
         """Return a caller's datagram."""
+        if caller is None:
+            caller = f"10.0.{flow >> 8 & 255}.{flow & 255}:4000"
         return Datagram(
             kind=kind,
             service=service,
@@ -204,7 +207,7 @@
             traffic_class=traffic_class,
             part=part,
             attempt=attempt,
-            caller=f"10.0.{flow >> 8 & 255}.{flow & 255}:4000",
+            caller=caller,
         )
 
     def send(self, at: InstanceId, datagram: Datagram) -> None:
