Order claims to be the way back by their age

Cause: the machine found a retransmitted batch of an earlier holder that went before a later claim, so that nobody took the flow over when its true holder died. Conclusion: a batch tells its age; a late claim is released. A probe is a claim too.

--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/messages.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/messages.py
@@ -44,11 +44,14 @@
         As from `record_codec.pack_records`.
     mode : RegisterMode
         Who is the way back.
+    age_ms : int
+        Time since the sender made the batch; a later claim goes before it.
     """
 
     serial: int
     records: bytes
     mode: RegisterMode = RegisterMode.HOLD
+    age_ms: int = 0
 
 
 class Registered(Message, frozen=True, array_like=True, tag=11):
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/record_store.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/record_store.py
@@ -1,16 +1,24 @@
 """The records that this instance keeps as an owner of flows."""
 
 from collections import OrderedDict
+from typing import NamedTuple
 
 from ..types import FlowId, InstanceId, InstanceState, ServerId, ServiceId
 from .context import FlowContext
 from .record_codec import FlowRecord
 
-__all__ = ["RecordStore"]
+__all__ = ["Kept", "RecordStore"]
 
 _N_UNKNOWN_MAX = 4_096
 
 
+class Kept(NamedTuple):
+    """What became of a record that was to be kept."""
+
+    previous: InstanceId | None
+    accepted: bool
+
+
 class RecordStore:
     """Keeps, finds and expires records.
 
@@ -45,8 +53,9 @@
         now_ms: int,
         *,
         claims: bool = True,
-    ) -> InstanceId | None:
-        """Keep a record; return the holder that it had before.
+        age_ms: int = 0,
+    ) -> Kept:
+        """Keep a record, unless what is kept says more.
 
         Parameters
         ----------
@@ -58,26 +67,43 @@
             The time.
         claims : bool
             Whether it is the way back. Otherwise a live holder stays.
+        age_ms : int
+            Age of the claim; it does not go before a later one.
+
+        Returns
+        -------
+        Kept
+            Who held the flow before, and whether the sender holds it now.
         """
         server = self._context.plan.servers.get(record.server)
         if server is None:
-            return None
+            return Kept(None, accepted=False)
         table = self._context.records
         row = table.find(server.service, record.flow)
-        previous = None
+        previous = None if row is None else table.holder(row)
         if row is None:
             if table.is_full():
                 self._evict()
             row = table.insert(server.service, record.flow, record.server, now_ms)
-        else:
-            previous = table.holder(row)
-            table.set_server(row, record.server)
-        if claims or previous is None or self._is_gone(previous):
-            table.set_holder(row, holder)
+        elif previous is not None and not self._is_gone(previous):
+            # Of records, the time of the server is that of the last claim.
+            is_late = table.server_idle_ms(row, now_ms) < age_ms
+            if previous != holder and (is_late or not claims):
+                table.hear_caller(row, now_ms)
+                return Kept(previous, accepted=False)
+        self._write(row, record, holder, now_ms)
+        table.hear_server(row, now_ms - age_ms)
+        return Kept(previous, accepted=True)
+
+    def _write(
+        self, row: int, record: FlowRecord, holder: InstanceId, now_ms: int
+    ) -> None:
+        table = self._context.records
+        table.set_server(row, record.server)
+        table.set_holder(row, holder)
         table.set_caller(row, record.caller)
         table.set_traffic_class(row, record.traffic_class)
         table.hear_caller(row, now_ms)
-        return previous
 
     def drop(self, record: FlowRecord) -> None:
         """Drop a record, unless the flow is at another server by now."""
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/registrar.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/registrar.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+import msgspec
+
 from ..effects import Effect, SendToPeer
 from ..types import InstanceId, InstanceState
 from .context import FlowContext
@@ -24,6 +26,7 @@
 
     owner: InstanceId
     message: Register
+    made_ms: int
     n_attempts: int
     due_ms: int
 
@@ -195,7 +198,7 @@
         self._serial += 1
         message = Register(self._serial, pack_records(records), mode)
         due_ms = now_ms + self._context.config.ack_timeout_ms
-        self._batches[self._serial] = _Batch(owner, message, 1, due_ms)
+        self._batches[self._serial] = _Batch(owner, message, now_ms, 1, due_ms)
         self._due.append(self._serial)
         return SendToPeer(owner, message)
 
@@ -213,7 +216,9 @@
                 batch.n_attempts += 1
                 wait_ms = self._context.config.ack_timeout_ms << batch.n_attempts
                 batch.due_ms = now_ms + wait_ms
-                effects.append(SendToPeer(batch.owner, batch.message))
+                age_ms = now_ms - batch.made_ms
+                message = msgspec.structs.replace(batch.message, age_ms=age_ms)
+                effects.append(SendToPeer(batch.owner, message))
             self._due.append(serial)
         return effects
 
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/returning.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/returning.py
@@ -66,15 +66,15 @@
             return self._on_reset(server, datagram, now_ms)
         effects = self._search.on_answer(server, datagram, now_ms)
         row = self._learn(server, datagram, now_ms)
-        if self._is_own_probe(row, datagram, server):
-            self._silence.on_server_heard(row, now_ms)
-            return effects
+        is_own_probe = self._is_own_probe(row, datagram, server)
         if context.table.server(row) == server:
             self._silence.on_server_heard(row, now_ms)
             context.table.mark(row, FlowMark.ANSWERING)
             self._silence.watch(row, now_ms)
             if self._ends(datagram):
                 self._forwarding.end(row, now_ms)
+        if is_own_probe:
+            return effects
         return effects + self._pass(server, row, datagram, now_ms)
 
     def on_return(self, message: Return, now_ms: int) -> list[Effect]:
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/silence.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/silence.py
@@ -99,6 +99,8 @@
     def on_probed(self, row: int, now_ms: int) -> None:
         """Wait for the answer to a keepalive of this instance."""
         table = self._context.table
+        # The server answers this instance from now on, whoever held the flow.
+        table.unmark(row, FlowMark.HOLDING)
         table.mark(row, FlowMark.PROBED)
         due_ms = now_ms + self._context.config.probe_timeout_ms
         self._probed.append(_Timer(due_ms, table.service(row), table.flow(row)))
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/table.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/table.py
@@ -221,6 +221,10 @@
         """Return for how long the caller was not heard."""
         return (self._time(now_ms) - self._caller_at[row]) * _TIME_UNIT_MS
 
+    def server_idle_ms(self, row: int, now_ms: int) -> int:
+        """Return for how long the server was not heard."""
+        return (self._time(now_ms) - self._server_at[row]) * _TIME_UNIT_MS
+
     def _time(self, now_ms: int) -> int:
         if self._epoch_ms is None:
             self._epoch_ms = now_ms
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/way_back.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/way_back.py
@@ -153,13 +153,16 @@
         now_ms: int,
     ) -> list[Effect]:
         claims = message.mode is not RegisterMode.REFRESH
-        previous = self._store.keep(record, sender, now_ms, claims=claims)
-        if message.mode is RegisterMode.TAKE_OVER:
+        kept = self._store.keep(
+            record, sender, now_ms, claims=claims, age_ms=message.age_ms
+        )
+        if kept.accepted and message.mode is RegisterMode.TAKE_OVER:
             return self.take_over(record, now_ms)
-        if message.mode is RegisterMode.TAKE_OVER_SILENT:
+        if kept.accepted and message.mode is RegisterMode.TAKE_OVER_SILENT:
             return self.take_over(record, now_ms, FlowMark.SECOND_PATH)
+        previous = kept.previous
         if previous is not None and previous != sender and self._is_first(record):
-            self._tell_released(previous if claims else sender, record)
+            self._tell_released(previous if kept.accepted else sender, record)
         return []
 
     def _tell_released(self, holder: InstanceId, record: FlowRecord) -> None:
--- a/packages/sapphirerail-core/tests/flow/test_way_back.py
+++ b/packages/sapphirerail-core/tests/flow/test_way_back.py
@@ -138,3 +138,21 @@
     assert carried.instance == owner.fleet.self_id
     (sent,) = owner.director.on_message(stranger, carried.message, fleet.now_ms)
     assert sent.datagram.caller == "10.0.0.1:4000"
+
+
+def test_a_late_claim_does_not_go_before_a_later_one(
+    fleet: FlowFleet, owner: FlowNode
+) -> None:
+    payload = pack_records([RECORD])
+    owner.director.on_message(I4, Register(1, payload), 10_000)
+    late = Register(2, payload, RegisterMode.TAKE_OVER, age_ms=2_000)
+    assert owner.director.on_message(I1, late, 10_300) == [
+        SendToPeer(I1, Registered(2))
+    ]
+    effects = owner.director.tick(11_000)
+    released = [
+        effect.instance
+        for effect in effects
+        if isinstance(effect, SendToPeer) and isinstance(effect.message, Release)
+    ]
+    assert released == [I1]
