Let a change of owners cost what has changed

Conclusion: the owner tables are kept and updated; the owners before a change are ranked from those that stayed and those that were lost.

--- a/packages/sapphirerail-core/src/sapphirerail_core/fleet/owners.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/owners.py
@@ -1,5 +1,7 @@
 """Owners of keys by rendezvous hashing over slots, kept until members change."""
 
+import heapq
+
 import xxhash
 
 from .. import rendezvous
@@ -31,7 +33,7 @@
 
     def __init__(self, instances: tuple[InstanceId, ...]) -> None:
         self._keys = {name: rendezvous.hash_key(name) for name in instances}
-        self._ranked: dict[int, list[tuple[float, InstanceId]]] = {}
+        self._ranked: dict[int, list[tuple[int, InstanceId]]] = {}
 
     def update(self, instances: tuple[InstanceId, ...]) -> None:
         """Take over a changed set of live instances."""
@@ -42,6 +44,13 @@
             if name not in self._keys:
                 self._add(name)
 
+    def digest(self, key: int, instance: InstanceId) -> int:
+        """Return the rank value of any instance for a key; the highest owns it."""
+        payload = slot_of(key).to_bytes(8, "little")
+        seed = rendezvous.hash_key(instance)
+        value: int = xxhash.xxh3_64_intdigest(payload, seed=seed)
+        return value
+
     def owners(self, key: int, n_owners: int) -> tuple[InstanceId, ...]:
         """Return the instances that rank first for a key."""
         slot = slot_of(key)
@@ -53,13 +62,16 @@
             self._ranked[slot] = ranked
         return tuple(name for _, name in ranked[:n_owners])
 
-    def _rank(self, slot: int, n_ranked: int) -> list[tuple[float, InstanceId]]:
+    def _rank(self, slot: int, n_ranked: int) -> list[tuple[int, InstanceId]]:
+        # With equal weights the digests rank as the scores do, at a fifth of
+        # the cost.
+        digest = xxhash.xxh3_64_intdigest
+        payload = slot.to_bytes(8, "little")
         scored = [
-            (-rendezvous.score(slot, node_key), name)
+            (-digest(payload, seed=node_key), name)
             for name, node_key in self._keys.items()
         ]
-        scored.sort()
-        return scored[:n_ranked]
+        return heapq.nsmallest(n_ranked, scored)
 
     def _remove(self, name: InstanceId) -> None:
         del self._keys[name]
@@ -75,7 +87,8 @@
         node_key = rendezvous.hash_key(name)
         self._keys[name] = node_key
         for slot, ranked in self._ranked.items():
-            scored = (-rendezvous.score(slot, node_key), name)
+            digest = xxhash.xxh3_64_intdigest(slot.to_bytes(8, "little"), seed=node_key)
+            scored = (-digest, name)
             if len(ranked) < N_RANKED or scored < ranked[-1]:
                 ranked.append(scored)
                 ranked.sort()
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/context.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/context.py
@@ -11,7 +11,7 @@
 from ..types import FlowId, InstanceId, ServerId, ServiceId
 from .address import pack_address, unpack_address
 from .config import FlowConfig
-from .owners import OwnerHistory, OwnerMap
+from .owners import OwnerHistory, members_of
 from .placement import Placement, flow_key
 from .record_codec import FlowRecord, ServerCodes
 from .table import FlowMark, FlowTable
@@ -61,7 +61,7 @@
         self.table = FlowTable(self.config.n_flows_max)
         self.records = FlowTable(self.config.n_records_max)
         self.owners = OwnerHistory(self.config.owner_grace_ms)
-        self.owners.now = OwnerMap.from_fleet(self.fleet, EMPTY_PLAN)
+        self.owners.now.update(members_of(self.fleet, EMPTY_PLAN))
 
     @property
     def self_id(self) -> InstanceId:
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/director.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/director.py
@@ -29,7 +29,7 @@
     Release,
     Return,
 )
-from .owners import OwnerMap
+from .owners import members_of
 from .placement import Placement
 from .record_codec import ServerCodes
 from .record_store import RecordStore
@@ -289,10 +289,10 @@
     def _update_owners(self, now_ms: int) -> None:
         context = self._context
         leaving = context.self_id if context.is_draining else None
-        owners = OwnerMap.from_fleet(context.fleet, context.plan, leaving)
-        previous = context.owners.replace(owners, now_ms)
-        if previous is not None:
-            self._sweep.on_owners_changed(previous)
+        members = members_of(context.fleet, context.plan, leaving)
+        change = context.owners.replace(members, now_ms)
+        if change is not None:
+            self._sweep.on_owners_changed(change)
 
     def _count_draining(self) -> dict[ServerId, int]:
         context = self._context
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/owners.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/owners.py
@@ -1,6 +1,7 @@
 """Computes the two instances that keep the record of a flow."""
 
 from collections import deque
+from collections.abc import Iterable
 
 import xxhash
 
@@ -10,14 +11,15 @@
 from ..rendezvous import hash_key
 from ..types import DataCentreId, DataCentreState, InstanceId
 
-__all__ = ["N_OWNERS", "OwnerMap", "OwnerHistory"]
+__all__ = ["N_OWNERS", "OwnerChange", "OwnerHistory", "OwnerMap", "members_of"]
 
 N_OWNERS = 2
+N_RANKED = 4
 _CUT_OFF_MS = 3_900_000  # regions lose each other for an hour now and then
 
 
 class OwnerMap:
-    """Owners of flows under one membership; never changes.
+    """Owners of flows under the present membership.
 
     Parameters
     ----------
@@ -26,50 +28,105 @@
     """
 
     def __init__(self, members: dict[DataCentreId, tuple[InstanceId, ...]]) -> None:
-        self.members = members
-        self._places = [(hash_key(place), place) for place in members]
-        self._tables = {place: OwnerTable(names) for place, names in members.items()}
+        self.members: dict[DataCentreId, tuple[InstanceId, ...]] = {}
+        self._tables: dict[DataCentreId, OwnerTable] = {}
         self._cache: dict[int, tuple[InstanceId, ...]] = {}
+        self.version = 0
+        self.update(members)
 
     @classmethod
     def from_fleet(
         cls, fleet: FleetView, plan: Plan, without: InstanceId | None = None
     ) -> "OwnerMap":
-        """Return the owners under the present membership.
-
-        Parameters
-        ----------
-        fleet : FleetView
-            Gives the live instances.
-        plan : Plan
-            Gives the data centres that are out.
-        without : InstanceId or None
-            An instance that is leaving.
-        """
-        found: dict[DataCentreId, list[InstanceId]] = {}
-        for name in fleet.live():
-            place = fleet.data_centre(name)
-            if name != without and place is not None and not _is_out(plan, place):
-                found.setdefault(place, []).append(name)
-        return cls({place: tuple(names) for place, names in found.items()})
+        """Return the owners under the membership that a fleet believes in."""
+        return cls(members_of(fleet, plan, without))
+
+    def update(self, members: dict[DataCentreId, tuple[InstanceId, ...]]) -> None:
+        """Take over a changed membership; costs what has changed."""
+        for place, names in members.items():
+            table = self._tables.get(place)
+            if table is None:
+                self._tables[place] = OwnerTable(names)
+            elif names != self.members.get(place):
+                table.update(names)
+        for place in [name for name in self._tables if name not in members]:
+            del self._tables[place]
+        self.members = dict(members)
+        self.version += 1
+        self._cache.clear()
 
     def of(self, key: int) -> tuple[InstanceId, ...]:
         """Return the owners of a flow's key, the first one first."""
         slot = slot_of(key)
         owners = self._cache.get(slot)
         if owners is None:
-            owners = self._compute(key, slot.to_bytes(8, "little"))
+            owners = self._compute(key)
             self._cache[slot] = owners
         return owners
 
-    def _compute(self, key: int, slot: bytes) -> tuple[InstanceId, ...]:
-        digest = xxhash.xxh3_64_intdigest
-        scores = [(digest(slot, seed=seed), place) for seed, place in self._places]
-        places = [place for _, place in sorted(scores, reverse=True)]
+    def ranked(self, key: int, place: DataCentreId) -> tuple[InstanceId, ...]:
+        """Return the first instances of a data centre for a key."""
+        table = self._tables.get(place)
+        return () if table is None else table.owners(key, N_RANKED)
+
+    def _compute(self, key: int) -> tuple[InstanceId, ...]:
+        places = ranked_places(key, self.members)
         if len(places) == 1:
-            return self._tables[places[0]].owners(key, N_OWNERS)
-        first = (self._tables[place].owners(key, 1) for place in places[:N_OWNERS])
-        return tuple(owner for owners in first for owner in owners)
+            return self.ranked(key, places[0])[:N_OWNERS]
+        firsts = (self.ranked(key, place)[:1] for place in places[:N_OWNERS])
+        return tuple(owner for owners in firsts for owner in owners)
+
+
+class OwnerChange:
+    """Gives the owners before a change of the membership.
+
+    Parameters
+    ----------
+    before : dict of DataCentreId to tuple of InstanceId
+        The membership that was replaced.
+    after : OwnerMap
+        The owners since.
+    """
+
+    def __init__(
+        self, before: dict[DataCentreId, tuple[InstanceId, ...]], after: OwnerMap
+    ) -> None:
+        self._before = before
+        self._after = after
+        self._members = {place: frozenset(names) for place, names in before.items()}
+        self._version = -1
+        self._lost: dict[DataCentreId, list[InstanceId]] = {}
+
+    def of(self, key: int) -> tuple[InstanceId, ...]:
+        """Return the owners of a flow's key before the change."""
+        if self._version != self._after.version:
+            self._find_lost()
+        places = ranked_places(key, self._before)
+        n_each = N_OWNERS if len(places) == 1 else 1
+        owners: list[InstanceId] = []
+        for place in places[:N_OWNERS]:
+            owners += self._first(key, place, n_each)
+        return tuple(owners)
+
+    def _find_lost(self) -> None:
+        """Note who has gone, in later changes too."""
+        self._version = self._after.version
+        for place, names in self._before.items():
+            present = set(self._after.members.get(place, ()))
+            self._lost[place] = [name for name in names if name not in present]
+
+    def _first(self, key: int, place: DataCentreId, n_owners: int) -> list[InstanceId]:
+        """Return who ranked first in a data centre.
+
+        Those that stayed rank now as they did then, so that only the lost ones
+        are to be ranked again.
+        """
+        members = self._members[place]
+        ranked = self._after.ranked(key, place)
+        stayed = [name for name in ranked if name in members]
+        if len(stayed) < n_owners and len(ranked) == N_RANKED:
+            return list(OwnerTable(self._before[place]).owners(key, n_owners))
+        return list(OwnerTable((*stayed, *self._lost[place])).owners(key, n_owners))
 
 
 class OwnerHistory:
@@ -83,20 +140,23 @@
 
     def __init__(self, grace_ms: int) -> None:
         self._grace_ms = grace_ms
-        self._previous: deque[tuple[int, OwnerMap]] = deque(maxlen=4)
+        self._previous: deque[tuple[int, OwnerChange]] = deque(maxlen=4)
         self._places_seen_ms: dict[DataCentreId, int] = {}
         self.now = OwnerMap({})
 
-    def replace(self, owners: OwnerMap, now_ms: int) -> OwnerMap | None:
-        """Set the owners; return the previous ones if they differ."""
-        if owners.members == self.now.members:
+    def replace(
+        self, members: dict[DataCentreId, tuple[InstanceId, ...]], now_ms: int
+    ) -> OwnerChange | None:
+        """Set the membership; return the change if there is one."""
+        before = self.now.members
+        if members == before:
             return None
-        replaced = self.now
-        for place in replaced.members:
+        for place in before:
             self._places_seen_ms[place] = now_ms
-        self._previous.appendleft((now_ms, replaced))
-        self.now = owners
-        return replaced
+        self.now.update(members)
+        change = OwnerChange(before, self.now)
+        self._previous.appendleft((now_ms, change))
+        return change
 
     def is_cut_off(self, plan: Plan, now_ms: int) -> bool:
         """Return whether a data centre that is in was lost from sight lately.
@@ -114,17 +174,48 @@
         """Return whom to ask for a flow, present owners first."""
         path = list(self.now.of(key))
         alive = self.now.members.values()
-        for replaced_ms, owners in self._previous:
-            if now_ms - replaced_ms > self._grace_ms or not owners.members:
+        for replaced_ms, change in self._previous:
+            if now_ms - replaced_ms > self._grace_ms:
                 continue
             path.extend(
                 name
-                for name in owners.of(key)
+                for name in change.of(key)
                 if name not in path and any(name in names for names in alive)
             )
         return tuple(path)
 
 
+def ranked_places(key: int, places: Iterable[DataCentreId]) -> list[DataCentreId]:
+    """Return data centres in their order of preference for a key."""
+    payload = slot_of(key).to_bytes(8, "little")
+    digest = xxhash.xxh3_64_intdigest
+    return sorted(
+        places, key=lambda place: digest(payload, seed=hash_key(place)), reverse=True
+    )
+
+
+def members_of(
+    fleet: FleetView, plan: Plan, without: InstanceId | None = None
+) -> dict[DataCentreId, tuple[InstanceId, ...]]:
+    """Return the possible owners of each data centre.
+
+    Parameters
+    ----------
+    fleet : FleetView
+        Gives the live instances.
+    plan : Plan
+        Gives the data centres that are out.
+    without : InstanceId or None
+        An instance that is leaving.
+    """
+    found: dict[DataCentreId, list[InstanceId]] = {}
+    for name in fleet.live():
+        place = fleet.data_centre(name)
+        if name != without and place is not None and not _is_out(plan, place):
+            found.setdefault(place, []).append(name)
+    return {place: tuple(names) for place, names in sorted(found.items())}
+
+
 def _is_out(plan: Plan, data_centre: DataCentreId) -> bool:
     known = plan.data_centres.get(data_centre)
     return known is not None and known.state is DataCentreState.OUT
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/sweep.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/sweep.py
@@ -3,7 +3,7 @@
 from ..effects import Effect
 from ..types import ServerId, ServiceId
 from .context import FlowContext
-from .owners import OwnerMap
+from .owners import OwnerChange
 from .placement import flow_key
 from .registrar import Registrar
 from .silence import Silence
@@ -59,7 +59,7 @@
         self._refresh = _Pass(context.config.refresh_period_ms)
         self._moved_services: set[ServiceId] = set()
         self._plan_row: int | None = None
-        self._previous_owners: OwnerMap | None = None
+        self._owner_changes: list[OwnerChange] = []
         self._owner_row: int | None = None
         self._doomed: list[int] = []
 
@@ -69,10 +69,11 @@
             self._moved_services |= services
             self._plan_row = 0
 
-    def on_owners_changed(self, previous: OwnerMap) -> None:
+    def on_owners_changed(self, change: OwnerChange) -> None:
         """Look for flows that have new owners."""
-        if self._previous_owners is None:
-            self._previous_owners = previous
+        if self._owner_row is None:
+            self._owner_changes.clear()
+        self._owner_changes.append(change)
         self._owner_row = 0
 
     def on_servers_lost(self, servers: set[ServerId]) -> None:
@@ -171,16 +172,16 @@
         return self._context.needs_record(service, flow, server)
 
     def _visit_owned(self, now_ms: int) -> None:
-        previous = self._previous_owners
-        if self._owner_row is None or previous is None:
+        if self._owner_row is None:
             return
         table = self._context.table
         count = self._context.config.n_swept_per_tick
         for row in table.rows(self._owner_row, count):
             if table.has(row, FlowMark.REGISTERED):
+                # The first change gives the owners that surely have the record.
                 key = flow_key(table.service(row), table.flow(row))
-                self._registrar.on_owners_changed(row, previous.of(key), now_ms)
+                previous = self._owner_changes[0].of(key)
+                self._registrar.on_owners_changed(row, previous, now_ms)
         self._owner_row += count
         if self._owner_row >= table.n_rows:
             self._owner_row = None
-            self._previous_owners = None
--- a/packages/sapphirerail-core/tests/flow/test_owners.py
+++ b/packages/sapphirerail-core/tests/flow/test_owners.py
@@ -1,7 +1,8 @@
+import random
 from collections import Counter
 
 from sapphirerail_core.fleet import FixedFleet
-from sapphirerail_core.flow.owners import OwnerHistory, OwnerMap
+from sapphirerail_core.flow.owners import OwnerChange, OwnerHistory, OwnerMap
 from sapphirerail_core.plan import Plan
 from sapphirerail_core.types import DataCentreId, DataCentreState, InstanceId
 from sapphirerail_standins.flow_plans import (
@@ -64,9 +65,9 @@
 
 def test_previous_owners_are_asked_for_a_while() -> None:
     history = OwnerHistory(grace_ms=1_000)
-    history.replace(owner_map(PLACE_OF), 0)
+    history.replace(owner_map(PLACE_OF).members, 0)
     joined = {**PLACE_OF, **{InstanceId(f"j{n}"): PLACES[n % 4] for n in range(28)}}
-    history.replace(owner_map(joined), 500)
+    history.replace(owner_map(joined).members, 500)
     moved = [key for key in KEYS if len(history.path(key, 600)) > 2]
     assert moved
     for key in moved:
@@ -78,10 +79,33 @@
 
 def test_a_data_centre_that_vanishes_is_out_of_sight_until_it_is_out() -> None:
     history = OwnerHistory(grace_ms=1_000)
-    history.replace(owner_map(PLACE_OF), 0)
+    history.replace(owner_map(PLACE_OF).members, 0)
     rest = {name: place for name, place in PLACE_OF.items() if place != PLACES[1]}
-    history.replace(owner_map(rest), 10)
+    history.replace(owner_map(rest).members, 10)
     assert history.is_cut_off(first_plan(), 20)
     out = change_data_centre(first_plan(), PLACES[1], DataCentreState.OUT)
     assert not history.is_cut_off(out, 20)
     assert not history.is_cut_off(first_plan(), 10_000_000)
+
+
+def test_changes_give_the_owners_before_them_also_after_later_ones() -> None:
+    random_state = random.Random(6)
+    history = OwnerHistory(grace_ms=1_000)
+    places = dict(PLACE_OF)
+    history.replace(owner_map(places).members, 0)
+    changes: list[tuple[OwnerChange, OwnerMap]] = []
+    for number in range(20):
+        before = owner_map(places)
+        for name in random_state.sample(sorted(places), random_state.randint(0, 2)):
+            del places[name]
+        for extra in range(random_state.randint(0, 3)):
+            name = InstanceId(f"j{number}-{extra}")
+            places[name] = random_state.choice(PLACES)
+        change = history.replace(owner_map(places).members, number)
+        if change is not None:
+            changes.append((change, before))
+        after = owner_map(places)
+        for key in KEYS[:100]:
+            assert history.now.of(key) == after.of(key)
+            for known, owners in changes:
+                assert known.of(key) == owners.of(key)
