--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/owners.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/owners.py
@@ -96,11 +96,25 @@
         self._members = {place: frozenset(names) for place, names in before.items()}
         self._version = -1
         self._lost: dict[DataCentreId, list[InstanceId]] = {}
+        self._lost_keys: list[int] = []
+        self._added: set[InstanceId] = set()
+
+    def concerns(self, key: int) -> bool:
+        """Return whether a flow's owners may have changed; a quick test."""
+        self._compare()
+        if self._before.keys() != self._after.members.keys():
+            return True
+        owners = self._after.of(key)
+        if not self._added.isdisjoint(owners):
+            return True
+        payload = slot_of(key).to_bytes(8, "little")
+        digest = xxhash.xxh3_64_intdigest
+        lowest = min(digest(payload, seed=hash_key(owner)) for owner in owners)
+        return any(digest(payload, seed=seed) > lowest for seed in self._lost_keys)
 
     def of(self, key: int) -> tuple[InstanceId, ...]:
         """Return the owners of a flow's key before the change."""
-        if self._version != self._after.version:
-            self._find_lost()
+        self._compare()
         places = ranked_places(key, self._before)
         n_each = N_OWNERS if len(places) == 1 else 1
         owners: list[InstanceId] = []
@@ -108,12 +122,18 @@
             owners += self._first(key, place, n_each)
         return tuple(owners)
 
-    def _find_lost(self) -> None:
-        """Note who has gone, in later changes too."""
+    def _compare(self) -> None:
+        """Note who has come and gone, in later changes too."""
+        if self._version == self._after.version:
+            return
         self._version = self._after.version
+        self._added.clear()
         for place, names in self._before.items():
             present = set(self._after.members.get(place, ()))
             self._lost[place] = [name for name in names if name not in present]
+            self._added |= present - self._members[place]
+        lost = (name for names in self._lost.values() for name in names)
+        self._lost_keys = [hash_key(name) for name in lost]
 
     def _first(self, key: int, place: DataCentreId, n_owners: int) -> list[InstanceId]:
         """Return who ranked first in a data centre.
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/sweep.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/sweep.py
@@ -59,7 +59,7 @@
         self._refresh = _Pass(context.config.refresh_period_ms)
         self._moved_services: set[ServiceId] = set()
         self._plan_row: int | None = None
-        self._owner_changes: list[OwnerChange] = []
+        self._owner_change: OwnerChange | None = None
         self._owner_row: int | None = None
         self._doomed: list[int] = []
 
@@ -71,9 +71,8 @@
 
     def on_owners_changed(self, change: OwnerChange) -> None:
         """Look for flows that have new owners."""
-        if self._owner_row is None:
-            self._owner_changes.clear()
-        self._owner_changes.append(change)
+        if self._owner_row is None or self._owner_change is None:
+            self._owner_change = change
         self._owner_row = 0
 
     def on_servers_lost(self, servers: set[ServerId]) -> None:
@@ -172,16 +171,18 @@
         return self._context.needs_record(service, flow, server)
 
     def _visit_owned(self, now_ms: int) -> None:
-        if self._owner_row is None:
+        if self._owner_row is None or self._owner_change is None:
             return
         table = self._context.table
+        # The first change gives the owners that surely have the record.
+        change = self._owner_change
         count = self._context.config.n_swept_per_tick
         for row in table.rows(self._owner_row, count):
-            if table.has(row, FlowMark.REGISTERED):
-                # The first change gives the owners that surely have the record.
-                key = flow_key(table.service(row), table.flow(row))
-                previous = self._owner_changes[0].of(key)
-                self._registrar.on_owners_changed(row, previous, now_ms)
+            if not table.has(row, FlowMark.REGISTERED):
+                continue
+            key = flow_key(table.service(row), table.flow(row))
+            if change.concerns(key):
+                self._registrar.on_owners_changed(row, change.of(key), now_ms)
         self._owner_row += count
         if self._owner_row >= table.n_rows:
             self._owner_row = None
--- a/packages/sapphirerail-core/tests/flow/test_owners.py
+++ b/packages/sapphirerail-core/tests/flow/test_owners.py
@@ -109,3 +109,16 @@
             assert history.now.of(key) == after.of(key)
             for known, owners in changes:
                 assert known.of(key) == owners.of(key)
+                if not known.concerns(key):
+                    assert known.of(key) == after.of(key)
+
+
+def test_most_flows_are_not_concerned_by_one_change() -> None:
+    history = OwnerHistory(grace_ms=1_000)
+    history.replace(owner_map(PLACE_OF).members, 0)
+    rest = {name: place for name, place in PLACE_OF.items() if name != "i3"}
+    change = history.replace(owner_map(rest).members, 0)
+    assert change is not None
+    n_concerned = sum(change.concerns(key) for key in KEYS)
+    n_moved = sum(change.of(key) != history.now.of(key) for key in KEYS)
+    assert 0 < n_moved <= n_concerned < N_KEYS / 2
