Date claims to be the way back by the last packet

Cause: the machine found two instances that claimed a flow in the order of their batches and not of the packets, so that the owners named the wrong one. Conclusion: a record carries in one byte when its sender last heard of the flow (21 bytes a record, 20 before); a release does not end a later claim.

--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/director.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/director.py
@@ -224,7 +224,7 @@
 
     @_on.register
     def _(self, message: Release, sender: InstanceId, now_ms: int) -> list[Effect]:
-        self._way_back.on_release(message)
+        self._way_back.on_release(message, now_ms)
         return []
 
     @_on.register
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/record_codec.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/record_codec.py
@@ -1,4 +1,4 @@
-"""Wire form of flow records: 20 bytes each, without any names."""
+"""Wire form of flow records: 21 bytes each, without any names."""
 
 import struct
 from collections.abc import Iterable, Iterator
@@ -10,23 +10,27 @@
 
 __all__ = ["RECORD_BYTES", "FlowRecord", "ServerCodes", "pack_records"]
 
-_FORMAT = struct.Struct("<QQI")
+_FORMAT = struct.Struct("<QQIB")
 RECORD_BYTES = _FORMAT.size
 _CODE_BITS = 46
 _CODE_MASK = (1 << _CODE_BITS) - 1
 _CLASS_BITS = 2
+_AGE_UNIT_MS = 100
+_AGE_MAX = 0xFF
 
 
 class FlowRecord(NamedTuple):
     """Where a flow is, as one instance tells another.
 
-    The service follows from the server, which serves one only.
+    The service follows from the server, which serves one only. The age is the time
+    since the server was last heard by the sender, or was told of it.
     """
 
     flow: FlowId
     server: ServerId
     caller: int
     traffic_class: TrafficClass
+    age_ms: int = 0
 
 
 def _code(server: ServerId) -> int:
@@ -36,8 +40,8 @@
 def pack_records(records: Iterable[FlowRecord]) -> bytes:
     """Return the wire form of records.
 
-    A record is the flow (64 bits), the caller (48), the class (2) and a hash of
-    the server's name (46).
+    A record is the flow (64 bits), the caller (48), the class (2), a hash of the
+    server's name (46) and the age in tenths of a second (8).
     """
     return b"".join(map(_pack, records))
 
@@ -45,7 +49,8 @@
 def _pack(record: FlowRecord) -> bytes:
     tail = record.caller << 48 | record.traffic_class << _CODE_BITS
     tail |= _code(record.server)
-    return _FORMAT.pack(record.flow, tail & 0xFFFFFFFFFFFFFFFF, tail >> 64)
+    age = min(record.age_ms // _AGE_UNIT_MS, _AGE_MAX)
+    return _FORMAT.pack(record.flow, tail & 0xFFFFFFFFFFFFFFFF, tail >> 64, age)
 
 
 class ServerCodes:
@@ -66,7 +71,7 @@
         Where the server is not in the plan, only the flow is yielded.
         """
         whole = len(payload) - len(payload) % RECORD_BYTES
-        for flow, low, high in _FORMAT.iter_unpack(payload[:whole]):
+        for flow, low, high, age in _FORMAT.iter_unpack(payload[:whole]):
             tail = high << 64 | low
             server = self._servers.get(tail & _CODE_MASK)
             if server is None:
@@ -75,4 +80,4 @@
             number = tail >> _CODE_BITS & (1 << _CLASS_BITS) - 1
             known = number <= TrafficClass.UPLOAD
             kind = TrafficClass(number) if known else TrafficClass.FEED
-            yield FlowRecord(FlowId(flow), server, tail >> 48, kind)
+            yield FlowRecord(FlowId(flow), server, tail >> 48, kind, age * _AGE_UNIT_MS)
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/record_store.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/record_store.py
@@ -17,6 +17,8 @@
 
     previous: InstanceId | None
     accepted: bool
+    age_ms: int = 0
+    """Age of the claim that counts."""
 
 
 class RecordStore:
@@ -87,13 +89,14 @@
             row = table.insert(server.service, record.flow, record.server, now_ms)
         elif previous is not None and not self._is_gone(previous):
             # Of records, the time of the server is that of the last claim.
-            is_late = table.server_idle_ms(row, now_ms) < age_ms
+            kept_age_ms = table.server_idle_ms(row, now_ms)
+            is_late = kept_age_ms < age_ms
             if previous != holder and (is_late or not claims):
                 table.hear_caller(row, now_ms)
-                return Kept(previous, accepted=False)
+                return Kept(previous, accepted=False, age_ms=kept_age_ms)
         self._write(row, record, holder, now_ms)
         table.hear_server(row, now_ms - age_ms)
-        return Kept(previous, accepted=True)
+        return Kept(previous, accepted=True, age_ms=age_ms)
 
     def _write(
         self, row: int, record: FlowRecord, holder: InstanceId, now_ms: int
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/registrar.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/registrar.py
@@ -78,12 +78,13 @@
         """
         context = self._context
         context.table.mark(row, FlowMark.REGISTERED | FlowMark.HOLDING)
-        record = context.record(row)
+        age_ms = context.table.idle_ms(row, now_ms)
+        record = context.record(row)._replace(age_ms=age_ms)
         immediate = at_once and self._may_send_at_once(now_ms)
         effects: list[Effect] = []
         for owner in context.owners_of(row):
             if owner == context.self_id:
-                self._store.keep(record, owner, now_ms)
+                self._store.keep(record, owner, now_ms, age_ms=age_ms)
             elif immediate:
                 effects.append(self._send(owner, RegisterMode.HOLD, [record], now_ms))
             else:
@@ -139,6 +140,9 @@
 
     def release(self, holder: InstanceId, record: FlowRecord) -> None:
         """Tell a previous holder with the next batch that it lost a flow."""
+        # The claim grows older until the batch goes.
+        age_ms = record.age_ms + self._context.config.batch_ms
+        record = record._replace(age_ms=age_ms)
         self._released.setdefault(holder, []).append(record)
 
     def on_registered(self, message: Registered) -> None:
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/way_back.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/way_back.py
@@ -91,16 +91,11 @@
             if isinstance(record, FlowRecord):
                 self._store.drop(record)
 
-    def on_release(self, message: Release) -> None:
+    def on_release(self, message: Release, now_ms: int) -> None:
         """Stop to answer for flows that another instance answers for."""
-        table = self._context.table
         for record in self._context.codes.unpack(message.records):
-            if not isinstance(record, FlowRecord):
-                continue
-            service = self._context.plan.servers[record.server].service
-            row = table.find(service, record.flow)
-            if row is not None:
-                table.unmark(row, _HOLDER_MARKS)
+            if isinstance(record, FlowRecord):
+                self._let_go(record, now_ms)
 
     def on_instance_lost(self, instance: InstanceId, now_ms: int) -> None:
         """Plan to become the way back of the flows of a lost instance."""
@@ -153,28 +148,35 @@
         now_ms: int,
     ) -> list[Effect]:
         claims = message.mode is not RegisterMode.REFRESH
-        kept = self._store.keep(
-            record, sender, now_ms, claims=claims, age_ms=message.age_ms
-        )
+        age_ms = message.age_ms + record.age_ms
+        kept = self._store.keep(record, sender, now_ms, claims=claims, age_ms=age_ms)
         if kept.accepted and message.mode is RegisterMode.TAKE_OVER:
             return self.take_over(record, now_ms)
         if kept.accepted and message.mode is RegisterMode.TAKE_OVER_SILENT:
             return self.take_over(record, now_ms, FlowMark.SECOND_PATH)
         previous = kept.previous
         if previous is not None and previous != sender and self._is_first(record):
-            self._tell_released(previous if kept.accepted else sender, record)
+            loser = previous if kept.accepted else sender
+            self._tell_released(loser, record._replace(age_ms=kept.age_ms), now_ms)
         return []
 
-    def _tell_released(self, holder: InstanceId, record: FlowRecord) -> None:
+    def _tell_released(
+        self, holder: InstanceId, record: FlowRecord, now_ms: int
+    ) -> None:
         """Tell an instance that another one answers for a flow."""
         if holder == self._context.self_id:
-            service = self._context.plan.servers[record.server].service
-            row = self._context.table.find(service, record.flow)
-            if row is not None:
-                self._context.table.unmark(row, _HOLDER_MARKS)
+            self._let_go(record, now_ms)
         elif self._context.fleet.state(holder) is InstanceState.ALIVE:
             self._registrar.release(holder, record)
 
+    def _let_go(self, record: FlowRecord, now_ms: int) -> None:
+        """Stop to answer for a flow, unless it was heard here since the claim."""
+        table = self._context.table
+        service = self._context.plan.servers[record.server].service
+        row = table.find(service, record.flow)
+        if row is not None and table.idle_ms(row, now_ms) >= record.age_ms:
+            table.unmark(row, _HOLDER_MARKS)
+
     def _is_first(self, record: FlowRecord) -> bool:
         service = self._context.plan.servers[record.server].service
         owners = self._context.owners.now.of(flow_key(service, record.flow))
--- a/packages/sapphirerail-core/tests/flow/test_record_codec.py
+++ b/packages/sapphirerail-core/tests/flow/test_record_codec.py
@@ -17,6 +17,7 @@
     st.sampled_from(sorted(PLAN.servers)),
     st.integers(0, 2**48 - 1),
     st.sampled_from(list(TrafficClass)),
+    st.integers(0, 255).map(lambda age: age * 100),
 )
 
 
