Take a burst of changes in steps

A peer is asked again 0.3 s after its answer was taken, the watch opens again after 0.5 s, and its answer serves as the root.

Conclusion: bytes of a burst are bounded by the gaps, not by the rate of changes.

--- a/bench/plan.py
+++ b/bench/plan.py
@@ -54,6 +54,9 @@
 TARGET = 3900
 N_SEEDS = 10
 IDLE_MS = 5000
+BURST_SIZE = 100
+N_BURST = 50
+BURST_PAUSE_MS = 100
 N_MERGES = 5
 MEAN_JITTER = 0.875
 N_WRITES = 50
@@ -71,6 +74,7 @@
     for n_instances in SIZES:
         yield from _at_size(n_instances, USUAL, "")
     yield from _at_size(TARGET, WORST, "_silent_watches")
+    yield from _burst()
     yield from _target_plan()
 
 
@@ -159,6 +163,50 @@
         )
 
 
+def _burst() -> Iterator[Figure]:
+    """Yield what many changes in a row cost, as from a script of operators."""
+    members = {InstanceId(f"i{n}"): DATA_CENTRES[n % 7] for n in range(BURST_SIZE)}
+    network = PlanNetwork(members, 1, USUAL)
+    plan = _applied(EMPTY_PLAN, _lines(1, N_BURST))
+    network.write(plan)
+    network.run(CHANGE_MS)
+    network.n_events.clear()
+    network.n_bytes.clear()
+    written_ms: dict[Revision, int] = {}
+    for n in range(N_BURST):
+        name = ServerId(f"server-{n}")
+        line = ServerLine(number=1, name=name, state=ServerState.DRAINING)
+        plan = _applied(plan, [line])
+        written_ms[plan.revision] = network.now_ms
+        network.write(plan)
+        network.run(BURST_PAUSE_MS)
+    burst_s = N_BURST * BURST_PAUSE_MS / 1000
+    per_s = _wire_bytes(network) / BURST_SIZE / burst_s
+    network.run(CHANGE_MS)
+    slowest_ms = max(
+        _first_ms(network, name, revision) - at_ms
+        for name in members
+        for revision, at_ms in written_ms.items()
+    )
+    name = f"burst_{BURST_SIZE}"
+    yield Figure.at_most(
+        f"plan_in_force_max_{name}", slowest_ms / 1000, "s", IN_FORCE_S
+    )
+    yield Figure.at_most(
+        f"plan_control_{name}", round(per_s), "byte/s", CONTROL_BYTES_PER_S
+    )
+
+
+def _first_ms(network: PlanNetwork, name: InstanceId, revision: Revision) -> int:
+    """Return when an instance first had a revision or a higher one."""
+    times = [
+        at_ms
+        for (instance, taken), at_ms in network.taken_ms.items()
+        if instance == name and taken >= revision
+    ]
+    return min(times, default=network.now_ms + CHANGE_MS)
+
+
 def _target_plan() -> Iterator[Figure]:
     """Yield the sizes of a plan of 10,000 services and 28,000 servers."""
     gc.collect()
--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/reader.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/reader.py
@@ -11,7 +11,7 @@
 from .layout import Root, Shard, ShardRef
 from .model import EMPTY_PLAN, Plan
 from .retry import Pause, backoff_ms, sleep_ms
-from .store import ABSENT, Store, Version
+from .store import ABSENT, Store, StoredValue, Version
 
 __all__ = ["PlanReader", "StoredPlan"]
 
@@ -73,13 +73,17 @@
         """
         return await self.read_after(EMPTY_PLAN)
 
-    async def read_after(self, held: Plan) -> StoredPlan:
+    async def read_after(
+        self, held: Plan, watched: StoredValue | None = None
+    ) -> StoredPlan:
         """Return the plan in the store; only shards that changed are fetched.
 
         Parameters
         ----------
         held : Plan
             The plan that is known already.
+        watched : StoredValue or None
+            The root's value, if a watch just told it.
 
         Returns
         -------
@@ -95,7 +99,8 @@
             What lies in the store is not a plan.
         """
         for attempt in range(MAX_READS):
-            value = await self._store.get(layout.ROOT_KEY)
+            value = watched or await self._store.get(layout.ROOT_KEY)
+            watched = None
             if value is None:
                 return StoredPlan()
             root = layout.decode_root(value.value)
--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/sync.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/sync.py
@@ -47,6 +47,9 @@
     fetch_timeout_ms, full_timeout_ms : int
         Time for a peer's answer with a delta, or with a whole plan, before another
         peer is asked.
+    fetch_gap_ms : int
+        Least time from taking a peer's plan to asking again: a burst of changes is
+        taken in steps.
     contact_stale_ms : int
         Age of the last contact from which on other instances try the store as well.
     fallback_ms : int
@@ -61,6 +64,7 @@
     poll_ms: int = 2000
     fetch_timeout_ms: int = 700
     full_timeout_ms: int = 2000
+    fetch_gap_ms: int = 300
     contact_stale_ms: int = 20_000
     fallback_ms: int = 5000
 
@@ -149,6 +153,7 @@
         self._fetch: _Fetch | None = None
         self._needs_full = False
         self._last_refusal = ""
+        self._next_fetch_ms = 0
         self._n_repeats_left = 0
         self._next_repeat_ms = 0
         self._next_round_ms = 0
@@ -209,6 +214,8 @@
             self._needs_full = True
             return self.on_peer_revision(sender, answer.revision, now_ms)
         taken = self._take(plan, PlanSource(sender, now_ms), now_ms)
+        if taken:
+            self._next_fetch_ms = now_ms + self._config.fetch_gap_ms
         if answer.revision <= self.plan.revision:
             self._note_contact(answer.contact_age_ms, now_ms)
         return taken + self._ask(now_ms)
@@ -239,6 +246,8 @@
         actions: list[SyncAction] = []
         if self._fetch is not None and now_ms >= self._fetch.until_ms:
             actions += self.on_fetch_failed(self._fetch.instance, now_ms)
+        else:
+            actions += self._ask(now_ms)
         if self._n_repeats_left and now_ms >= self._next_repeat_ms:
             self._n_repeats_left -= 1
             self._next_repeat_ms = now_ms + self._config.repeat_ms
@@ -308,7 +317,8 @@
             for name, revision in self._tellers.items()
             if revision > self.plan.revision
         }
-        if self._fetch is not None or not self._tellers:
+        is_waiting = self._fetch is not None or now_ms < self._next_fetch_ms
+        if is_waiting or not self._tellers:
             return []
         peer = max(self._tellers, key=lambda name: self._tellers[name])
         since = Revision(0) if self._needs_full else self.plan.revision
--- a/packages/sapphirerail-core/tests/plan/test_sync.py
+++ b/packages/sapphirerail-core/tests/plan/test_sync.py
@@ -73,6 +73,18 @@
     assert sync.contact_age_ms(20) == 3
 
 
+def test_burst_is_taken_in_steps():
+    sync = _sync()
+    sync.on_store_plan(FIRST, 0)
+    sync.on_message("i01", _news(SECOND), 10)
+    answer = PlanAnswer(SECOND.revision, 3, delta=delta_since(SECOND, 1))
+    sync.on_answer("i01", answer, 20)
+    assert sync.on_message("i02", _news(THIRD), 30) == []
+    due_ms = 20 + CONFIG.fetch_gap_ms
+    assert _fetches(sync.tick(due_ms - 1)) == []
+    assert _fetches(sync.tick(due_ms)) == [FetchPlan("i02", 2)]
+
+
 def test_older_news_is_answered_with_the_own_plan():
     sync = _sync()
     sync.on_store_plan(SECOND, 0)
--- a/packages/sapphirerail-node/src/sapphirerail_node/plan_service.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/plan_service.py
@@ -17,7 +17,7 @@
 from sapphirerail_core.plan.layout import ROOT_KEY
 from sapphirerail_core.plan.messages import PlanNews
 from sapphirerail_core.plan.reader import PlanReader
-from sapphirerail_core.plan.store import Store, Version
+from sapphirerail_core.plan.store import Store, StoredValue, Version
 from sapphirerail_core.plan.sync import (
     FetchPlan,
     PlanSync,
@@ -267,20 +267,20 @@
         except msgspec.MsgspecError as error:
             raise InputError("plan.bad_answer", str(error)) from error
 
-    async def _read(self) -> None:
+    async def _read(self, watched: StoredValue | None = None) -> None:
         """Read the root, and the shards only if it has a higher revision."""
         if self._reading:
             return
         self._reading = True
         try:
-            await self._read_newer()
+            await self._read_newer(watched)
         finally:
             self._reading = False
 
-    async def _read_newer(self) -> None:
+    async def _read_newer(self, watched: StoredValue | None) -> None:
         self._n_store_calls += 1
         try:
-            found = await self._reader.read_after(self.plan)
+            found = await self._reader.read_after(self.plan, watched)
         except SapphirerailError as error:
             self._on_store_error(error)
             return
@@ -307,9 +307,8 @@
                 await asyncio.sleep(WATCH_PAUSE_MS / 1000)
                 continue
             if value is not None:
-                await self._read()
-            if self._root_version == version and value is not None:
-                # The reading failed; without a pause the watch would spin.
+                await self._read(value)
+                # A burst of changes is read in steps, and failures don't spin.
                 await asyncio.sleep(WATCH_PAUSE_MS / 1000)
 
     def _on_store_error(self, error: SapphirerailError) -> None:
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/plan_network.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/plan_network.py
@@ -44,6 +44,8 @@
         Time of a call to a peer or to the store.
     tick_ms : int
         Time between ticks of an instance.
+    watch_pause_ms : int
+        Time from a reading that a watch brought about to the next watch.
     silent_watches : bool
         Whether watches on the store stay open and tell nothing.
     """
@@ -52,6 +54,7 @@
     delay_ms: int = 2
     call_ms: int = 6
     tick_ms: int = 100
+    watch_pause_ms: int = 500
     silent_watches: bool = False
 
 
@@ -115,6 +118,7 @@
         self._random = random.Random(seed)
         self._queue: list[tuple[int, int, Callable[[], None]]] = []
         self._numbers = itertools.count()
+        self._watch_due_ms: dict[InstanceId, int] = {}
         self._highest: dict[InstanceId, Revision] = {}
         self._answers: dict[tuple[Revision, int, Revision], tuple[PlanAnswer, int]] = {}
         self._shared: dict[DataCentreId | None, tuple[InstanceId, ...]] = {}
@@ -144,7 +148,7 @@
             return
         for name, sync in self.syncs.items():
             if sync.is_reader:
-                self._after_delay(lambda name=name: self._read_store(name))
+                self._watch_tells(name)
 
     def run(self, duration_ms: int) -> None:
         """Let time pass."""
@@ -187,6 +191,16 @@
         delay_ms = self._random.randint(1, self._config.delay_ms)
         self._at(self.now_ms + delay_ms, action)
 
+    def _watch_tells(self, name: InstanceId) -> None:
+        """Let an instance read, but not again before its watch is open again."""
+        due_ms = self._watch_due_ms.get(name, 0)
+        if due_ms > self.now_ms:
+            return
+        delay_ms = self._random.randint(1, self._config.delay_ms)
+        at_ms = max(self.now_ms + delay_ms, due_ms + self._config.watch_pause_ms)
+        self._watch_due_ms[name] = at_ms
+        self._at(at_ms, lambda: self._read_store(name))
+
     def _tick(self, name: InstanceId, sync: PlanSync) -> None:
         if self.syncs.get(name) is not sync:
             return
