--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/registrar.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/registrar.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+import msgspec
+
 from ..effects import Effect, SendToPeer
 from ..types import InstanceId, InstanceState
 from .context import FlowContext
@@ -24,6 +26,7 @@
 
     owner: InstanceId
     message: Register
+    made_ms: int
     n_attempts: int
     due_ms: int
 
@@ -75,12 +78,13 @@
         """
         context = self._context
         context.table.mark(row, FlowMark.REGISTERED | FlowMark.HOLDING)
-        record = context.record(row)
+        age_ms = context.table.idle_ms(row, now_ms)
+        record = context.record(row)._replace(age_ms=age_ms)
         immediate = at_once and self._may_send_at_once(now_ms)
         effects: list[Effect] = []
         for owner in context.owners_of(row):
             if owner == context.self_id:
-                self._store.keep(record, owner, now_ms)
+                self._store.keep(record, owner, now_ms, age_ms=age_ms)
             elif immediate:
                 effects.append(self._send(owner, RegisterMode.HOLD, [record], now_ms))
             else:
@@ -136,6 +140,9 @@
 
     def release(self, holder: InstanceId, record: FlowRecord) -> None:
         """Tell a previous holder with the next batch that it lost a flow."""
+        # The claim grows older until the batch goes.
+        age_ms = record.age_ms + self._context.config.batch_ms
+        record = record._replace(age_ms=age_ms)
         self._released.setdefault(holder, []).append(record)
 
     def on_registered(self, message: Registered) -> None:
@@ -195,7 +202,7 @@
         self._serial += 1
         message = Register(self._serial, pack_records(records), mode)
         due_ms = now_ms + self._context.config.ack_timeout_ms
-        self._batches[self._serial] = _Batch(owner, message, 1, due_ms)
+        self._batches[self._serial] = _Batch(owner, message, now_ms, 1, due_ms)
         self._due.append(self._serial)
         return SendToPeer(owner, message)
 
@@ -213,7 +220,9 @@
                 batch.n_attempts += 1
                 wait_ms = self._context.config.ack_timeout_ms << batch.n_attempts
                 batch.due_ms = now_ms + wait_ms
-                effects.append(SendToPeer(batch.owner, batch.message))
+                age_ms = now_ms - batch.made_ms
+                message = msgspec.structs.replace(batch.message, age_ms=age_ms)
+                effects.append(SendToPeer(batch.owner, message))
             self._due.append(serial)
         return effects
 
