--- a/bench/placement.py
+++ b/bench/placement.py
@@ -7,6 +7,7 @@
 
 from sapphirerail_core.flow.placement import Placement
 from sapphirerail_core.flow.record_codec import RECORD_BYTES
+from sapphirerail_core.plan import Plan
 from sapphirerail_core.types import (
     FlowId,
     InstanceId,
@@ -18,8 +19,11 @@
 from sapphirerail_standins.flow_plans import (
     BOOKINGS,
     PLACES,
+    add_server,
     change_servers,
     first_plan,
+    new_server,
+    replace_server,
 )
 
 from .placement_series import Tally, replay
@@ -47,6 +51,7 @@
     yield from _broken(tally, hash_only, with_table, record_all)
     yield from _packets(tally, record_all, ours)
     yield from _imbalance()
+    yield from _seats()
     yield from _control_bytes()
     yield from _decisions()
 
@@ -107,6 +112,29 @@
     )
 
 
+def _seats() -> Iterator[Figure]:
+    """Yield the new flows that need a record after a server was replaced."""
+    first, heir = ServerId("bookings-0"), ServerId("bookings-0b")
+    left = {first: ServerState.LEFT}
+    inherited = change_servers(replace_server(first_plan(), first, heir), left)
+    added = add_server(first_plan(), new_server(BOOKINGS, 7, 9_800))
+    other_seat = change_servers(added, left)
+    baseline = Baseline("seat_of_its_own", _exception_share(other_seat))
+    value = _exception_share(inherited)
+    yield Figure.at_most("exceptions_after_replacement", value, "1", 0, baseline)
+
+
+def _exception_share(plan: Plan) -> float:
+    placement = Placement(plan)
+    random_state = random.Random(5)
+    flows = [FlowId(random_state.getrandbits(64)) for _ in range(N_DECISIONS // 4)]
+    n_exceptions = sum(
+        placement.candidates(BOOKINGS, flow)[0] != placement.default(BOOKINGS, flow)
+        for flow in flows
+    )
+    return n_exceptions / len(flows)
+
+
 def _control_bytes() -> Iterator[Figure]:
     """Yield the cost of new feeds at the target's rate, a drain going on."""
     for traffic_class in (TrafficClass.TRANSACTION, TrafficClass.FEED):
