--- a/packages/sapphirerail-core/src/sapphirerail_core/fleet/rounds.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/rounds.py
@@ -10,7 +10,7 @@
 
 N_JOIN = 3
 N_CONFIRM = 8
-"""Lost instances that are probed through other data centres at a time."""
+"""Lost instances that another data centre is asked about at a time."""
 
 
 def heartbeats(fleet: FleetState, now_ms: int) -> list[Effect]:
@@ -25,14 +25,22 @@
 
 def _round_targets(fleet: FleetState) -> list[InstanceId]:
     roster, config = fleet.roster, fleet.config
-    targets = list(roster.neighbours(fleet.self_id))
+    targets: list[InstanceId | None] = list(roster.neighbours(fleet.self_id))
     local = roster.sample(fleet.random_state, fleet.data_centre, config.n_random)
     targets += [name for name in local if name not in targets]
-    others = [d for d in roster.data_centres() if d != fleet.data_centre]
-    for offset in range(min(config.n_remote, len(others))):
-        data_centre = others[(fleet.sequence + offset) % len(others)]
-        targets += roster.sample(fleet.random_state, data_centre, 1)
-    return targets
+    targets += [_next_remote(fleet) for _ in range(config.n_remote)]
+    return [name for name in targets if name is not None]
+
+
+def _next_remote(fleet: FleetState) -> InstanceId | None:
+    """Return the next instance elsewhere, so that each has its turn."""
+    others = [d for d in fleet.roster.data_centres() if d != fleet.data_centre]
+    if not others:
+        return None
+    fleet.n_remote_sent += 1
+    turn, place = divmod(fleet.n_remote_sent, len(others))
+    live = fleet.roster.live(others[place])
+    return live[turn % len(live)]
 
 
 def accuse(fleet: FleetState, member: Member, now_ms: int) -> list[Effect]:
@@ -77,18 +85,26 @@
 def join_listed(fleet: FleetState) -> list[Effect]:
     """Ask a few listed but unknown instances for the members.
 
-    Until this instance has joined, those of its own data centre are asked first.
+    Until this instance has joined, those of its own data centre are asked first, the
+    known ones too: they may have joined here before this instance read the list.
     """
     unknown = sorted(n for n in fleet.listed if n not in fleet.roster.members)
     pool = unknown
     if fleet.joined_ms is None:
-        own = fleet.data_centre
-        local = [n for n in unknown if fleet.listed[n].data_centre == own]
-        pool = local or unknown
+        pool = _local_names(fleet) or unknown
     chosen = fleet.random_state.sample(pool, min(N_JOIN, len(pool)))
     return [SendToPeer(name, Join(fleet.roster.own.record)) for name in chosen]
 
 
+def _local_names(fleet: FleetState) -> list[InstanceId]:
+    """Return all others of this data centre that are listed or known alive."""
+    own = fleet.data_centre
+    names = {n for n, entry in fleet.listed.items() if entry.data_centre == own}
+    names.update(fleet.roster.live(own))
+    names.discard(fleet.self_id)
+    return sorted(names)
+
+
 def rejoin(fleet: FleetState, now_ms: int) -> list[Effect]:
     """Try to reach those that are listed or dead, a few at a time."""
     effects = join_listed(fleet)
@@ -101,20 +117,22 @@
         name = fleet.random_state.choice(dead)
         heartbeat = fleet.heartbeat(name, fleet.sequence, now_ms)
         effects.append(SendToPeer(name, heartbeat))
-    if not fleet.electorate.has_majority():
+    if fleet.electorate.is_tied():
         effects += _confirm_lost(fleet)
     return effects
 
 
 def _confirm_lost(fleet: FleetState) -> list[Effect]:
-    """Ask other data centres whether they reach those that are lost here."""
-    roster, random_state = fleet.roster, fleet.random_state
-    others = [d for d in roster.data_centres() if d != fleet.data_centre]
-    n_asked = min(fleet.config.n_helpers, len(others))
-    effects: list[Effect] = []
-    for subject in fleet.electorate.counted_lost()[:N_CONFIRM]:
-        for data_centre in random_state.sample(others, n_asked):
-            helpers = roster.sample(random_state, data_centre, 1)
-            request = ProbeRequest(subject)
-            effects += [SendToPeer(name, request) for name in helpers]
-    return effects
+    """Ask the tie-breaking data centre whether it reaches those lost here."""
+    data_centre = fleet.electorate.tie_breaker()
+    if data_centre is None:
+        return []
+    helpers = fleet.roster.sample(
+        fleet.random_state, data_centre, fleet.config.n_helpers
+    )
+    subjects = fleet.electorate.counted_lost()[:N_CONFIRM]
+    return [
+        SendToPeer(name, ProbeRequest(subject))
+        for subject in subjects
+        for name in helpers
+    ]
