Stop the message storm of retransmissions, and keep goodput at overload

Cause: the claim of a retransmission asked up to 32 keepers in all data centres at once and withdrew from all of them, though most retransmissions are known to the keepers at home; once queues made callers retransmit, 140 requests a second gave 100,000 messages a second, heartbeats came late, leases were lost and no request was admitted any more (metastable). Besides, requests were sent with less time left than a run takes, and each one that the server then dropped at its deadline cooled the server; and refusals for want of time came after the caller's own deadline. Ruled out: the servers (40 runs a second of 70) and the platform (not called). Conclusion: keepers at home are asked first, a run that can't end in time isn't started, a deadline too short to show anything isn't held against the server.

--- a/packages/sapphirerail-core/src/sapphirerail_core/load/config.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/load/config.py
@@ -22,6 +22,11 @@
         Slow answers in a row that count as a sign of a cold server.
     n_silent_to_eject : int
         Missed deadlines in a row after which a server is ejected.
+    miss_factor : float
+        A missed deadline counts in full if the time given was at least this multiple
+        of the usual latency.
+    n_late_to_fall : int
+        Missed deadlines in a row that count as one, where less time was given.
     probation_ms, probation_max_ms : int
         First and longest wait before an ejected server gets a request again.
     n_sheds_to_eject : int
@@ -41,6 +46,8 @@
     latency_floor_ms: int = 20
     n_slow_to_fall: int = 3
     n_silent_to_eject: int = 2
+    miss_factor: float = 1.5
+    n_late_to_fall: int = 4
     probation_ms: int = 1_000
     probation_max_ms: int = 16_000
     n_sheds_to_eject: int = 8
--- a/packages/sapphirerail-core/src/sapphirerail_core/load/gate.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/load/gate.py
@@ -102,11 +102,15 @@
         return self.n_flows < self.n_flows_max
 
     def wait_ms(self, item: QueueItem) -> float:
-        """Return the expected wait of an item that would be queued now."""
+        """Return the expected time to the answer of an item queued now.
+
+        A request in flight is on average half done, and the item itself has to be
+        run after its wait.
+        """
         default_ms = self._config.latency_floor_ms
         usual_ms = self.limit.latency.expected_ms(default_ms)
-        n_ahead = self.queue.n_ahead(item.traffic_class)
-        return usual_ms * (n_ahead + 1) / max(1, self.limit.limit)
+        n_ahead = self.queue.n_ahead(item.traffic_class) + len(self.in_flight) / 2
+        return usual_ms * (1 + n_ahead / max(1, self.limit.limit))
 
     def is_hopeless(self, remaining_ms: int) -> bool:
         """Return whether a request would surely miss its deadline.
@@ -116,7 +120,7 @@
         """
         if not len(self.queue):
             return False
-        return remaining_ms < self.limit.latency.expected_ms(0) / 2
+        return remaining_ms < self.limit.latency.expected_ms(0)
 
     def inherit(self, holder: str, n_in_flight: int, until_ms: int) -> None:
         """Count the requests that another owner has in flight at the server."""
@@ -154,7 +158,10 @@
                 work.is_overdue = True
                 overdue.append(key)
                 if not is_lost_alone:
-                    self.limit.on_silence(now_ms)
+                    self._on_missed(work, now_ms)
+            elif work.is_overdue:
+                # The server may have dropped it at the deadline: no further sign.
+                continue
             elif now_ms - work.sent_at_ms > self.limit.stall_age_ms():
                 if not is_lost_alone:
                     self.limit.on_stall(now_ms)
@@ -164,6 +171,15 @@
         self._free_ended(now_ms)
         return overdue
 
+    def _on_missed(self, work: InFlight, now_ms: int) -> None:
+        """Take in a missed deadline; one that was too short shows little."""
+        given_ms = work.deadline_at_ms - work.sent_at_ms
+        enough_ms = self._config.miss_factor * self.limit.latency.expected_ms(0)
+        if given_ms >= enough_ms:
+            self.limit.on_silence(now_ms)
+        else:
+            self.limit.on_late(now_ms)
+
     def _free_ended(self, now_ms: int) -> None:
         for key, work in list(self.in_flight.items()):
             if work.is_overdue and self._ended_at_ms(work) <= now_ms:
--- a/packages/sapphirerail-core/src/sapphirerail_core/load/limit.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/load/limit.py
@@ -59,6 +59,7 @@
         self._n_good = 0
         self._n_slow = 0
         self._n_silent = 0
+        self._n_late = 0
         self._n_shed = 0
         self._n_flows_reported = 0
 
@@ -84,6 +85,7 @@
     def on_answer(self, latency_ms: int, now_ms: int) -> None:
         """Take in a whole answer."""
         self._n_silent = 0
+        self._n_late = 0
         self._n_shed = 0
         if self.state is LimitState.EJECTED:
             self._fall(now_ms, "answered after ejection")
@@ -120,6 +122,13 @@
         elif self.state is not LimitState.EJECTED:
             self._fall(now_ms, "missed a deadline")
 
+    def on_late(self, now_ms: int) -> None:
+        """Take in a missed deadline that a healthy server might miss as well."""
+        self._n_late += 1
+        if self._n_late >= self._config.n_late_to_fall:
+            self._n_late = 0
+            self.on_silence(now_ms)
+
     def on_reset(self, now_ms: int) -> None:
         """Take in that the server has lost what it knew: it was restarted."""
         if self.state is not LimitState.EJECTED:
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/claimant.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/claimant.py
@@ -51,8 +51,13 @@
     silent_at_ms: int
     yield_at_ms: int
     fail_at_ms: int
+    is_wide: bool
     n_asked: int = 0
 
+    def asked(self) -> list[Panel]:
+        """Return the panels whose keepers were asked."""
+        return self.panels if self.is_wide else self.panels[:1]
+
     def denials(self) -> list[InstanceId]:
         """Return who holds the claim in the keepers' opinion."""
         return [who for panel in self.panels for who in panel.denials.values()]
@@ -105,6 +110,9 @@
             silent_at_ms=now_ms + config.claim_silence_ms,
             yield_at_ms=now_ms + config.claim_contention_ms,
             fail_at_ms=deadline_at_ms - config.claim_reserve_ms,
+            # Most retransmissions are known at home; the other data centres are
+            # asked only after the home's keepers knew nothing or kept silent.
+            is_wide=is_first,
         )
         attempt.panels = self._panels(attempt, now_ms)
         self._attempts[key] = attempt
@@ -140,6 +148,7 @@
         if now_ms < attempt.ask_again_at_ms:
             return []
         attempt.n_asked += 1
+        attempt.is_wide = True
         wait_ms = self._context.config.claim_resend_ms << attempt.n_asked
         attempt.ask_again_at_ms = now_ms + min(wait_ms, _RESEND_MAX_MS)
         self._refresh(attempt, now_ms)
@@ -208,7 +217,9 @@
         effects: list[Effect] = []
         remaining_ms = max(0, attempt.deadline_at_ms - now_ms)
         claim = Claim(attempt.key, remaining_ms, attempt.epoch)
-        for panel in attempt.panels:
+        for panel in attempt.asked():
+            if panel.has_quorum():
+                continue
             wanted = panel.unanswered()
             if not is_again:
                 wanted = wanted[: panel.quorum]
@@ -244,6 +255,9 @@
         denials = attempt.denials()
         if denials:
             return self._on_denied(attempt, denials)
+        if not attempt.is_wide and attempt.panels and attempt.panels[0].has_quorum():
+            attempt.is_wide = True
+            return self._ask(attempt, now_ms, is_again=False)
         required = [panel for panel in attempt.panels if not panel.is_optional]
         optional = [panel for panel in attempt.panels if panel.is_optional]
         if not required or not all(panel.has_quorum() for panel in required):
@@ -310,7 +324,7 @@
         self._keeper.withdraw(self_id, withdraw)
         return [
             SendToPeer(name, withdraw)
-            for panel in attempt.panels
+            for panel in attempt.asked()
             for name in panel.keepers
             if name != self_id
         ]
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/config.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/config.py
@@ -14,6 +14,9 @@
     ----------
     deadline_default_ms, deadline_max_ms : int
         Deadline of a request that names none, and the longest that is granted.
+    reply_reserve_ms : int
+        Time kept back from a caller's deadline, but at most a tenth of it, so that a
+        refusal for want of time still reaches the caller.
     n_hops_max : int
         Instances that a request may pass on its way to a server.
     forward_resend_ms : int
@@ -57,6 +60,7 @@
 
     deadline_default_ms: int = 5_000
     deadline_max_ms: int = 10_000
+    reply_reserve_ms: int = 50
     n_hops_max: int = 5
     forward_resend_ms: int = 40
     n_forward_sends: int = 3
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/ingress.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/ingress.py
@@ -156,7 +156,8 @@
     def _with_deadline(self, datagram: Datagram) -> Datagram:
         config = self._context.config
         asked_ms = datagram.deadline_ms or config.deadline_default_ms
-        deadline_ms = min(max(1, asked_ms), config.deadline_max_ms)
+        kept_back_ms = min(config.reply_reserve_ms, asked_ms // 10)
+        deadline_ms = min(max(1, asked_ms - kept_back_ms), config.deadline_max_ms)
         return msgspec.structs.replace(datagram, deadline_ms=deadline_ms)
 
     def _cancel(self, datagram: Datagram, now_ms: int) -> list[Effect]:
--- a/packages/sapphirerail-core/tests/load/test_gate.py
+++ b/packages/sapphirerail-core/tests/load/test_gate.py
@@ -89,3 +89,38 @@
     made.queue.push(QueueItem(TrafficClass.FEED, 900, 1))
     made.queue.push(QueueItem(TrafficClass.FEED, 500, 2))
     assert made.queue.pop().key == 2
+
+
+def test_deadline_too_short_for_the_usual_latency_shows_little():
+    made = warm_gate()
+    made.on_sent(2, 5_000, 100)
+    made.on_answer(2, 300)
+    for key in range(3, 6):
+        sent_at_ms = 1_000 * key
+        made.on_sent(key, sent_at_ms + 10, sent_at_ms)
+        made.take_overdue(sent_at_ms + 10)
+        assert made.limit.state is LimitState.WARM
+        made.take_overdue(sent_at_ms + 900)
+    # A server that is silent all the same is noticed in the end.
+    made.on_sent(6, 6_010, 6_000)
+    made.take_overdue(6_010)
+    assert made.limit.state is LimitState.WARMING
+
+
+def test_expected_time_counts_what_is_in_flight_and_the_run_itself():
+    made = warm_gate()
+    item = QueueItem(TrafficClass.TRANSACTION, 10_000, 9)
+    usual_ms = made.limit.latency.expected_ms(0)
+    assert made.wait_ms(item) == usual_ms
+    made.on_sent(2, 5_000, 100)
+    made.on_sent(3, 5_000, 100)
+    assert made.wait_ms(item) == 1.5 * usual_ms
+
+
+def test_waiting_request_without_time_for_a_run_is_not_sent():
+    made = warm_gate()
+    usual_ms = made.limit.latency.expected_ms(0)
+    assert not made.is_hopeless(int(usual_ms) - 1)
+    made.queue.push(QueueItem(TrafficClass.TRANSACTION, 10_000, 9))
+    assert made.is_hopeless(int(usual_ms) - 1)
+    assert not made.is_hopeless(int(usual_ms) + 1)
--- a/packages/sapphirerail-node/src/sapphirerail_node/peers.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/peers.py
@@ -60,6 +60,7 @@
         payload = self._codec.encode(self._self_id, message)
         self._socket.send(payload, parse_address(address))
         self._metrics.count("peer.sent")
+        self._metrics.count(f"peer.sent.{type(message).__name__}")
         self._metrics.count("peer.sent_bytes", len(payload))
 
     def _on_payload(self, payload: bytes, sender: Address) -> None:
