--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/draft.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/draft.py
@@ -9,13 +9,13 @@
 from ..types import (
     DataCentreState,
     Revision,
-    ServerId,
     ServerState,
     ServiceId,
 )
 from .digest import part_digest
 from .layers import next_layers
 from .model import DataCentre, Layer, Plan, Server, Service, ServiceLayers
+from .places import Places, changed_server, new_server
 from .retention import forget_left, forgotten_at
 from .sheet_line import (
     DataCentreLine,
@@ -148,11 +148,7 @@
         self._data_centres = dict(plan.data_centres)
         self._services = dict(plan.services)
         self._servers = dict(plan.servers)
-        self._addresses: dict[str, ServerId] = {}
-        self._seats: dict[ServiceId, dict[int, list[ServerId]]] = {}
-        self._free_from: dict[ServiceId, int] = {}
-        for server in plan.servers.values():
-            self._index(server)
+        self._places = Places(plan.servers.values())
 
     def apply(self, line: SheetLine) -> LineResult:
         """Apply one line, or refuse it and leave the draft as it is."""
@@ -237,7 +233,7 @@
     @_wanted.register
     def _(self, line: ServerLine) -> tuple[Statement | None, Statement]:
         known = self._servers.get(line.name)
-        wanted = _new_server(line) if known is None else _changed_server(known, line)
+        wanted = new_server(line) if known is None else changed_server(known, line)
         if wanted.service not in self._services:
             reason = f"service {wanted.service!r} is in neither the sheet nor the plan"
             raise LineError(RefusalReason.UNKNOWN_SERVICE, reason)
@@ -248,44 +244,9 @@
             )
             raise LineError(RefusalReason.UNKNOWN_DATA_CENTRE, reason)
         if wanted.state is not ServerState.LEFT:
-            self._check_address(wanted)
-            wanted = self._seated(known, line, wanted)
+            wanted = self._places.placed(known, line.seat, wanted)
         return known, wanted
 
-    def _check_address(self, wanted: Server) -> None:
-        holder = self._addresses.get(wanted.address, wanted.server)
-        if holder != wanted.server:
-            reason = f"{wanted.address} belongs to {holder!r}, which has not left"
-            raise LineError(RefusalReason.ADDRESS_TAKEN, reason)
-
-    def _seated(self, known: Server | None, line: ServerLine, wanted: Server) -> Server:
-        """Return the server with its seat; it shares one only with a draining one."""
-        seats = self._seats.setdefault(wanted.service, {})
-        if line.seat is not None:
-            seat = line.seat
-        elif known is not None and known.state is not ServerState.LEFT:
-            seat = known.seat
-        else:
-            seat = self._lowest_free_seat(wanted.service)
-        if wanted.state is not ServerState.DRAINING:
-            self._check_seat(wanted.server, seat, seats.get(seat, []))
-        return msgspec.structs.replace(wanted, seat=seat)
-
-    def _lowest_free_seat(self, service: ServiceId) -> int:
-        seats = self._seats[service]
-        seat = self._free_from.get(service, 0)
-        while seats.get(seat):
-            seat += 1
-        self._free_from[service] = seat
-        return seat
-
-    def _check_seat(self, server: ServerId, seat: int, holders: list[ServerId]) -> None:
-        for holder in holders:
-            state = self._servers[holder].state
-            if holder != server and state is not ServerState.DRAINING:
-                reason = f"seat {seat} belongs to {holder!r}; let it drain first"
-                raise LineError(RefusalReason.SEAT_TAKEN, reason)
-
     def _replace(self, known: Statement | None, wanted: Statement) -> None:
         """Put a part into the draft."""
         # A part that two equal lines of one sheet name counts once.
@@ -300,79 +261,6 @@
             self._services[wanted.service] = wanted
         else:
             if isinstance(known, Server):
-                self._unindex(known)
+                self._places.remove(known)
             self._servers[wanted.server] = wanted
-            self._index(wanted)
-
-    def _index(self, server: Server) -> None:
-        if server.state is ServerState.LEFT:
-            return
-        self._addresses[server.address] = server.server
-        seats = self._seats.setdefault(server.service, {})
-        seats.setdefault(server.seat, []).append(server.server)
-
-    def _unindex(self, server: Server) -> None:
-        if server.state is ServerState.LEFT:
-            return
-        del self._addresses[server.address]
-        seats = self._seats[server.service]
-        seats[server.seat].remove(server.server)
-        free_from = self._free_from.get(server.service, 0)
-        self._free_from[server.service] = min(free_from, server.seat)
-
-
-def _new_server(line: ServerLine) -> Server:
-    missing = [
-        column
-        for column, value in (
-            ("service", line.service),
-            ("data_centre", line.data_centre),
-            ("address", line.address),
-            ("state", line.state),
-        )
-        if value is None
-    ]
-    if missing:
-        reason = f"the plan has no such server yet, so {', '.join(missing)} must be set"
-        raise LineError(RefusalReason.MISSING_FIELD, reason)
-    assert line.service is not None
-    assert line.data_centre is not None
-    assert line.address is not None
-    assert line.state is not None
-    server = Server(
-        server=line.name,
-        service=line.service,
-        data_centre=line.data_centre,
-        address=line.address,
-        state=line.state,
-    )
-    return _with_limits(server, line)
-
-
-def _changed_server(known: Server, line: ServerLine) -> Server:
-    if line.service not in (None, known.service):
-        # Layers of the old service may still name this server.
-        reason = f"it belongs to service {known.service!r}; use another name"
-        raise LineError(RefusalReason.SERVICE_FIXED, reason)
-    wanted = msgspec.structs.replace(
-        known,
-        data_centre=line.data_centre or known.data_centre,
-        address=line.address or known.address,
-        state=line.state or known.state,
-    )
-    moved = (wanted.data_centre, wanted.address) != (known.data_centre, known.address)
-    if moved and known.state is not ServerState.LEFT:
-        raise LineError(
-            RefusalReason.SERVER_IN_USE,
-            f"it is {known.state.value} in {known.data_centre!r} at {known.address}; "
-            "let it leave first, or use another name",
-        )
-    return _with_limits(wanted, line)
-
-
-def _with_limits(server: Server, line: ServerLine) -> Server:
-    return msgspec.structs.replace(
-        server,
-        n_slots=line.n_slots or server.n_slots,
-        n_flows_max=line.n_flows_max or server.n_flows_max,
-    )
+            self._places.add(wanted)
--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/sync.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/sync.py
@@ -7,11 +7,12 @@
 from ..errors import InputError
 from ..fleet.view import FleetView
 from ..journal import Journal, Reason
-from ..rendezvous import hash_key
 from ..types import InstanceId, Revision
 from .delta import PlanAnswer, merge
 from .messages import UNKNOWN_AGE, PlanNews
 from .model import EMPTY_PLAN, Plan
+from .store_polls import StorePolls
+from .sync_config import SyncConfig
 
 __all__ = [
     "FetchPlan",
@@ -22,53 +23,9 @@
     "SyncConfig",
 ]
 
-READER_KEY = hash_key("store-reader")
 N_TELLERS_MAX = 8
 
 
-@dataclass(frozen=True, slots=True)
-class SyncConfig:
-    """Times and counts of the spreading.
-
-    Parameters
-    ----------
-    n_readers : int
-        Instances of each data centre that read the store.
-    fan_out : int
-        Peers that are told at once of a new revision.
-    n_repeats : int
-        How often telling is repeated, to make up for lost messages.
-    repeat_ms : int
-        Time between repeats.
-    round_ms : int
-        Time between exchanges with a peer at random.
-    poll_ms : int
-        Time between readings of the store's root by a reader, beside its watch.
-    fetch_timeout_ms, full_timeout_ms : int
-        Time for a peer's answer with a delta, or with a whole plan, before another
-        peer is asked.
-    fetch_gap_ms : int
-        Least time from taking a peer's plan to asking again: a burst of changes is
-        taken in steps.
-    contact_stale_ms : int
-        Age of the last contact from which on other instances try the store as well.
-    fallback_ms : int
-        Mean time between such tries over all instances of a data centre.
-    """
-
-    n_readers: int = 2
-    fan_out: int = 4
-    n_repeats: int = 2
-    repeat_ms: int = 250
-    round_ms: int = 1000
-    poll_ms: int = 2000
-    fetch_timeout_ms: int = 700
-    full_timeout_ms: int = 2000
-    fetch_gap_ms: int = 300
-    contact_stale_ms: int = 20_000
-    fallback_ms: int = 5000
-
-
 @dataclass(frozen=True, slots=True)
 class FetchPlan:
     """Ask a peer for what changed after a revision; 0 asks for its whole plan."""
@@ -125,8 +82,6 @@
         When the store was last known to hold no higher revision.
     store_revision : Revision or None
         What this instance itself last read in the store.
-    is_reader : bool
-        Whether this instance reads the store for its data centre.
     n_stale, n_mismatches : int
         Plans that were refused, as lower or as not following from the own one.
     """
@@ -142,7 +97,6 @@
         self.source: PlanSource | None = None
         self.contact_ms: int | None = None
         self.store_revision: Revision | None = None
-        self.is_reader = False
         self.n_stale = 0
         self.n_mismatches = 0
         self._config = config
@@ -157,7 +111,12 @@
         self._n_repeats_left = 0
         self._next_repeat_ms = 0
         self._next_round_ms = 0
-        self._next_poll_ms: int | None = None
+        self._polls = StorePolls(config, fleet, random_state)
+
+    @property
+    def is_reader(self) -> bool:
+        """Whether this instance reads the store for its data centre."""
+        return self._polls.is_reader
 
     @property
     def is_store_behind(self) -> bool:
@@ -254,11 +213,8 @@
             actions += self._tell(self._config.fan_out, now_ms)
         if now_ms >= self._next_round_ms:
             actions += self._exchange(now_ms)
-        if self._next_poll_ms is None:
-            # Peers that are known by then spare a newcomer the reading of all shards.
-            self._next_poll_ms = now_ms + self._jittered(self._config.repeat_ms)
-        elif now_ms >= self._next_poll_ms:
-            actions += self._poll(now_ms)
+        if self._polls.is_due(now_ms, self.contact_age_ms(now_ms)):
+            actions.append(ReadStore())
         return actions
 
     def _exchange(self, now_ms: int) -> list[SyncAction]:
@@ -268,26 +224,6 @@
         self._next_round_ms = now_ms + self._jittered(wait_ms)
         return self._tell(self._config.fan_out if is_empty else 1, now_ms)
 
-    def _poll(self, now_ms: int) -> list[SyncAction]:
-        """Read the store if that is this instance's turn."""
-        readers = self._fleet.owners(
-            READER_KEY, self._config.n_readers, self._fleet.self_data_centre
-        )
-        self.is_reader = self._fleet.self_id in readers
-        if self.is_reader:
-            self._next_poll_ms = now_ms + self._jittered(self._config.poll_ms)
-            return [ReadStore()]
-        n_others = len(self._fleet.live(self._fleet.self_data_centre))
-        mean_ms = max(1, n_others) * self._config.fallback_ms
-        # The role of a reader may come here at any time, so it is looked at often.
-        wait_ms = self._config.poll_ms
-        self._next_poll_ms = now_ms + self._jittered(wait_ms)
-        age_ms = self.contact_age_ms(now_ms)
-        is_fresh = 0 <= age_ms < self._config.contact_stale_ms
-        if is_fresh or self._random.random() >= wait_ms / mean_ms:
-            return []
-        return [ReadStore()]
-
     def _take(self, plan: Plan, source: PlanSource, now_ms: int) -> list[SyncAction]:
         if plan.revision <= self.plan.revision:
             return []
