--- a/packages/sapphirerail-core/src/sapphirerail_core/load/gate.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/load/gate.py
@@ -1,5 +1,6 @@
 """Admission to one backend server: what waits, what is in flight, the limit."""
 
+import math
 from dataclasses import dataclass
 
 from ..datagram import HealthReport
@@ -18,6 +19,7 @@
     sent_at_ms: int
     deadline_at_ms: int
     is_overdue: bool = False
+    is_lost: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +62,7 @@
         self.queue = AdmissionQueue(config.n_queued_per_slot * max(1, n_slots))
         self.in_flight: dict[int, InFlight] = {}
         self._config = config
+        self._proven_at_ms = -1
         self._inherited: dict[str, Inherited] = {}
 
     def n_in_flight(self, now_ms: int) -> int:
@@ -69,7 +72,11 @@
             for part in self._inherited.values()
             if part.until_ms > now_ms
         ]
-        return len(self.in_flight) + sum(inherited)
+        return self.n_own() + sum(inherited)
+
+    def n_own(self) -> int:
+        """Return how many requests of this owner the server may be running."""
+        return sum(not work.is_lost for work in self.in_flight.values())
 
     def n_waiting(self) -> int:
         """Return a figure of load that other instances can compare."""
@@ -79,10 +86,9 @@
 
     def remaining_ms(self, now_ms: int) -> int:
         """Return the time until the last request in flight has surely ended."""
-        ends = [work.deadline_at_ms for work in self.in_flight.values()]
+        ends = [self._ended_at_ms(work) for work in self.in_flight.values()]
         ends += [p.until_ms for p in self._inherited.values() if p.n_in_flight]
-        grace_ms = self._config.silence_grace_ms
-        return max(0, max(ends) + grace_ms - now_ms) if ends else 0
+        return max(0, math.ceil(max(ends)) - now_ms) if ends else 0
 
     def has_room(self, now_ms: int) -> bool:
         """Return whether one more request may be sent."""
@@ -105,6 +111,16 @@
         n_ahead = self.queue.n_ahead(item.traffic_class)
         return usual_ms * (n_ahead + 1) / max(1, self.limit.limit)
 
+    def is_hopeless(self, remaining_ms: int) -> bool:
+        """Return whether a request would surely miss its deadline.
+
+        Without another one that waits, it is sent all the same: its latency may
+        show that the usual one has changed.
+        """
+        if not len(self.queue):
+            return False
+        return remaining_ms < self.limit.latency.expected_ms(0) / 2
+
     def inherit(self, holder: str, n_in_flight: int, until_ms: int) -> None:
         """Count the requests that another owner has in flight at the server."""
         self._inherited[holder] = Inherited(n_in_flight, until_ms)
@@ -122,6 +138,7 @@
         """Free the slot of a request that was answered."""
         work = self.in_flight.pop(key, None)
         if work is not None:
+            self._proven_at_ms = max(self._proven_at_ms, work.sent_at_ms)
             self.limit.on_answer(now_ms - work.sent_at_ms, now_ms)
 
     def on_refusal(self, key: int, is_shed: bool, now_ms: int) -> None:
@@ -134,17 +151,28 @@
         """Return the keys whose deadline passed since the last call."""
         overdue = []
         for key, work in list(self.in_flight.items()):
+            # An answer to a later request shows that only this one was lost.
+            is_lost_alone = work.sent_at_ms < self._proven_at_ms
             if work.deadline_at_ms <= now_ms and not work.is_overdue:
                 work.is_overdue = True
-                self.limit.on_silence(now_ms)
                 overdue.append(key)
+                if not is_lost_alone:
+                    self.limit.on_silence(now_ms)
             elif now_ms - work.sent_at_ms > self.limit.stall_age_ms():
-                self.limit.on_stall(now_ms)
+                if not is_lost_alone:
+                    self.limit.on_stall(now_ms)
+                elif self.limit.state is LimitState.WARM:
+                    # A warm server bears it, should the request run after all.
+                    work.is_lost = True
         self._free_ended(now_ms)
         return overdue
 
     def _free_ended(self, now_ms: int) -> None:
-        latest_ms = now_ms - self._config.silence_grace_ms
         for key, work in list(self.in_flight.items()):
-            if work.is_overdue and work.deadline_at_ms <= latest_ms:
+            if work.is_overdue and self._ended_at_ms(work) <= now_ms:
                 del self.in_flight[key]
+
+    def _ended_at_ms(self, work: InFlight) -> float:
+        # A server may check the deadline only before it starts to run a request.
+        usual_end_ms = work.sent_at_ms + self.limit.stall_age_ms()
+        return max(work.deadline_at_ms, usual_end_ms) + self._config.silence_grace_ms
