End a closed flow at its holder too

Cause: a flow that was closed through another instance stayed registered; its holder probed it, got a reset and told a caller that had finished; a sprayed upload left twelve such holders. Conclusion: a close is told to the owners and by them to the holder, late claims of an ended flow are refused, uploads are claimed from their last part on, and only holders probe. Covered by test_silence and test_way_back.

--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/director.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/director.py
@@ -166,7 +166,7 @@
             The records of an exception.
         """
         context = self._context
-        marks = FlowMark.CONFIRMED | FlowMark.ANSWERING
+        marks = FlowMark.CONFIRMED | FlowMark.ANSWERING | FlowMark.NEW
         row = context.add(datagram, server, now_ms, marks)
         context.table.hear_caller(row, now_ms)
         context.journal.note(
@@ -219,7 +219,7 @@
 
     @_on.register
     def _(self, message: Forget, sender: InstanceId, now_ms: int) -> list[Effect]:
-        self._way_back.on_forget(message)
+        self._way_back.on_forget(sender, message, now_ms)
         return []
 
     @_on.register
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/forwarding.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/forwarding.py
@@ -13,7 +13,7 @@
 from .record_store import RecordStore
 from .registrar import Registrar
 from .search import Search
-from .silence import Silence
+from .silence import Silence, is_long_lived
 from .table import FlowMark
 
 __all__ = ["Forwarding"]
@@ -272,15 +272,20 @@
         if datagram.kind is Kind.CLOSE:
             self.end(row, now_ms)
         else:
-            self._silence.on_forwarded(row, datagram.kind, now_ms)
+            self._silence.on_forwarded(row, datagram, now_ms)
         return [SendToServer(server, datagram)]
 
     def end(self, row: int, now_ms: int) -> None:
         """Note that a flow has ended and drop its records."""
         context = self._context
-        context.table.mark(row, FlowMark.ENDED)
-        context.table.unmark(row, FlowMark.AWAITING)
-        if context.table.has(row, FlowMark.REGISTERED):
+        table = context.table
+        table.mark(row, FlowMark.ENDED)
+        table.unmark(row, FlowMark.AWAITING)
+        # Another instance may have registered it, unless it is short-lived.
+        may_be_registered = is_long_lived(table, row) and not table.has(
+            row, FlowMark.NEW
+        )
+        if may_be_registered or table.has(row, FlowMark.REGISTERED):
             self._registrar.forget(row, now_ms)
 
     def _give_up(
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/messages.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/messages.py
@@ -67,9 +67,10 @@
 
 
 class Release(Message, frozen=True, array_like=True, tag=13):
-    """Tells the previous holder that another instance holds these flows now."""
+    """Tells a holder that another instance holds these flows, or that they ended."""
 
     records: bytes
+    ended: bool = False
 
 
 class Locate(Message, frozen=True, array_like=True, tag=14):
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/record_store.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/record_store.py
@@ -10,6 +10,7 @@
 __all__ = ["Kept", "RecordStore"]
 
 _N_UNKNOWN_MAX = 4_096
+_ENDED_LIFE_MS = 30_000  # late claims are refused for so long
 
 
 class Kept(NamedTuple):
@@ -19,6 +20,8 @@
     accepted: bool
     age_ms: int = 0
     """Age of the claim that counts."""
+    ended: bool = False
+    """Whether the flow has ended since."""
 
 
 class RecordStore:
@@ -33,6 +36,7 @@
     def __init__(self, context: FlowContext) -> None:
         self._context = context
         self._unknown: OrderedDict[FlowId, InstanceId] = OrderedDict()
+        self._ended: OrderedDict[tuple[FlowId, ServerId], int] = OrderedDict()
 
     def keep_unknown(self, flow: FlowId, holder: InstanceId) -> None:
         """Remember who holds a flow whose server this plan does not know yet."""
@@ -80,6 +84,8 @@
         server = self._context.plan.servers.get(record.server)
         if server is None:
             return Kept(None, accepted=False)
+        if now_ms - age_ms <= self._ended.get((record.flow, record.server), -1):
+            return Kept(None, accepted=False, ended=True)
         table = self._context.records
         row = table.find(server.service, record.flow)
         previous = None if row is None else table.holder(row)
@@ -108,15 +114,22 @@
         table.set_traffic_class(row, record.traffic_class)
         table.hear_caller(row, now_ms)
 
-    def drop(self, record: FlowRecord) -> None:
-        """Drop a record, unless the flow is at another server by now."""
+    def drop(self, record: FlowRecord, now_ms: int) -> InstanceId | None:
+        """Drop the record of a flow that has ended, and return its holder.
+
+        A record of the flow at another server stays: it was opened there since.
+        """
         server = self._context.plan.servers.get(record.server)
         if server is None:
-            return
+            return None
         table = self._context.records
         row = table.find(server.service, record.flow)
-        if row is not None and table.server(row) == record.server:
-            table.remove(row)
+        if row is None or table.server(row) != record.server:
+            return None
+        holder = table.holder(row)
+        table.remove(row)
+        self._ended[record.flow, record.server] = now_ms
+        return holder
 
     def server(self, service: ServiceId, flow: FlowId) -> ServerId | None:
         """Return where a flow is, or None without a record."""
@@ -136,6 +149,11 @@
     def expire(self, now_ms: int, n_records_max: int) -> None:
         """Drop records that were not refreshed for too long."""
         table = self._context.records
+        while self._ended:
+            name, ended_ms = next(iter(self._ended.items()))
+            if now_ms - ended_ms < _ENDED_LIFE_MS:
+                break
+            del self._ended[name]
         for _ in range(n_records_max):
             row = table.oldest()
             if row is None:
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/registrar.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/registrar.py
@@ -1,12 +1,12 @@
 """Keeps the records of this instance's flows at their owners."""
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 import msgspec
 
-from ..effects import Effect, SendToPeer
+from ..effects import Effect, Message, SendToPeer
 from ..types import InstanceId, InstanceState
 from .context import FlowContext
 from .messages import Forget, Register, Registered, RegisterMode, Release
@@ -49,6 +49,7 @@
         self._waiting: _Waiting = {}
         self._ended: dict[InstanceId, list[FlowRecord]] = {}
         self._released: dict[InstanceId, list[FlowRecord]] = {}
+        self._told_ended: dict[InstanceId, list[FlowRecord]] = {}
         self._batches: dict[int, _Batch] = {}
         self._due: deque[int] = deque()
         self._serial = 0
@@ -128,13 +129,17 @@
         """Drop the records of a flow of the table at its owners."""
         context = self._context
         context.table.unmark(row, FlowMark.REGISTERED | FlowMark.HOLDING)
-        self.forget_record(context.record(row), context.owners_of(row))
+        self.forget_record(context.record(row), context.owners_of(row), now_ms)
 
-    def forget_record(self, record: FlowRecord, owners: tuple[InstanceId, ...]) -> None:
+    def forget_record(
+        self, record: FlowRecord, owners: tuple[InstanceId, ...], now_ms: int
+    ) -> None:
         """Drop a record at some owners with the next batch."""
         for owner in owners:
             if owner == self._context.self_id:
-                self._store.drop(record)
+                holder = self._store.drop(record, now_ms)
+                if holder is not None and holder != owner:
+                    self.tell_ended(holder, record)
             else:
                 self._ended.setdefault(owner, []).append(record)
 
@@ -145,6 +150,10 @@
         record = record._replace(age_ms=age_ms)
         self._released.setdefault(holder, []).append(record)
 
+    def tell_ended(self, holder: InstanceId, record: FlowRecord) -> None:
+        """Tell a holder with the next batch that a flow has ended."""
+        self._told_ended.setdefault(holder, []).append(record)
+
     def on_registered(self, message: Registered) -> None:
         """Take an acknowledgement."""
         self._batches.pop(message.serial, None)
@@ -166,6 +175,7 @@
             effects += self._send_batches(self._waiting, now_ms)
             effects += _messages(self._ended, Forget)
             effects += _messages(self._released, Release)
+            effects += _messages(self._told_ended, _ended)
         return effects
 
     def _send_batches(self, batches: _Waiting, now_ms: int) -> list[Effect]:
@@ -232,11 +242,15 @@
         return gone or batch.n_attempts >= self._context.config.n_attempts_max
 
 
+def _ended(records: bytes) -> Release:
+    return Release(records, ended=True)
+
+
 def _messages(
-    batches: dict[InstanceId, list[FlowRecord]], kind: type[Forget] | type[Release]
+    batches: dict[InstanceId, list[FlowRecord]], make: Callable[[bytes], Message]
 ) -> list[Effect]:
     effects: list[Effect] = [
-        SendToPeer(peer, kind(pack_records(part)))
+        SendToPeer(peer, make(pack_records(part)))
         for peer, records in batches.items()
         for part in _parts(records)
     ]
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/silence.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/silence.py
@@ -3,22 +3,40 @@
 from collections import OrderedDict, deque
 from typing import NamedTuple
 
-from ..datagram import Kind, RefusalCode
+from ..datagram import Datagram, Kind, RefusalCode
 from ..effects import Effect
 from ..journal import Reason
 from ..types import FlowId, InstanceId, InstanceState, ServiceId, TrafficClass
 from .context import FlowContext
 from .messages import RegisterMode
 from .registrar import Registrar
-from .table import FlowMark
+from .table import FlowMark, FlowTable
 
-__all__ = ["Silence"]
+__all__ = ["Silence", "is_long_lived"]
 
 _HAND_OVER_MS = 200  # the answer to the caller's datagram comes through first
 _ANSWERED_KINDS = frozenset({Kind.DATA, Kind.KEEPALIVE})
 _LONG_LIVED = frozenset({TrafficClass.FEED, TrafficClass.UPLOAD})
 
 
+def is_long_lived(table: FlowTable, row: int) -> bool:
+    """Return whether a flow is of a class that is registered."""
+    return table.traffic_class(row) in _LONG_LIVED
+
+
+def _is_middle_part(datagram: Datagram) -> bool:
+    """Return whether more parts of an upload are to come.
+
+    Its caller sends until all are acknowledged, through any instance, and so needs
+    no registered way back before the last part.
+    """
+    if datagram.kind is not Kind.DATA:
+        return False
+    if datagram.traffic_class is not TrafficClass.UPLOAD:
+        return False
+    return datagram.part < datagram.n_parts or datagram.n_parts == 0
+
+
 class _Timer(NamedTuple):
     """When a flow is to be looked at."""
 
@@ -59,13 +77,16 @@
             return None
         return peer
 
-    def on_forwarded(self, row: int, kind: Kind, now_ms: int) -> None:
+    def on_forwarded(self, row: int, datagram: Datagram, now_ms: int) -> None:
         """Start to wait for the server after a caller's datagram."""
         table = self._context.table
-        # The server answers this instance from now on; another one may have
-        # registered itself since.
-        table.unmark(row, FlowMark.HOLDING)
-        if kind in _ANSWERED_KINDS:
+        if _is_middle_part(datagram):
+            table.mark(row, FlowMark.HOLDING)
+        else:
+            # The server answers this instance from now on; another one may have
+            # registered itself since.
+            table.unmark(row, FlowMark.HOLDING)
+        if datagram.kind in _ANSWERED_KINDS:
             table.mark(row, FlowMark.AWAITING)
         self.watch(row, now_ms)
 
@@ -122,7 +143,7 @@
 
     def _on_watched(self, row: int, now_ms: int) -> list[Effect]:
         table = self._context.table
-        table.unmark(row, FlowMark.WATCHED)
+        table.unmark(row, FlowMark.WATCHED | FlowMark.NEW)
         if table.has(row, FlowMark.ENDED | FlowMark.PROBED):
             return []
         if self._context.is_draining and table.has(row, FlowMark.ANSWERING):
@@ -143,7 +164,7 @@
             return False
         if not table.has(row, FlowMark.ANSWERING):
             return False
-        return table.traffic_class(row) in _LONG_LIVED
+        return is_long_lived(table, row)
 
     def _on_unanswered(self, row: int, now_ms: int) -> list[Effect]:
         context = self._context
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/sweep.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/sweep.py
@@ -128,7 +128,7 @@
             if idle_ms >= config.ended_life_ms:
                 table.remove(row)
             return []
-        if table.has(row, FlowMark.ANSWERING | FlowMark.REGISTERED):
+        if table.has(row, FlowMark.REGISTERED):
             spread = (
                 1.0 + config.probe_jitter_share * self._context.random_state.random()
             )
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/table.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/table.py
@@ -24,8 +24,9 @@
     SECOND_PATH = 32  # taken over because another instance got no answer
     ANSWERING = 64  # the server sends through this instance
     ENDED = 128  # closed; kept for late datagrams
-    HOLDING = 256  # registered, and no caller's datagram passed since
+    HOLDING = 256  # no claim to be the way back is due
     HEARD = 512  # the server sent something of the flow to this instance
+    NEW = 1024  # opened here just now; nobody else can have registered it
 
 
 class FlowTable:
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/way_back.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/way_back.py
@@ -85,16 +85,24 @@
             effects.append(SendToPeer(sender, Registered(message.serial)))
         return effects
 
-    def on_forget(self, message: Forget) -> None:
-        """Drop the records of flows that have ended."""
+    def on_forget(self, sender: InstanceId, message: Forget, now_ms: int) -> None:
+        """Drop the records of flows that have ended, and tell their holders."""
         for record in self._context.codes.unpack(message.records):
-            if isinstance(record, FlowRecord):
-                self._store.drop(record)
+            if not isinstance(record, FlowRecord):
+                continue
+            is_first = self._is_first(record)
+            holder = self._store.drop(record, now_ms)
+            if holder is not None and holder != sender and is_first:
+                self._tell_ended(holder, record)
 
     def on_release(self, message: Release, now_ms: int) -> None:
         """Stop to answer for flows that another instance answers for."""
         for record in self._context.codes.unpack(message.records):
-            if isinstance(record, FlowRecord):
+            if not isinstance(record, FlowRecord):
+                continue
+            if message.ended:
+                self._end(record)
+            else:
                 self._let_go(record, now_ms)
 
     def on_instance_lost(self, instance: InstanceId, now_ms: int) -> None:
@@ -150,6 +158,9 @@
         claims = message.mode is not RegisterMode.REFRESH
         age_ms = message.age_ms + record.age_ms
         kept = self._store.keep(record, sender, now_ms, claims=claims, age_ms=age_ms)
+        if kept.ended:
+            self._tell_ended(sender, record)
+            return []
         if kept.accepted and message.mode is RegisterMode.TAKE_OVER:
             return self.take_over(record, now_ms)
         if kept.accepted and message.mode is RegisterMode.TAKE_OVER_SILENT:
@@ -169,6 +180,21 @@
         elif self._context.fleet.state(holder) is InstanceState.ALIVE:
             self._registrar.release(holder, record)
 
+    def _tell_ended(self, holder: InstanceId, record: FlowRecord) -> None:
+        """Tell an instance that a flow has ended elsewhere."""
+        if holder == self._context.self_id:
+            self._end(record)
+        else:
+            self._registrar.tell_ended(holder, record)
+
+    def _end(self, record: FlowRecord) -> None:
+        table = self._context.table
+        service = self._context.plan.servers[record.server].service
+        row = table.find(service, record.flow)
+        if row is not None and table.server(row) == record.server:
+            table.unmark(row, _HOLDER_MARKS)
+            table.mark(row, FlowMark.ENDED)
+
     def _let_go(self, record: FlowRecord, now_ms: int) -> None:
         """Stop to answer for a flow, unless it was heard here since the claim."""
         table = self._context.table
--- a/packages/sapphirerail-core/tests/flow/test_silence.py
+++ b/packages/sapphirerail-core/tests/flow/test_silence.py
@@ -95,3 +95,41 @@
     fleet.run(60_000)
     assert fleet.servers[server].n_received == before
     assert not fleet.resets
+
+
+def test_a_close_through_another_instance_ends_the_probes(
+    fleet: FlowFleet, server: ServerId
+) -> None:
+    fleet.run(4_000)
+    fleet.send(InstanceId("i9"), fleet.datagram(Kind.CLOSE, BOOKINGS, FLOW))
+    fleet.run(1_500)
+    assert n_records(fleet) == 0
+    before = fleet.servers[server].n_received
+    fleet.run(90_000)
+    assert fleet.servers[server].n_received == before
+    assert not fleet.resets
+
+
+def test_a_sprayed_upload_leaves_nothing_behind(fleet: FlowFleet) -> None:
+    flow, n_parts = FlowId(71), 40
+    server = fleet.open(I0, BOOKINGS, flow, TrafficClass.UPLOAD)
+    assert server is not None
+    names = list(fleet.nodes)
+    for part in range(1, n_parts + 1):
+        datagram = fleet.datagram(
+            Kind.DATA, BOOKINGS, flow, TrafficClass.UPLOAD, part, n_parts=n_parts
+        )
+        fleet.send(names[part * 5 % len(names)], datagram)
+        fleet.run(100)
+    fleet.run(4_000)
+    assert n_records(fleet) <= 2
+    close = fleet.datagram(Kind.CLOSE, BOOKINGS, flow, TrafficClass.UPLOAD)
+    fleet.send(I0, close)
+    fleet.run(1_500)
+    assert n_records(fleet) == 0
+    fleet.run(90_000)
+    assert not fleet.resets
+
+
+def n_records(fleet: FlowFleet) -> int:
+    return sum(node.director.status().n_records for node in fleet.nodes.values())
--- a/packages/sapphirerail-core/tests/flow/test_way_back.py
+++ b/packages/sapphirerail-core/tests/flow/test_way_back.py
@@ -156,3 +156,23 @@
         if isinstance(effect, SendToPeer) and isinstance(effect.message, Release)
     ]
     assert released == [I1]
+
+
+def test_a_late_claim_of_an_ended_flow_is_refused(owner: FlowNode) -> None:
+    payload = pack_records([RECORD])
+    owner.director.on_message(I1, Register(1, payload), 10_000)
+    owner.director.on_message(I1, Forget(payload), 12_000)
+    late = pack_records([RECORD._replace(age_ms=2_500)])
+    owner.director.on_message(I4, Register(2, late), 13_000)
+    assert owner.director.status().n_records == 0
+    effects = owner.director.tick(14_000)
+    assert SendToPeer(I4, Release(late, ended=True)) in effects
+
+
+def test_a_flow_that_was_opened_again_elsewhere_is_not_ended(owner: FlowNode) -> None:
+    payload = pack_records([RECORD])
+    moved = RECORD._replace(server=ServerId("bookings-3"), age_ms=1_000)
+    owner.director.on_message(I1, Register(1, payload), 10_000)
+    owner.director.on_message(I1, Forget(payload), 10_500)
+    owner.director.on_message(I4, Register(2, pack_records([moved])), 11_000)
+    assert owner.director.lookup(BOOKINGS, RECORD.flow) == "bookings-3"
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/flow_fleet.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/flow_fleet.py
@@ -196,6 +196,7 @@
         part: int = 0,
         attempt: int = 0,
         caller: str | None = None,
+        n_parts: int = 1,
     ) -> Datagram:
         """Return a caller's datagram."""
         if caller is None:
@@ -207,6 +208,7 @@
             traffic_class=traffic_class,
             part=part,
             attempt=attempt,
+            n_parts=n_parts,
             caller=caller,
         )
 
