--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/forwarding.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/forwarding.py
@@ -5,7 +5,7 @@
 from ..datagram import Datagram, Kind, RefusalCode
 from ..effects import Effect, SendToPeer, SendToServer
 from ..journal import Reason
-from ..types import InstanceId, ServerId
+from ..types import InstanceId, ServerId, TrafficClass
 from .address import pack_address
 from .context import FlowContext
 from .messages import Locate, Located, NotLocated
@@ -139,7 +139,15 @@
             return
         if self._silence.detour(message.service, message.flow) is not None:
             return
-        stub = Datagram(kind=Kind.KEEPALIVE, service=message.service, flow=message.flow)
+        known = TrafficClass.TRANSACTION
+        if row is not None:
+            known = context.table.traffic_class(row)
+        stub = Datagram(
+            kind=Kind.KEEPALIVE,
+            service=message.service,
+            flow=message.flow,
+            traffic_class=known,
+        )
         marks = FlowMark.CONFIRMED if message.confirmed else 0
         context.add(stub, message.server, now_ms, marks)
 
@@ -268,6 +276,7 @@
         caller = pack_address(datagram.caller)
         if caller:
             table.set_caller(row, caller)
+        table.set_traffic_class(row, datagram.traffic_class)
         table.hear_caller(row, now_ms)
         if datagram.kind is Kind.CLOSE:
             self.end(row, now_ms)
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/owners.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/owners.py
@@ -105,6 +105,8 @@
         if self._before.keys() != self._after.members.keys():
             return True
         owners = self._after.of(key)
+        if not owners:
+            return False
         if not self._added.isdisjoint(owners):
             return True
         payload = slot_of(key).to_bytes(8, "little")
--- a/packages/sapphirerail-core/tests/flow/test_director.py
+++ b/packages/sapphirerail-core/tests/flow/test_director.py
@@ -240,3 +240,33 @@
     assert effects == [SendToServer(server, close)]
     fleet.run(1_000)
     assert not any(n.director.status().n_records for n in fleet.nodes.values())
+
+
+def test_a_feed_that_an_owner_located_is_registered_where_it_answers(
+    fleet: FlowFleet,
+) -> None:
+    draining = ServerId("bookings-0")
+    plan = change_servers(first_plan(), {draining: ServerState.DRAINING})
+    fleet.set_plan(plan)
+    flow = next(
+        FlowId(n)
+        for n in range(1, 1_000)
+        if fleet.nodes[I0].director.lookup(BOOKINGS, FlowId(n)) is None
+        and len(
+            fleet.nodes[I0].director._context.placement.answers(BOOKINGS, FlowId(n))
+        )
+        > 1
+    )
+    server = fleet.open(I0, BOOKINGS, flow)
+    assert server is not None
+    fleet.run(3_000)
+    for _ in range(2):
+        # The first one goes through an owner, the second one does not.
+        fleet.send(I5, fleet.datagram(Kind.KEEPALIVE, BOOKINGS, flow))
+        fleet.run(100)
+    assert fleet.servers[server].flows[flow][0] == I5
+    fleet.run(3_000)
+    fleet.kill(I5)
+    fleet.tell_all(I5, InstanceState.DEAD)
+    fleet.run(2_000)
+    assert fleet.servers[server].flows[flow][0] in fleet.nodes
--- a/packages/sapphirerail-core/tests/flow/test_owners.py
+++ b/packages/sapphirerail-core/tests/flow/test_owners.py
@@ -122,3 +122,12 @@
     n_concerned = sum(change.concerns(key) for key in KEYS)
     n_moved = sum(change.of(key) != history.now.of(key) for key in KEYS)
     assert 0 < n_moved <= n_concerned < N_KEYS / 2
+
+
+def test_no_owners_before_and_after_concern_nobody() -> None:
+    history = OwnerHistory(grace_ms=1_000)
+    change = history.replace(owner_map(PLACE_OF).members, 0)
+    assert change is not None
+    assert all(change.concerns(key) for key in KEYS[:10])
+    history.replace({}, 1)
+    assert not any(change.concerns(key) for key in KEYS[:10])
