--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/forwarding.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/forwarding.py
@@ -5,7 +5,7 @@
 from ..datagram import Datagram, Kind, RefusalCode
 from ..effects import Effect, SendToPeer, SendToServer
 from ..journal import Reason
-from ..types import InstanceId, ServerId
+from ..types import InstanceId, ServerId, TrafficClass
 from .address import pack_address
 from .context import FlowContext
 from .messages import Locate, Located, NotLocated
@@ -13,7 +13,7 @@
 from .record_store import RecordStore
 from .registrar import Registrar
 from .search import Search
-from .silence import Silence
+from .silence import Silence, is_long_lived
 from .table import FlowMark
 
 __all__ = ["Forwarding"]
@@ -139,7 +139,15 @@
             return
         if self._silence.detour(message.service, message.flow) is not None:
             return
-        stub = Datagram(kind=Kind.KEEPALIVE, service=message.service, flow=message.flow)
+        known = TrafficClass.TRANSACTION
+        if row is not None:
+            known = context.table.traffic_class(row)
+        stub = Datagram(
+            kind=Kind.KEEPALIVE,
+            service=message.service,
+            flow=message.flow,
+            traffic_class=known,
+        )
         marks = FlowMark.CONFIRMED if message.confirmed else 0
         context.add(stub, message.server, now_ms, marks)
 
@@ -268,19 +276,25 @@
         caller = pack_address(datagram.caller)
         if caller:
             table.set_caller(row, caller)
+        table.set_traffic_class(row, datagram.traffic_class)
         table.hear_caller(row, now_ms)
         if datagram.kind is Kind.CLOSE:
             self.end(row, now_ms)
         else:
-            self._silence.on_forwarded(row, datagram.kind, now_ms)
+            self._silence.on_forwarded(row, datagram, now_ms)
         return [SendToServer(server, datagram)]
 
     def end(self, row: int, now_ms: int) -> None:
         """Note that a flow has ended and drop its records."""
         context = self._context
-        context.table.mark(row, FlowMark.ENDED)
-        context.table.unmark(row, FlowMark.AWAITING)
-        if context.table.has(row, FlowMark.REGISTERED):
+        table = context.table
+        table.mark(row, FlowMark.ENDED)
+        table.unmark(row, FlowMark.AWAITING)
+        # Another instance may have registered it, unless it is short-lived.
+        may_be_registered = is_long_lived(table, row) and not table.has(
+            row, FlowMark.NEW
+        )
+        if may_be_registered or table.has(row, FlowMark.REGISTERED):
             self._registrar.forget(row, now_ms)
 
     def _give_up(
