--- a/packages/sapphirerail-cli/src/sapphirerail_cli/fleet_operator.py
+++ b/packages/sapphirerail-cli/src/sapphirerail_cli/fleet_operator.py
@@ -4,7 +4,7 @@
 import random
 import time
 import uuid
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import msgspec
 
@@ -27,6 +27,7 @@
 
 POLL_MS = 250
 N_SAMPLED = 8
+N_DETAILED = 64
 
 
 class FleetReport(msgspec.Struct, frozen=True, kw_only=True):
@@ -41,7 +42,8 @@
     progress : Progress
         How far the highest known revision has come.
     instances : tuple
-        Answers of the listed instances; those that gave none are unknown.
+        Status of at most `N_DETAILED` instances, those first that are behind or give
+        no answer.
     data_centres_out : tuple of str
         Data centres that the plan in the store takes out.
     """
@@ -95,18 +97,19 @@
         self._name = name
 
     async def status(self) -> FleetReport:
-        """Ask the store and all listed instances."""
+        """Ask the store and all listed instances for revisions, and some for all."""
         plan, error = await self._stored_plan()
         listed = await self._fleet.listed()
-        answers = await self._fleet.statuses(listed)
-        told = [_revision_of(answer) for answer in answers]
+        told = await self._fleet.revisions(listed)
         known = [Revision(0) if plan is None else plan.revision]
         known += [t.revision for t in told if isinstance(t, InstanceRevision)]
+        newest = max(known)
+        detailed = await self._fleet.statuses(_to_detail(listed, told, newest))
         return FleetReport(
             store_revision=None if plan is None else plan.revision,
             store_error=error,
-            progress=progress_of(max(known), told),
-            instances=tuple(answers),
+            progress=progress_of(newest, told),
+            instances=tuple(detailed),
             data_centres_out=_data_centres_out(plan),
         )
 
@@ -212,13 +215,19 @@
     return time.monotonic_ns() // 1_000_000
 
 
-def _revision_of(answer: InstanceStatus | Unknown) -> InstanceRevision | Unknown:
-    if isinstance(answer, Unknown):
-        return answer
-    age_ms = answer.plan.contact_age_ms
-    return InstanceRevision(
-        answer.instance, answer.data_centre, answer.revision, age_ms
-    )
+def _to_detail(
+    listed: Sequence[ListedInstance],
+    told: Sequence[InstanceRevision | Unknown],
+    newest: Revision,
+) -> list[ListedInstance]:
+    """Return whom to ask for all: a few, those first that lack the newest plan."""
+    lacking = {
+        answer.instance
+        for answer in told
+        if isinstance(answer, Unknown) or answer.revision < newest
+    }
+    order = sorted(listed, key=lambda entry: entry.instance not in lacking)
+    return order[:N_DETAILED]
 
 
 def _data_centres_out(plan: Plan | None) -> tuple[str, ...]:
--- a/packages/sapphirerail-cli/src/sapphirerail_cli/render.py
+++ b/packages/sapphirerail-cli/src/sapphirerail_cli/render.py
@@ -96,6 +96,9 @@
     if report.data_centres_out:
         texts.append("taken out: " + ", ".join(report.data_centres_out))
     texts += _drains(report.instances)
+    n_more = report.progress.n_listed - len(report.instances)
+    if n_more > 0:
+        texts.append(f"flows and details without {n_more} more instances:")
     texts += [_instance(answer) for answer in report.instances]
     return "\n".join(texts)
 
--- a/packages/sapphirerail-cli/tests/test_commands.py
+++ b/packages/sapphirerail-cli/tests/test_commands.py
@@ -7,6 +7,7 @@
 import pytest
 from typer.testing import CliRunner
 
+from sapphirerail_cli import fleet_operator
 from sapphirerail_cli.__main__ import command
 from sapphirerail_cli.exit_code import ExitCode
 from sapphirerail_core.explain import Query, answer
@@ -321,6 +322,21 @@
     play(scenario)
 
 
+def test_status_of_a_large_fleet_details_those_that_are_behind(play, monkeypatch):
+    monkeypatch.setattr(fleet_operator, "N_DETAILED", 1)
+
+    async def scenario(world):
+        world.instances[1].frozen = True
+        await world.run("sheet", "apply", "FILE", "--wait", "0.3", sheet=SHEET)
+        result = await world.run("status")
+        assert "Osu: revision 1 in force in 1 of 2; behind: i1" in result.stdout
+        assert "flows and details without 1 more instances:" in result.stdout
+        assert "Osu i1: serving, revision 0" in result.stdout
+        assert "Osu i0:" not in result.stdout
+
+    play(scenario)
+
+
 def test_named_instances_are_asked_while_the_platform_is_down(play):
     async def scenario(world):
         await world.run("sheet", "apply", "FILE", sheet=SHEET)
