Bound the open claims and widen a claim only when home is silent

Cause: a claim that could not be decided was repeated to all data centres, and each further transmission of the caller began another one.

--- a/packages/sapphirerail-core/src/sapphirerail_core/request/claimant.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/claimant.py
@@ -98,8 +98,15 @@
     def start(
         self, key: RequestKey, is_first: bool, deadline_at_ms: int, now_ms: int
     ) -> list[Effect]:
-        """Begin to claim a request; the result comes from `take_decided`."""
+        """Begin to claim a request; the result comes from `take_decided`.
+
+        With too many claims open the keepers do not keep up, and asking more of
+        them would make it worse: the claim fails at once.
+        """
         config = self._context.config
+        if len(self._attempts) >= config.n_claims_open_max:
+            self._decided.append(ClaimResult(key, ClaimDecision.FAILED))
+            return []
         attempt = _Attempt(
             key=key,
             epoch=self._context.random_state.getrandbits(31),
@@ -148,7 +155,8 @@
         if now_ms < attempt.ask_again_at_ms:
             return []
         attempt.n_asked += 1
-        attempt.is_wide = True
+        if all(panel.is_silent() for panel in attempt.asked()):
+            attempt.is_wide = True
         wait_ms = self._context.config.claim_resend_ms << attempt.n_asked
         attempt.ask_again_at_ms = now_ms + min(wait_ms, _RESEND_MAX_MS)
         self._refresh(attempt, now_ms)
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/config.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/config.py
@@ -38,6 +38,8 @@
     n_keepers, n_keepers_retransmission : int
         Keepers of a claim in a data centre for a first transmission, and for a
         retransmission, whose keepers may have changed in between.
+    n_claims_open_max : int
+        Claims that one instance may have undecided; beyond that a claim fails.
     n_claims_max : int
         Claims that a keeper remembers; beyond that it grants none.
     answer_kept_bytes, answers_kept_bytes : int
@@ -72,6 +74,7 @@
     claim_margin_ms: int = 10_000
     n_keepers: int = 4
     n_keepers_retransmission: int = 8
+    n_claims_open_max: int = 64
     n_claims_max: int = 50_000
     answer_kept_bytes: int = 2_048
     answers_kept_bytes: int = 1_048_576
