Let a draining instance take nothing back, and resume what a lapsed lease left

Cause: a draining instance admitted what a stale owner passed to it, and kept roles that it was still taking; what waited when the lease lapsed was not served again until another request came. Conclusion: a planned stop ends when its own work has ended.

--- a/packages/sapphirerail-core/src/sapphirerail_core/request/admission.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/admission.py
@@ -1,28 +1,25 @@
 """Admission of requests to the servers that this instance owns."""
 
-from collections.abc import Callable
-
 import msgspec
 
 from ..datagram import Datagram, Kind, RefusalCode, Run
 from ..effects import Effect, SendToCaller, SendToServer
-from ..journal import Reason
 from ..load.gate import ServerGate
-from ..types import InstanceId, InstanceState, ServerId
+from ..types import ServerId
 from .claimant import Claimant, ClaimDecision, ClaimResult
 from .context import Context
 from .forwarder import Forwarder
 from .gates import GateTable
-from .keeper import NOBODY
 from .keys import request_key
 from .ledger import Ledger
 from .messages import Forward
-from .outcome import Outcome, OutcomeKind
+from .mover import Mover, refuse_attached
 from .replies import refusal
 from .retry import RetryBudget
 from .roles import RoleState, RoleTable
 from .routes import Routes
-from .work import Work, WorkState, needs_claim, with_remaining
+from .settlement import Settlement
+from .work import Work, WorkState, needs_claim, outgoing, with_remaining
 
 __all__ = ["AdmissionController"]
 
@@ -58,12 +55,12 @@
         claimant: Claimant,
     ) -> None:
         self.ledger = Ledger(context.config)
-        self.on_outcome: Callable[[Outcome], None] | None = None
+        self.settlement = Settlement(self.ledger, context.journal)
         self._context = context
         self._routes = routes
         self._roles = roles
         self._gates = gates
-        self._forwarder = forwarder
+        self._mover = Mover(context, forwarder)
         self._claimant = claimant
         self._retries = RetryBudget(context.config.retry_share)
 
@@ -111,9 +108,9 @@
         if work.state is WorkState.SETTLED:
             return self._repeat_reply(work, datagram, now_ms)
         if work.state in (WorkState.MOVED, WorkState.ATTACHED):
-            return self._attach(work, hop, now_ms)
+            return self._mover.attach(work, hop, now_ms)
         if work.state is WorkState.SENT and datagram.kind is Kind.OPEN:
-            return [SendToServer(work.server, self._outgoing(work, now_ms))]
+            return [SendToServer(work.server, outgoing(work, now_ms))]
         if work.state is WorkState.SENT and work.datagram.idempotent:
             return self._retry_stalled(work, now_ms)
         return []
@@ -122,15 +119,9 @@
         """Handle a further transmission that met this instance's claim."""
         work = self.ledger.get(request_key(forward.datagram))
         if work is None:
-            return self.refuse_attached(forward.datagram)
+            return refuse_attached(forward.datagram)
         return self.repeat(work, forward.datagram, now_ms, forward.hop)
 
-    @staticmethod
-    def refuse_attached(datagram: Datagram) -> list[Effect]:
-        """Answer a further transmission whose claim's holder knows nothing."""
-        reply = refusal(datagram, RefusalCode.DUPLICATE, Run.UNKNOWN)
-        return [SendToCaller(reply)]
-
     def cancel(self, work: Work, cancel: Datagram, now_ms: int) -> list[Effect]:
         """Stop a request, as far as it has come."""
         if work.state is WorkState.QUEUED:
@@ -139,8 +130,8 @@
         if work.state is WorkState.CLAIMING:
             work.refusal = RefusalCode.CANCELLED
         if work.state is WorkState.SENT:
-            outgoing = with_remaining(cancel, work.deadline_at_ms, now_ms)
-            return [SendToServer(work.server, outgoing)]
+            sent = with_remaining(cancel, work.deadline_at_ms, now_ms)
+            return [SendToServer(work.server, sent)]
         return []
 
     def refuse(self, work: Work, code: RefusalCode, now_ms: int) -> list[Effect]:
@@ -148,34 +139,9 @@
         if needs_claim(work.datagram) and not (work.is_claimed or work.was_sent):
             work.refusal = code
             return self._claim(work, now_ms)
-        return self.end(work, refusal(work.datagram, code, work.run()), now_ms)
-
-    def end(self, work: Work, reply: Datagram, now_ms: int) -> list[Effect]:
-        """Settle a request with a refusal and keep it for further transmissions."""
-        self.ledger.replies.restart(work)
-        work.settle()
-        self.ledger.keep_reply(work, reply)
-        unknown = reply.run is Run.UNKNOWN
-        kind = OutcomeKind.REFUSED_UNKNOWN if unknown else OutcomeKind.REFUSED_NOT_RUN
-        self.report(work, kind, now_ms)
-        self._context.journal.note(
-            now_ms,
-            Reason.REQUEST_REFUSED,
-            flow=work.datagram.flow,
-            request=work.datagram.request,
-            server=work.server,
-            detail=f"{reply.code.name} run {reply.run.name}",
+        return self.settlement.end(
+            work, refusal(work.datagram, code, work.run()), now_ms
         )
-        return [SendToCaller(reply)]
-
-    def report(self, work: Work, kind: OutcomeKind, now_ms: int) -> None:
-        """Tell the observer how a request ended."""
-        if self.on_outcome is None:
-            return
-        latency_ms = now_ms - work.arrived_at_ms
-        datagram = work.datagram
-        outcome = Outcome(datagram.service, datagram.traffic_class, kind, latency_ms)
-        self.on_outcome(outcome)
 
     def on_claims_decided(self, now_ms: int) -> list[Effect]:
         """Go on with the requests whose claims were decided."""
@@ -282,11 +248,11 @@
         if result.decision is ClaimDecision.HELD:
             work.state = WorkState.ATTACHED
             work.holder = result.holder
-            return self._attach(work, 0, now_ms)
+            return self._mover.attach(work, 0, now_ms)
         if result.decision is ClaimDecision.FAILED:
             code = work.refusal or RefusalCode.UNREACHABLE
             reply = refusal(work.datagram, code, Run.UNKNOWN)
-            effects = self.end(work, reply, now_ms)
+            effects = self.settlement.end(work, reply, now_ms)
             # Its right was given back, so a further transmission may try again.
             self.ledger.remove(work)
             return effects
@@ -319,16 +285,12 @@
         work.was_sent = True
         work.sent_at_ms = now_ms
         gate.on_sent(work.key, work.deadline_at_ms, now_ms)
-        outgoing = self._outgoing(work, now_ms)
+        sent = outgoing(work, now_ms)
         effects: list[Effect] = []
-        if outgoing.kind is Kind.OPEN:
+        if sent.kind is Kind.OPEN:
             gate.n_flows += 1
-            effects += self._context.flows.opened(outgoing, work.server, now_ms)
-        return [*effects, SendToServer(work.server, outgoing)]
-
-    @staticmethod
-    def _outgoing(work: Work, now_ms: int) -> Datagram:
-        return with_remaining(work.datagram, work.deadline_at_ms, now_ms)
+            effects += self._context.flows.opened(sent, work.server, now_ms)
+        return [*effects, SendToServer(work.server, sent)]
 
     def _move(self, work: Work, now_ms: int) -> list[Effect] | None:
         if work.hop >= self._context.config.n_hops_max:
@@ -363,40 +325,7 @@
             return effects + self._place(work, now_ms)
         work.state = WorkState.MOVED
         work.holder = target
-        return self._forward(work, target, now_ms)
-
-    def _forward(self, work: Work, target: InstanceId, now_ms: int) -> list[Effect]:
-        forward = Forward(
-            datagram=self._outgoing(work, now_ms),
-            server=work.server,
-            hop=work.hop,
-            tried=work.tried,
-            revision=self._context.plan.revision,
-            is_claimed=work.is_claimed,
-            is_uncertain=work.is_uncertain,
-        )
-        return self._forwarder.send(forward, target, now_ms)
-
-    def _attach(self, work: Work, hop: int, now_ms: int) -> list[Effect]:
-        holder = work.holder
-        fleet = self._context.fleet
-        if holder is None or holder in (NOBODY, fleet.self_id):
-            return self._unknown(work)
-        is_late = now_ms >= work.deadline_at_ms
-        if is_late or fleet.state(holder) is InstanceState.DEAD:
-            return self._unknown(work)
-        if work.state is WorkState.MOVED and not work.is_claimed:
-            return self._forward(work, holder, now_ms)
-        if hop >= self._context.config.n_hops_max:
-            return []
-        outgoing = self._outgoing(work, now_ms)
-        forward = Forward(outgoing, work.server, hop=hop + 1, is_attached=True)
-        return self._forwarder.send(forward, holder, now_ms)
-
-    @staticmethod
-    def _unknown(work: Work) -> list[Effect]:
-        reply = refusal(work.datagram, RefusalCode.OWNER_LOST, Run.UNKNOWN)
-        return [SendToCaller(reply)]
+        return self._mover.forward(work, target, now_ms)
 
     def _repeat_reply(
         self, work: Work, datagram: Datagram, now_ms: int
@@ -431,8 +360,18 @@
         return self.refuse(work, RefusalCode.SERVER_LOST, now_ms)
 
     def _leave_closed(self, gate: ServerGate, now_ms: int) -> list[Effect]:
+        if not len(gate.queue):
+            return []
         role = self._roles.role(gate.server)
-        released = role is not None and role.state is RoleState.RELEASED
-        if len(gate.queue) and (released or gate.is_closed(now_ms)):
+        if role is None:
+            return self._find_owner(gate, now_ms)
+        if role.state is RoleState.RELEASED or gate.is_closed(now_ms):
             return self.leave(gate, now_ms)
         return []
+
+    def _find_owner(self, gate: ServerGate, now_ms: int) -> list[Effect]:
+        """Go on with what waits after the role was given up with the lease."""
+        target = self._roles.holder_of(gate.server, now_ms)
+        if target == self._context.fleet.self_id:
+            return self._roles.take(gate.server, now_ms)
+        return self.leave(gate, now_ms)
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/answers.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/answers.py
@@ -113,7 +113,7 @@
         gate = self._gates.gate(work.server, now_ms)
         gate.on_answer(work.key, now_ms)
         if work.state is WorkState.SENT:
-            self._admission.report(work, OutcomeKind.ANSWERED, now_ms)
+            self._admission.settlement.report(work, OutcomeKind.ANSWERED, now_ms)
         work.settle()
         return []
 
@@ -126,7 +126,7 @@
         self._admission.forget_opening(work, now_ms)
         if datagram.run is not Run.NO or work.parts:
             reply = msgspec.structs.replace(datagram, run=Run.UNKNOWN)
-            return self._admission.end(work, reply, now_ms)
+            return self._admission.settlement.end(work, reply, now_ms)
         if is_shed:
             retried = self._admission.retry(work, now_ms)
             if retried is not None:
@@ -141,4 +141,4 @@
         gate.on_refusal(work.key, is_shed=False, now_ms=now_ms)
         gate.limit.on_reset(now_ms)
         reply = msgspec.structs.replace(datagram, run=Run.UNKNOWN)
-        return self._admission.end(work, reply, now_ms)
+        return self._admission.settlement.end(work, reply, now_ms)
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/dispatcher.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/dispatcher.py
@@ -97,11 +97,11 @@
     @property
     def on_outcome(self) -> Callable[[Outcome], None] | None:
         """Observer that is told how each request ended."""
-        return self._admission.on_outcome
+        return self._admission.settlement.on_outcome
 
     @on_outcome.setter
     def on_outcome(self, observer: Callable[[Outcome], None] | None) -> None:
-        self._admission.on_outcome = observer
+        self._admission.settlement.on_outcome = observer
 
     @property
     def n_in_flight(self) -> int:
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/ingress.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/ingress.py
@@ -10,6 +10,7 @@
 from .forwarder import Forwarder
 from .keys import request_key
 from .messages import Forward, Taken
+from .mover import refuse_attached
 from .roles import RoleTable
 from .routes import Routes
 from .work import WorkState
@@ -103,7 +104,7 @@
     def on_unreceived(self, forward: Forward, now_ms: int) -> list[Effect]:
         """Go on with a request whose forward was not received."""
         if forward.is_attached:
-            return self._admission.refuse_attached(forward.datagram)
+            return refuse_attached(forward.datagram)
         work = self._admission.ledger.get(request_key(forward.datagram))
         if work is not None:
             if work.state is WorkState.MOVED and work.hop == forward.hop:
@@ -130,8 +131,9 @@
             code = RefusalCode.NO_SERVER
             return self._admission.refuse_unplaced(forward, code, now_ms)
         target = self._roles.holder_of(forward.server, now_ms)
-        if target in (self._context.fleet.self_id, sender):
-            # A sender that this instance takes for the owner knows better.
+        # A sender that this instance takes for the owner knows better.
+        is_back = target == sender and not self._context.is_draining
+        if is_back or target == self._context.fleet.self_id:
             return self._admission.admit(forward, now_ms)
         return self._admission.relay(forward, now_ms)
 
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/roles.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/roles.py
@@ -106,6 +106,8 @@
         role = self._roles.get(server)
         if role is not None and role.state is not RoleState.RELEASED:
             return []
+        if not self._context.fleet.holds_lease(now_ms):
+            return []
         former = role.holder if role is not None else NOBODY
         role = Role(RoleState.ACQUIRING, now_ms)
         role.unanswered = self._possible_holders(server)
@@ -173,8 +175,9 @@
 
     def suspend(self) -> None:
         """Give all held roles up: the lease lapsed, others may have taken them."""
-        for server in self.servers(RoleState.ACTIVE):
-            del self._roles[server]
+        for state in (RoleState.ACTIVE, RoleState.ACQUIRING):
+            for server in self.servers(state):
+                del self._roles[server]
 
     def drop(self, server: ServerId) -> None:
         """Forget a server that has left."""
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/work.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/work.py
@@ -11,7 +11,14 @@
 from .keys import RequestKey, request_key
 from .messages import Forward
 
-__all__ = ["OPEN_STATES", "Work", "WorkState", "needs_claim", "with_remaining"]
+__all__ = [
+    "OPEN_STATES",
+    "Work",
+    "WorkState",
+    "needs_claim",
+    "outgoing",
+    "with_remaining",
+]
 
 
 class WorkState(Enum):
@@ -136,3 +143,8 @@
         """Keep only what further transmissions need."""
         self.state = WorkState.SETTLED
         self.datagram = msgspec.structs.replace(self.datagram, body=b"")
+
+
+def outgoing(work: Work, now_ms: int) -> Datagram:
+    """Return the newest transmission with the deadline that is left."""
+    return with_remaining(work.datagram, work.deadline_at_ms, now_ms)
--- a/packages/sapphirerail-core/tests/request/test_dispatcher.py
+++ b/packages/sapphirerail-core/tests/request/test_dispatcher.py
@@ -1,7 +1,14 @@
 from bench.request_world import SERVICE, RequestWorld, small_plan
 
 from sapphirerail_core.datagram import Datagram, Kind, RefusalCode, Run
-from sapphirerail_core.types import FlowId, InstanceId, RequestId, ServiceId
+from sapphirerail_core.request.messages import Forward
+from sapphirerail_core.types import (
+    FlowId,
+    InstanceId,
+    RequestId,
+    ServerId,
+    ServiceId,
+)
 
 
 def warm_world(**kwargs) -> RequestWorld:
@@ -183,3 +190,40 @@
         for server in node.dispatcher.status(world.now_ms).servers
         if server.role == "active"
     ]
+
+
+def test_a_draining_instance_passes_back_what_a_stale_owner_sends_it():
+    # It took the request for its own, and while such requests came the planned
+    # stop did not end.
+    world = RequestWorld(small_plan(1, 1), n_instances=2)
+    world.run(1_000)
+    leaving = world.nodes[InstanceId("dc0-0")].dispatcher
+    leaving.drain(world.now_ms)
+    datagram = Datagram(
+        kind=Kind.REQUEST,
+        service=SERVICE,
+        flow=FlowId(9),
+        request=RequestId(1),
+        deadline_ms=2_000,
+        caller="caller:9",
+    )
+    message = Forward(datagram, ServerId("s0"))
+    effects = leaving.on_message(InstanceId("dc0-1"), message, world.now_ms)
+    forwards = [e for e in effects if isinstance(getattr(e, "message", 0), Forward)]
+    assert [forward.instance for forward in forwards] == ["dc0-1"]
+    assert not any(s.n_queued for s in leaving.status(world.now_ms).servers)
+
+
+def test_what_waits_when_the_lease_lapses_is_served_once_it_is_back():
+    world = RequestWorld(small_plan(1, 1), n_instances=1)
+    world.run(1_000)
+    server = world.servers["s0"]
+    server.work_ms = 300
+    for flow in range(1, 5):
+        world.request(flow, deadline_ms=8_000)
+    world.run(50)
+    fleet = world.nodes[InstanceId("dc0-0")].fleet
+    fleet.lease_until_ms = 0
+    world.run(30)
+    world.run(4_000)
+    assert len(world.answers) == 4
