Take entering servers into the membership for new flows; refine the checks

Cause: a server in the state entering never got work, because the layer of a service held active servers only, while the admission counts entering ones as open for work; found by a whole-system test.

--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/layers.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/layers.py
@@ -9,6 +9,7 @@
 
 FLOW_LIFE_MS = 24 * 60 * 60 * 1000
 N_LAYERS_MAX = 6
+ACCEPTING = frozenset({ServerState.ENTERING, ServerState.ACTIVE})
 
 
 def current_layer(plan: Plan, service: ServiceId) -> Layer:
@@ -24,13 +25,14 @@
     Returns
     -------
     Layer
-        One seat for each active server. The state of data centres does not
+        One seat for each entering or active server: the limit of a server that
+        warms up is the admission's matter. The state of data centres does not
         count: a data centre that goes out and comes back moves no default.
     """
     seats = tuple(
         Seat(server.seat, server.server)
         for server in plan.servers_by_service.get(service, ())
-        if server.state is ServerState.ACTIVE
+        if server.state in ACCEPTING
     )
     return Layer(seats=seats)
 
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/history.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/history.py
@@ -193,10 +193,13 @@
     state : str
         Its new state: of a server ``entering``, ``active``, ``draining`` or
         ``left``; of a data centre ``in`` or ``out``.
+    asked_ms : int
+        When the sheet was handed in; the change may have taken effect since then.
     """
 
     subject: str
     state: str
+    asked_ms: int
 
 
 class RevisionSeen(Event, frozen=True, kw_only=True, tag=True):
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/operators.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/operators.py
@@ -86,6 +86,7 @@
         path: str = "-",
     ) -> CommandResult:
         """Apply a sheet, from standard input or a file; record accepted lines."""
+        asked_ms = LoopClock().now_ms()
         result = await self.run(
             "sheet",
             "apply",
@@ -96,10 +97,12 @@
             *flags,
             standard_input=render_sheet(rows),
         )
-        self._note(rows, result)
+        self._note(rows, result, asked_ms)
         return result
 
-    def _note(self, rows: Sequence[SheetRow], result: CommandResult) -> None:
+    def _note(
+        self, rows: Sequence[SheetRow], result: CommandResult, asked_ms: int
+    ) -> None:
         changed = {
             line["name"]
             for line in result.report.get("lines", [])
@@ -114,5 +117,10 @@
         self.events.append(accepted)
         for row in rows:
             if row.name in changed and row.state:
-                event = PlanChanged(at_ms=at_ms, subject=row.name, state=row.state)
+                event = PlanChanged(
+                    at_ms=at_ms,
+                    subject=row.name,
+                    state=row.state,
+                    asked_ms=asked_ms,
+                )
                 self.events.append(event)
--- /dev/null
+++ b/tests/test_partition.py
@@ -0,0 +1,69 @@
+"""A data centre is cut off from the others and from the platform."""
+
+from sapphirerail_standins.scenario import feeds_go_on, run_scenario
+from sapphirerail_standins.sheets import data_centre_row, server_row
+from sapphirerail_standins.topology import small_system
+from sapphirerail_standins.waiting import wait_until
+
+SPEC = small_system(
+    n_bookings=6, data_centres=("osu", "madina", "tema"), seed=51, has_links=True
+)
+
+
+async def _holds_from(system, data_centre, n_holds):
+    """Send holds in one data centre and return how many were answered."""
+    callers = system.callers[data_centre]
+    holds = [callers.hold("bookings") for _ in range(n_holds)]
+    await wait_until(
+        f"holds of {data_centre}", lambda: all(hold.is_done for hold in holds)
+    )
+    return sum(hold.is_answered for hold in holds)
+
+
+def _outside(system):
+    return [
+        name
+        for name, instance in system.instances.running.items()
+        if instance.data_centre != "osu"
+    ]
+
+
+def test_cut_off_data_centre_serves_and_takes_the_newest_plan_afterwards():
+    async def scenario(system, workload):
+        await system.partition("osu")
+
+        async def serves():
+            answered = [
+                await _holds_from(system, data_centre, 4)
+                for data_centre in ("osu", "madina")
+            ]
+            return answered == [4, 4]
+
+        await wait_until("both sides serve", serves, 40_000)
+        row = server_row(system.servers.running["bookings-2"], "draining")
+        result = await system.operators.apply([row])
+        assert result.exit_code == 0, result
+        await system.in_force(result.revision, _outside(system))
+        await system.heal("osu")
+        await system.in_force(result.revision)
+        assert await _holds_from(system, "osu", 4) == 4
+
+    run_scenario(SPEC, scenario)
+
+
+def test_taken_out_while_it_is_cut_off():
+    async def scenario(system, workload):
+        feeds = workload.open_feeds(12)
+        await feeds_go_on(feeds)
+        await system.partition("osu")
+        result = await system.operators.apply([data_centre_row("osu", "out")])
+        assert result.exit_code == 0, result
+        await system.in_force(result.revision, _outside(system))
+        await system.heal("osu")
+        await system.in_force(result.revision)
+        for server in system.servers.running.values():
+            if server.spec.data_centre == "osu":
+                system.servers.note_failed(server.spec.server)
+        await feeds_go_on(feeds)
+
+    run_scenario(SPEC, scenario)
--- /dev/null
+++ b/tests/test_plan_under_faults.py
@@ -0,0 +1,170 @@
+"""Sheets while the store is down, slow or loses answers, and while two race."""
+
+import asyncio
+
+from sapphirerail_standins.history import Answered, RevisionSeen
+from sapphirerail_standins.platform import Faults
+from sapphirerail_standins.scenario import feeds_go_on, run_scenario
+from sapphirerail_standins.sheets import data_centre_row, server_row
+from sapphirerail_standins.topology import ServerSpec, small_system
+from sapphirerail_standins.waiting import wait_until
+
+SPEC = small_system(n_bookings=4, data_centres=("osu", "madina"), seed=41)
+NODE_FLAGS = ("--stop-linger-ms", "300")
+
+
+def _rows(system, names, state):
+    return [server_row(system.servers.running[name], state) for name in names]
+
+
+def test_lost_answer_of_a_write_is_recognised():
+    async def scenario(system, workload):
+        before = max((await system.instances.revisions()).values())
+        await system.break_platform(Faults(lose_answers=2))
+        rows = _rows(system, ["bookings-1"], "draining")
+        result = await system.operators.apply(rows)
+        assert result.exit_code == 0, result
+        assert result.revision == before + 1
+        await system.in_force(result.revision)
+        again = await system.operators.apply(rows)
+        assert (again.exit_code, again.revision) == (0, result.revision)
+
+    run_scenario(SPEC, scenario)
+
+
+def test_store_outage_changes_nothing_and_serving_goes_on():
+    async def scenario(system, workload):
+        feeds = workload.open_feeds(10)
+        await feeds_go_on(feeds)
+        before = max((await system.instances.revisions()).values())
+        await system.break_platform(Faults(down=True))
+        rows = _rows(system, ["bookings-1"], "draining")
+        result = await system.operators.apply(rows)
+        assert result.exit_code != 0
+        workload.send_holds(5)
+        await wait_until("holds have an outcome", workload.is_answered)
+        newcomer = await system.instances.add("osu")
+        await system.in_force(before, [newcomer.name])
+        await feeds_go_on(feeds)
+        await system.break_platform(Faults())
+        result = await system.operators.apply(rows)
+        assert result.exit_code == 0, result
+        await system.in_force(result.revision)
+        await feeds_go_on(feeds)
+        assert not any(feed.is_done for feed in feeds)
+
+    run_scenario(SPEC, scenario)
+
+
+def test_slow_store_delays_a_sheet_but_loses_nothing():
+    async def scenario(system, workload):
+        await system.break_platform(Faults(delay_ms=300))
+        rows = _rows(system, ["bookings-1"], "draining")
+        result = await system.operators.apply(rows)
+        assert result.exit_code == 0, result
+        await system.in_force(result.revision)
+
+    run_scenario(SPEC, scenario)
+
+
+def test_two_racing_sheets_end_in_one_order():
+    async def scenario(system, workload):
+        names = [f"bookings-{number}" for number in (1, 2, 3)]
+        one, two = await asyncio.gather(
+            system.operators.apply(_rows(system, names[:2], "draining"), operator="a"),
+            system.operators.apply(_rows(system, names[1:], "draining"), operator="b"),
+        )
+        assert one.revision != two.revision
+        last = max(one.revision, two.revision)
+        await system.in_force(last)
+        for sheet in (one, two):
+            for line in sheet.report["lines"]:
+                assert line["outcome"] in ("changed", "unchanged", "refused")
+        refused = {
+            line["name"]
+            for sheet in (one, two)
+            for line in sheet.report["lines"]
+            if line["outcome"] == "refused"
+        }
+        assert refused <= {"bookings-2"}
+        rows = _rows(system, names, "draining")
+        again = await system.operators.apply(rows)
+        assert (again.exit_code, again.revision) == (0, last)
+
+    run_scenario(SPEC, scenario)
+
+
+def test_all_instances_replaced_one_by_one_while_the_store_is_down():
+    async def scenario(system, workload):
+        feeds = workload.open_feeds(10)
+        await feeds_go_on(feeds)
+        before = max((await system.instances.revisions()).values())
+        await system.break_platform(Faults(down=True))
+        async with workload:
+            for name, instance in list(system.instances.running.items()):
+                newcomer = await system.instances.add(instance.data_centre)
+                await system.in_force(before, [newcomer.name])
+                await system.leases_held()
+                assert await system.instances.stop(name) == 0
+                await feeds_go_on(feeds)
+        assert not any(feed.is_done for feed in feeds)
+        await system.in_force(before)
+
+    spec = small_system(
+        n_bookings=2,
+        n_sketches=1,
+        data_centres=("osu", "madina"),
+        seed=42,
+        node_flags=NODE_FLAGS,
+    )
+    events = run_scenario(spec, scenario)
+    assert any(isinstance(event, Answered) for event in events)
+
+
+def test_entering_server_gets_work_and_cold_start_is_kept():
+    async def scenario(system, workload):
+        server = await system.servers.add(
+            ServerSpec("bookings-9", "bookings", "osu", settings={"starts_cold": True})
+        )
+        result = await system.operators.apply([server_row(server, "entering")])
+        assert result.exit_code == 0, result
+        await system.in_force(result.revision)
+
+        async def has_work():
+            return any(e.is_new_work for e in (await server.record()).events[:2000])
+
+        async with workload:
+            await wait_until("the new server has work", has_work, 30_000)
+
+    run_scenario(SPEC, scenario)
+
+
+def test_data_centre_taken_out_and_back():
+    async def scenario(system, workload):
+        feeds = workload.open_feeds(10)
+        await feeds_go_on(feeds)
+        result = await system.operators.apply([data_centre_row("osu", "out")])
+        assert result.exit_code == 0, result
+        await system.in_force(result.revision)
+        out = [system.servers.running[name] for name in ("bookings-1", "bookings-3")]
+        assert {server.spec.data_centre for server in out} == {"osu"}
+
+        async def n_packets():
+            return [len((await server.record()).events) for server in out]
+
+        async with workload:
+            before = await n_packets()
+            await wait_until("holds are answered", lambda: len(workload.holds) > 100)
+            assert await n_packets() == before
+            result = await system.operators.apply([data_centre_row("osu", "in")])
+            await system.in_force(result.revision)
+
+            async def all_have_work():
+                return all(
+                    n > was for n, was in zip(await n_packets(), before, strict=True)
+                )
+
+            await wait_until("work returns", all_have_work)
+
+    events = run_scenario(SPEC, scenario)
+    assert any(isinstance(event, RevisionSeen) for event in events)
--- /dev/null
+++ b/tests/test_silence.py
@@ -0,0 +1,42 @@
+"""Connections that go silent for good while new ones work."""
+
+from sapphirerail_standins.history import FlowEnded, FlowEnding
+from sapphirerail_standins.scenario import feeds_go_on, run_scenario
+from sapphirerail_standins.topology import small_system
+from sapphirerail_standins.waiting import wait_until
+
+SPEC = small_system(
+    n_bookings=2, n_sketches=1, data_centres=("osu", "madina"), seed=31, has_links=True
+)
+NOTICED_MS = 8000
+
+
+def test_silent_way_to_a_server_is_mended_or_told():
+    async def scenario(system, workload):
+        feeds = workload.open_feeds(10)
+        await feeds_go_on(feeds)
+        await system.links.silence("server/*")
+        for server in system.servers.running:
+            system.servers.note_failed(server)
+        await feeds_go_on(feeds, NOTICED_MS)
+        again = workload.open_feeds(5)
+        await feeds_go_on(again)
+        assert not any(feed.is_done for feed in again)
+
+    events = run_scenario(SPEC, scenario)
+    endings = [event.ending for event in events if isinstance(event, FlowEnded)]
+    assert FlowEnding.SILENT not in endings
+
+
+def test_server_that_answers_probes_but_no_requests_is_avoided():
+    async def scenario(system, workload):
+        deaf = system.servers.running["bookings-1"]
+        await deaf.change(ignores_requests=True)
+        system.servers.note_failed("bookings-1")
+        async with workload:
+            await wait_until("load", lambda: len(workload.holds) > 100, 30_000)
+        late = workload.send_holds(10)
+        await wait_until("late holds have an outcome", workload.is_answered)
+        assert all(hold.is_answered for hold in late)
+
+    run_scenario(SPEC, scenario)
