--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/registrar.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/registrar.py
@@ -1,12 +1,13 @@
 """Keeps the records of this instance's flows at their owners."""
 
 from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from ..effects import Effect, SendToPeer
 from ..types import InstanceId, InstanceState
 from .context import FlowContext
-from .messages import Forget, Register, Registered, Release
+from .messages import Forget, Register, Registered, RegisterMode, Release
 from .record_codec import FlowRecord, pack_records
 from .record_store import RecordStore
 from .table import FlowMark
@@ -14,6 +15,7 @@
 __all__ = ["N_RECORDS_PER_MESSAGE", "Registrar"]
 
 N_RECORDS_PER_MESSAGE = 48
+_Waiting = dict[tuple[InstanceId, RegisterMode], list[FlowRecord]]
 
 
 @dataclass(slots=True)
@@ -40,9 +42,8 @@
     def __init__(self, context: FlowContext, store: RecordStore) -> None:
         self._context = context
         self._store = store
-        self._waiting: dict[InstanceId, list[FlowRecord]] = {}
-        self._taken_over: dict[InstanceId, list[FlowRecord]] = {}
-        self._silent: dict[InstanceId, list[FlowRecord]] = {}
+        self._urgent: _Waiting = {}
+        self._waiting: _Waiting = {}
         self._ended: dict[InstanceId, list[FlowRecord]] = {}
         self._released: dict[InstanceId, list[FlowRecord]] = {}
         self._batches: dict[int, _Batch] = {}
@@ -50,13 +51,14 @@
         self._serial = 0
         self._n_immediate = 0
         self._second = 0
+        self._batched_ms = 0
 
     @property
     def n_unacknowledged(self) -> int:
         """Records that wait for a batch or for its acknowledgement."""
-        waiting = sum(map(len, self._waiting.values()))
-        waiting += sum(map(len, self._taken_over.values()))
-        return waiting + len(self._batches)
+        n_waiting = sum(map(len, self._urgent.values()))
+        n_waiting += sum(map(len, self._waiting.values()))
+        return n_waiting + len(self._batches)
 
     def register(self, row: int, now_ms: int, *, at_once: bool = False) -> list[Effect]:
         """Record a flow of the table at its owners.
@@ -68,10 +70,11 @@
         now_ms : int
             The time.
         at_once : bool
-            Whether to send without waiting for a batch, budget permitting.
+            Whether the record is an exception, which other instances need soon:
+            it is sent at once, or with the next tick if the budget is spent.
         """
         context = self._context
-        context.table.mark(row, FlowMark.REGISTERED)
+        context.table.mark(row, FlowMark.REGISTERED | FlowMark.HOLDING)
         record = context.record(row)
         immediate = at_once and self._may_send_at_once(now_ms)
         effects: list[Effect] = []
@@ -79,26 +82,48 @@
             if owner == context.self_id:
                 self._store.keep(record, owner, now_ms)
             elif immediate:
-                effects.append(self._send(owner, [record], now_ms))
+                effects.append(self._send(owner, RegisterMode.HOLD, [record], now_ms))
             else:
-                self._waiting.setdefault(owner, []).append(record)
+                batch = self._urgent if at_once else self._waiting
+                batch.setdefault((owner, RegisterMode.HOLD), []).append(record)
         return effects
 
-    def send_to(self, owner: InstanceId, record: FlowRecord) -> None:
-        """Record a flow at one owner with the next batch."""
-        self._waiting.setdefault(owner, []).append(record)
+    def refresh(self, row: int, owners: Iterable[InstanceId], now_ms: int) -> None:
+        """Record a flow of the table without a claim to be its way back."""
+        context = self._context
+        context.table.mark(row, FlowMark.REGISTERED)
+        record = context.record(row)
+        for owner in owners:
+            if owner == context.self_id:
+                self._store.keep(record, owner, now_ms, claims=False)
+            else:
+                batch = (owner, RegisterMode.REFRESH)
+                self._waiting.setdefault(batch, []).append(record)
 
     def hand_over(
-        self, owner: InstanceId, record: FlowRecord, *, silent: bool = False
+        self,
+        owner: InstanceId,
+        record: FlowRecord,
+        mode: RegisterMode = RegisterMode.TAKE_OVER,
     ) -> None:
-        """Ask an owner to become the way back with the next batch."""
-        batch = self._silent if silent else self._taken_over
-        batch.setdefault(owner, []).append(record)
+        """Ask an owner to become the way back with the next tick."""
+        self._urgent.setdefault((owner, mode), []).append(record)
+
+    def hand_over_row(self, row: int, now_ms: int) -> None:
+        """Ask the first owner of a flow of the table to become its way back."""
+        context = self._context
+        owners = context.owners_of(row)
+        if not owners:
+            return
+        self.hand_over(owners[0], context.record(row))
+        self.refresh(row, owners[1:], now_ms)
+        marks = FlowMark.REGISTERED | FlowMark.HOLDING | FlowMark.ANSWERING
+        context.table.unmark(row, marks)
 
     def forget(self, row: int, now_ms: int) -> None:
         """Drop the records of a flow of the table at its owners."""
         context = self._context
-        context.table.unmark(row, FlowMark.REGISTERED)
+        context.table.unmark(row, FlowMark.REGISTERED | FlowMark.HOLDING)
         self.forget_record(context.record(row), context.owners_of(row))
 
     def forget_record(self, record: FlowRecord, owners: tuple[InstanceId, ...]) -> None:
@@ -117,38 +142,40 @@
         """Take an acknowledgement."""
         self._batches.pop(message.serial, None)
 
-    def flush(self, now_ms: int) -> list[Effect]:
-        """Send what waits, and again what was not acknowledged in time."""
+    def flush(self, now_ms: int, *, everything: bool = False) -> list[Effect]:
+        """Send what waits, and again what was not acknowledged in time.
+
+        Parameters
+        ----------
+        now_ms : int
+            The time.
+        everything : bool
+            Whether to send also what may wait for a fuller batch.
+        """
         effects = self._send_again(now_ms)
-        for batches, takes_over, silent in (
-            (self._waiting, False, False),
-            (self._taken_over, True, False),
-            (self._silent, True, True),
-        ):
-            for owner, records in batches.items():
-                for part in _parts(records):
-                    effects.append(self._send(owner, part, now_ms, takes_over, silent))
-            batches.clear()
-        for told, kind in ((self._ended, Forget), (self._released, Release)):
-            for peer, records in told.items():
-                for part in _parts(records):
-                    effects.append(SendToPeer(peer, kind(pack_records(part))))
-            told.clear()
+        effects += self._send_batches(self._urgent, now_ms)
+        if everything or now_ms - self._batched_ms >= self._context.config.batch_ms:
+            self._batched_ms = now_ms
+            effects += self._send_batches(self._waiting, now_ms)
+            effects += _messages(self._ended, Forget)
+            effects += _messages(self._released, Release)
+        return effects
+
+    def _send_batches(self, batches: _Waiting, now_ms: int) -> list[Effect]:
+        effects = [
+            self._send(owner, mode, part, now_ms)
+            for (owner, mode), records in batches.items()
+            for part in _parts(records)
+        ]
+        batches.clear()
         return effects
 
     def on_owners_changed(
         self, row: int, previous: tuple[InstanceId, ...], now_ms: int
     ) -> None:
         """Record a flow of the table at the owners that are new."""
-        context = self._context
-        record = context.record(row)
-        for owner in context.owners_of(row):
-            if owner in previous:
-                continue
-            if owner == context.self_id:
-                self._store.keep(record, owner, now_ms)
-            else:
-                self.send_to(owner, record)
+        new = [owner for owner in self._context.owners_of(row) if owner not in previous]
+        self.refresh(row, new, now_ms)
 
     def _may_send_at_once(self, now_ms: int) -> bool:
         second = now_ms // 1000
@@ -161,13 +188,12 @@
     def _send(
         self,
         owner: InstanceId,
+        mode: RegisterMode,
         records: list[FlowRecord],
         now_ms: int,
-        takes_over: bool = False,
-        silent: bool = False,
     ) -> Effect:
         self._serial += 1
-        message = Register(self._serial, pack_records(records), takes_over, silent)
+        message = Register(self._serial, pack_records(records), mode)
         due_ms = now_ms + self._context.config.ack_timeout_ms
         self._batches[self._serial] = _Batch(owner, message, 1, due_ms)
         self._due.append(self._serial)
@@ -197,6 +223,18 @@
         return gone or batch.n_attempts >= self._context.config.n_attempts_max
 
 
+def _messages(
+    batches: dict[InstanceId, list[FlowRecord]], kind: type[Forget] | type[Release]
+) -> list[Effect]:
+    effects: list[Effect] = [
+        SendToPeer(peer, kind(pack_records(part)))
+        for peer, records in batches.items()
+        for part in _parts(records)
+    ]
+    batches.clear()
+    return effects
+
+
 def _parts(records: list[FlowRecord]) -> list[list[FlowRecord]]:
     step = N_RECORDS_PER_MESSAGE
     return [records[start : start + step] for start in range(0, len(records), step)]
