--- a/packages/sapphirerail-standins/src/sapphirerail_standins/scenario.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/scenario.py
@@ -17,6 +17,7 @@
 Scenario = Callable[[System, Workload], Awaitable[None]]
 
 RUN_TIMEOUT_MS = 120_000
+HOLD_INTERVAL_MS = 30.0
 FAULT_MARKS = ("Traceback (most recent call last)", "exception was never retrieved")
 
 
@@ -53,7 +54,7 @@
 ) -> list[HistoryEvent]:
     async with asyncio.timeout(RUN_TIMEOUT_MS / 1000), System(spec) as system:
         await system.apply_first_sheet()
-        workload = Workload(list(system.callers.values()))
+        workload = Workload(list(system.callers.values()), HOLD_INTERVAL_MS)
         await scenario(system, workload)
         await wait_until("all requests have an outcome", workload.is_answered)
         events = await system.history()
