Measure the data path and the service around a data centre's departure

Cause: the users weigh service during departure and return, and the cost of the data path was not measured.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -17,6 +17,8 @@
     "plan",
     "placement",
     "flow_state",
+    "service",
+    "data_path",
 )
 KNOWN_RED_PATH = Path(__file__).parent.parent / "KNOWN-RED.txt"
 ENTRY_PREFIX = "figure: "
--- /dev/null
+++ b/bench/virtual_system.py
@@ -0,0 +1,215 @@
+"""Whole decisions of several instances, with servers and callers, on virtual time."""
+
+import random
+from collections.abc import Callable, Mapping
+
+import msgspec
+
+from sapphirerail_core.datagram import Datagram
+from sapphirerail_core.effects import Effect, Message
+from sapphirerail_core.fleet.listing import ListedInstance
+from sapphirerail_core.plan import Plan
+from sapphirerail_core.types import DataCentreId, InstanceId
+from sapphirerail_node.decisions import Decisions
+from sapphirerail_node.metrics import Metrics
+from sapphirerail_node.router import Outlets, Router
+from sapphirerail_node.settings import Settings
+from sapphirerail_standins.callers import CallerModel
+from sapphirerail_standins.clock import VirtualClock
+from sapphirerail_standins.history import HistoryEvent, in_order
+from sapphirerail_standins.server_model import ServerModel
+from sapphirerail_standins.server_settings import ServerSettings
+from sapphirerail_transport.udp import parse_address
+
+__all__ = ["VirtualSystem"]
+
+ONE_WAY_MS = 0.5
+CALLER_WAY_MS = 3.0
+DISPATCH_MS = 20
+TICK_MS = 100
+SOCKETS = ("caller", "server", "peer", "api", "platform")
+
+
+class _Instance:
+    """The decisions and the router of one instance, on the system's wires."""
+
+    def __init__(self, system: "VirtualSystem", name: str, data_centre: str) -> None:
+        address = f"{name}:1"
+        config = dict.fromkeys(
+            [f"{socket}_address" for socket in SOCKETS], "10.0.0.1:1"
+        )
+        settings = Settings.from_config(
+            config
+            | {
+                "instance": name,
+                "data_centre": data_centre,
+                "key": "a key for the bench",
+                "n_flows_max": 10_000,
+                "stop_linger_ms": 0,
+                "stop_timeout_ms": 1_000,
+                "log_level": "info",
+                "seed": 1,
+            }
+        )
+        self.data_centre = data_centre
+        self.address = address
+        self.decisions = Decisions.from_config(settings, 1, address, address, 0)
+        self.router = Router(
+            self.decisions.flows,
+            self.decisions.dispatcher,
+            Outlets(
+                system.send_to_caller,
+                lambda datagram, server: system.send_to_server(
+                    datagram, server, address
+                ),
+                lambda target, message: system.send_to_peer(name, target, message),
+            ),
+            Metrics(None),
+            self.decisions.journal,
+        )
+
+    def on_plan(self, plan: Plan, now_ms: int) -> None:
+        """Act on a plan."""
+        self.router.on_plan(plan)
+        self.router.carry_out(self.decisions.on_plan(plan, now_ms))
+
+
+class VirtualSystem:
+    """Instances, backend servers and callers without sockets or a real clock.
+
+    Parameters
+    ----------
+    plan : Plan
+        The plan at the start; a server's address is its name and port 1.
+    n_instances : int
+        Instances in each data centre.
+    service_ms : float
+        Time of a run on a warm server.
+    seed : int
+        Decides the fabrics' spray and the callers' choices.
+    """
+
+    def __init__(
+        self, plan: Plan, n_instances: int, service_ms: float, seed: int
+    ) -> None:
+        self.clock = VirtualClock()
+        self.plan = plan
+        self._random = random.Random(seed)
+        self.servers = {
+            server.address: ServerModel(
+                ServerSettings(
+                    server=server.server, service=server.service, service_ms=service_ms
+                ),
+                self.clock,
+                lambda datagram, address, source=server.address: self._answer(
+                    datagram, address, source
+                ),
+            )
+            for server in plan.servers.values()
+        }
+        self.instances = {
+            f"{place}-{number}": _Instance(self, f"{place}-{number}", place)
+            for place in plan.data_centres
+            for number in range(n_instances)
+        }
+        self._by_address = {item.address: item for item in self.instances.values()}
+        self.callers = {
+            place: CallerModel(
+                self.clock,
+                lambda datagram, place=place: self._spray(datagram, place),
+                seed * 100 + number,
+            )
+            for number, place in enumerate(plan.data_centres)
+        }
+        self._join()
+
+    def use_plan(self, plan: Plan, delays_ms: Mapping[str, float]) -> None:
+        """Let each instance act on a plan after a time of its own."""
+        self.plan = plan
+        for name, instance in self.instances.items():
+
+            def act(instance: _Instance = instance) -> None:
+                instance.on_plan(plan, self.clock.now_ms())
+
+            self.clock.call_later(delays_ms.get(name, 0.0), act)
+
+    def history(self) -> list[HistoryEvent]:
+        """Return what callers and servers saw, in order."""
+        records = [server.events for server in self.servers.values()]
+        records += [callers.events for callers in self.callers.values()]
+        return in_order(*records)
+
+    def send_to_caller(self, datagram: Datagram) -> None:
+        """Carry a datagram to the callers of a data centre."""
+        callers = self.callers[DataCentreId(datagram.caller.partition(":")[0])]
+        self.clock.call_later(CALLER_WAY_MS, lambda: callers.on_datagram(datagram))
+
+    def send_to_server(self, datagram: Datagram, server: str, source: str) -> None:
+        """Carry a datagram to a backend server."""
+        model = self.servers[server]
+        self.clock.call_later(ONE_WAY_MS, lambda: model.on_datagram(datagram, source))
+
+    def send_to_peer(self, sender: str, target: InstanceId, message: Message) -> None:
+        """Carry a message to an instance."""
+        instance = self.instances.get(target)
+        if instance is None:
+            return
+
+        def arrive() -> None:
+            effects = instance.decisions.on_message(
+                InstanceId(sender), message, self.clock.now_ms()
+            )
+            instance.router.carry_out(effects)
+
+        self.clock.call_later(ONE_WAY_MS, arrive)
+
+    def _join(self) -> None:
+        listed = [
+            ListedInstance(
+                InstanceId(name),
+                DataCentreId(instance.data_centre),
+                instance.address,
+                instance.address,
+            )
+            for name, instance in self.instances.items()
+        ]
+        for instance in self.instances.values():
+            effects = instance.decisions.membership.on_listing(listed, 0)
+            instance.router.carry_out(effects)
+            instance.on_plan(self.plan, 0)
+            self._tick(instance, DISPATCH_MS, instance.decisions.dispatcher.tick)
+            self._tick(instance, TICK_MS, instance.decisions.membership.tick)
+            self._tick(instance, TICK_MS, instance.decisions.flows.tick)
+
+    def _tick(
+        self,
+        instance: _Instance,
+        interval_ms: int,
+        tick: Callable[[int], list[Effect]],
+    ) -> None:
+        def run() -> None:
+            instance.router.carry_out(tick(self.clock.now_ms()))
+            self.clock.call_later(interval_ms, run)
+
+        self.clock.call_later(self._random.random() * interval_ms, run)
+
+    def _spray(self, datagram: Datagram, place: str) -> None:
+        instances = [i for i in self.instances.values() if i.data_centre == place]
+        instance = self._random.choice(instances)
+        stamped = msgspec.structs.replace(datagram, caller=f"{place}:1")
+
+        def arrive() -> None:
+            sender = (place, 1)
+            now_ms = self.clock.now_ms()
+            instance.router.on_caller_datagram(stamped, sender, now_ms)
+
+        self.clock.call_later(CALLER_WAY_MS, arrive)
+
+    def _answer(self, datagram: Datagram, address: str, source: str) -> None:
+        instance = self._by_address[address]
+
+        def arrive() -> None:
+            now_ms = self.clock.now_ms()
+            instance.router.on_server_datagram(datagram, parse_address(source), now_ms)
+
+        self.clock.call_later(ONE_WAY_MS, arrive)
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/operators.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/operators.py
@@ -16,6 +16,8 @@
 
 COMMAND_TIMEOUT_MS = 60_000
 CHANGED = "changed"
+EXIT_OK = 0
+EXIT_NOT_IN_FORCE = 7
 
 
 @dataclass(frozen=True)
@@ -26,6 +28,11 @@
     output: str
     errors: str
 
+    @property
+    def is_accepted(self) -> bool:
+        """Whether all lines were accepted, in force or not yet."""
+        return self.exit_code in (EXIT_OK, EXIT_NOT_IN_FORCE)
+
     @property
     def report(self) -> dict[str, Any]:
         """The JSON report; empty if there is none."""
@@ -85,13 +92,18 @@
         operator: str = "tests",
         path: str = "-",
     ) -> CommandResult:
-        """Apply a sheet, from standard input or a file; record accepted lines."""
+        """Apply a sheet, from standard input or a file; record accepted lines.
+
+        The command does not wait for the lines to be in force: that is measured.
+        """
         asked_ms = LoopClock().now_ms()
         result = await self.run(
             "sheet",
             "apply",
             path,
             "--json",
+            "--wait",
+            "0",
             "--operator",
             operator,
             *flags,
