--- a/packages/sapphirerail-core/src/sapphirerail_core/request/ingress.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/ingress.py
@@ -17,6 +17,7 @@
 __all__ = ["Ingress"]
 
 _HINT_MS = 300
+_STALE_MS = 1_000
 _N_COMPARED = 2
 _LOAD_MARGIN = 2
 
@@ -61,7 +62,8 @@
         work = self._admission.ledger.get(request_key(datagram))
         if work is not None:
             return self._admission.repeat(work, datagram, now_ms)
-        forward = Forward(datagram, ServerId(""))
+        is_stale = self._may_have_waited(now_ms)
+        forward = Forward(datagram, ServerId(""), is_uncertain=is_stale)
         return self.dispatch(forward, now_ms)
 
     def dispatch(self, forward: Forward, now_ms: int) -> list[Effect]:
@@ -85,18 +87,23 @@
         """Handle a request that another instance forwarded."""
         if forward.datagram.kind is Kind.CANCEL:
             return self._cancel_here(forward.datagram, now_ms)
+        if forward.is_attached:
+            return self._admission.on_attached(forward, now_ms)
         work = self._admission.ledger.get(request_key(forward.datagram))
         if work is None:
-            return self._take(forward, now_ms)
+            return self._take(sender, forward, now_ms)
         if forward.is_claimed and (forward.hop > work.hop or not work.is_claimed):
-            return self._take(forward, now_ms)
-        came_round = forward.hop > work.hop and not work.is_claimed
-        if came_round and work.state is WorkState.MOVED:
-            return self._take(forward, now_ms)
+            return self._take(sender, forward, now_ms)
+        is_moved = work.state is WorkState.MOVED and not work.is_claimed
+        if is_moved and (forward.hop > work.hop or work.holder == sender):
+            # It came round, so that each would wait for the other one.
+            return self._take(sender, forward, now_ms)
         return self._admission.repeat(work, forward.datagram, now_ms, forward.hop)
 
     def on_unreceived(self, forward: Forward, now_ms: int) -> list[Effect]:
         """Go on with a request whose forward was not received."""
+        if forward.is_attached:
+            return self._admission.refuse_attached(forward.datagram)
         work = self._admission.ledger.get(request_key(forward.datagram))
         if work is not None:
             if work.state is WorkState.MOVED and work.hop == forward.hop:
@@ -118,18 +125,29 @@
         self._forwarder.on_taken(sender, taken)
         self._hints[taken.server] = (taken.n_waiting, now_ms)
 
-    def _take(self, forward: Forward, now_ms: int) -> list[Effect]:
+    def _take(self, sender: InstanceId, forward: Forward, now_ms: int) -> list[Effect]:
         if forward.server not in self._context.plan.servers:
             code = RefusalCode.NO_SERVER
             return self._admission.refuse_unplaced(forward, code, now_ms)
         target = self._roles.holder_of(forward.server, now_ms)
-        if target == self._context.fleet.self_id:
+        if target in (self._context.fleet.self_id, sender):
+            # A sender that this instance takes for the owner knows better.
             return self._admission.admit(forward, now_ms)
         return self._admission.relay(forward, now_ms)
 
+    def _may_have_waited(self, now_ms: int) -> bool:
+        """Return whether a datagram may have waited here through a pause.
+
+        Its retransmissions may have been run elsewhere meanwhile.
+        """
+        woke_at_ms = self._context.woke_at_ms
+        return woke_at_ms is not None and now_ms - woke_at_ms < _STALE_MS
+
     def _best(
         self, datagram: Datagram, servers: list[ServerId], now_ms: int
     ) -> ServerId:
+        responsive = [s for s in servers if self._is_responsive(s, now_ms)]
+        servers = responsive or servers
         if datagram.kind is Kind.OPEN or len(servers) < _N_COMPARED:
             # Transmissions of an opening must meet at one owner.
             return servers[0]
@@ -137,6 +155,10 @@
         n_more = self._hint(first, now_ms) - self._hint(second, now_ms)
         return second if n_more >= _LOAD_MARGIN else first
 
+    def _is_responsive(self, server: ServerId, now_ms: int) -> bool:
+        target = self._roles.holder_of(server, now_ms)
+        return target is not None and self._forwarder.is_responsive(target, now_ms)
+
     def _hint(self, server: ServerId, now_ms: int) -> int:
         n_waiting, at_ms = self._hints.get(server, (0, 0))
         return n_waiting if now_ms - at_ms <= _HINT_MS else 0
