--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -19,6 +19,8 @@
     "flow_state",
     "service",
     "data_path",
+    "requests",
+    "limits",
 )
 KNOWN_RED_PATH = Path(__file__).parent.parent / "KNOWN-RED.txt"
 ENTRY_PREFIX = "figure: "
