--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -17,6 +17,8 @@
     "plan",
     "placement",
     "flow_state",
+    "service",
+    "data_path",
     "requests",
     "limits",
 )
