--- /dev/null
+++ b/bench/capacity_paths.py
@@ -0,0 +1,291 @@
+"""Slopes of the entry instance's data path, flow records, claims and gates."""
+
+import asyncio
+import gc
+import random
+import time
+import tracemalloc
+from collections.abc import Callable, Iterator, Sequence
+
+import msgspec
+
+from sapphirerail_core.datagram import Datagram, Kind
+from sapphirerail_core.fleet import FixedFleet
+from sapphirerail_core.flow import FlowConfig, FlowDirector
+from sapphirerail_core.flow.table import FlowTable
+from sapphirerail_core.journal import Journal
+from sapphirerail_core.load.config import LimitConfig
+from sapphirerail_core.load.gate import ServerGate
+from sapphirerail_core.request.keeper import ClaimKeeper
+from sapphirerail_core.request.keys import RequestKey
+from sapphirerail_core.request.messages import Claim
+from sapphirerail_core.types import DataCentreId, FlowId, InstanceId, ServerId
+from sapphirerail_transport.udp import Address, UdpSocket
+
+from .request_world import SERVICE, small_plan
+from .slope import Slope
+
+__all__ = ["slopes"]
+
+N_NODES = 3900
+N_OPEN_FLOWS = 55_000_000
+N_NEW_FLOWS_PER_S = 160_000
+N_ENDPOINTS = 28_000
+N_REQUESTS_PER_ENDPOINT_S = 40
+"""Two slots of about 50 ms; the letter gives no rate of requests."""
+DATAGRAMS_PER_FLOW_S = 1
+"""An assumption; the letter gives no rate of datagrams."""
+N_DATAGRAMS_PER_REQUEST = 6
+CLAIM_LIFE_S = 10
+N_CLAIM_KEEPERS = 3
+
+CONTROL_MEMORY_BYTES = 32_000_000
+FLOWS_PER_NODE = N_OPEN_FLOWS / N_NODES
+REQUESTS_PER_NODE_S = N_ENDPOINTS * N_REQUESTS_PER_ENDPOINT_S / N_NODES
+CLAIMS_PER_NODE_S = REQUESTS_PER_NODE_S * N_CLAIM_KEEPERS
+TABLE_SIZES = (2_000, 8_000, 32_000, 128_000)
+PATH_SIZES = (1_000, 4_000, 16_000, 64_000)
+CLAIM_SIZES = (1_000, 2_000, 4_000, 8_000)
+GATE_SIZES = (10, 50, 250, 1_000)
+N_PATH_CALLS = 4_000
+SOCKET_SIZES = (2_000, 4_000, 8_000)
+SOCKET_LIMIT_S = 30
+N_REPEATS = 3
+
+
+def slopes() -> Iterator[Slope]:
+    """Yield the slopes of the data path and of what it keeps."""
+    yield from _path()
+    yield _memory("flow_table_memory", "entry instance (flow table)", _table_bytes)
+    yield _memory("flow_record_memory", "flow owner", _table_bytes, copies=2)
+    yield from _claims()
+    yield _gates()
+
+
+def _director(n_flows: int) -> tuple[FlowDirector, list[FlowId]]:
+    members = {InstanceId(f"osu-{n}"): DataCentreId(f"dc{n % 3}") for n in range(12)}
+    director = FlowDirector.from_config(
+        FlowConfig(),
+        FixedFleet(InstanceId("osu-0"), members),
+        Journal(InstanceId("osu-0")),
+        random.Random(1),
+    )
+    director.on_plan(small_plan(), 0)
+    random_state = random.Random(2)
+    flows = [FlowId(random_state.getrandbits(64)) for _ in range(n_flows)]
+    for flow in flows:
+        opening = Datagram(kind=Kind.OPEN, service=SERVICE, flow=flow, caller=CALLER)
+        director.opened(opening, director.candidates(SERVICE, flow)[0], 1)
+    return director, flows
+
+
+CALLER = "10.0.0.1:4000"
+
+
+def _path_us(n_flows: int) -> float:
+    """Return the processor time of a caller's datagram: decode, decide, encode."""
+    director, flows = _director(n_flows)
+    decoder = msgspec.msgpack.Decoder(Datagram)
+    encoder = msgspec.msgpack.Encoder()
+    chosen = random.Random(3).choices(flows, k=N_PATH_CALLS)
+    payloads = [encoder.encode(_data(flow)) for flow in chosen]
+
+    def run() -> None:
+        for payload in payloads:
+            for effect in director.on_caller_datagram(decoder.decode(payload), 2):
+                encoder.encode(effect.datagram)  # type: ignore[union-attr]
+
+    return _best_us(run, N_PATH_CALLS)
+
+
+def _data(flow: FlowId) -> Datagram:
+    return Datagram(
+        kind=Kind.DATA, service=SERVICE, flow=flow, part=1, caller=CALLER, body=BODY
+    )
+
+
+BODY = b"x" * 200
+
+
+def _best_us(run: Callable[[], None], n_calls: int) -> float:
+    best_ns = float("inf")
+    for _ in range(N_REPEATS):
+        start_ns = time.process_time_ns()
+        run()
+        best_ns = min(best_ns, time.process_time_ns() - start_ns)
+    return best_ns / n_calls / 1000
+
+
+def _path() -> Iterator[Slope]:
+    values = [_path_us(size) for size in PATH_SIZES]
+    common = {"unit": "of a core", "sizes": PATH_SIZES, "size_of": "open flows"}
+    yield Slope(
+        name="datagram_processor_share",
+        role="entry instance (data path)",
+        values=values,
+        target_size=FLOWS_PER_NODE,
+        limit=1.0,
+        factor=FLOWS_PER_NODE * DATAGRAMS_PER_FLOW_S / 1e6,
+        mechanism="one core; a table look-up whatever the number of flows; "
+        "taken: a datagram a second a flow; sockets in the next line",
+        **common,
+    )
+    yield Slope(
+        name="socket_processor_share",
+        role="entry instance (sockets)",
+        unit="of a core",
+        sizes=SOCKET_SIZES,
+        values=[asyncio.run(_socket_us(size)) for size in SOCKET_SIZES],
+        size_of="datagrams, one by one",
+        target_size=SOCKET_SIZES[-1],
+        limit=1.0,
+        factor=FLOWS_PER_NODE * DATAGRAMS_PER_FLOW_S / 1e6,
+        mechanism="asyncio datagram endpoints, one receive and one send each",
+    )
+    yield Slope(
+        name="new_flow_processor_share",
+        role="entry instance (new flows)",
+        values=[_open_us(size) for size in PATH_SIZES],
+        target_size=FLOWS_PER_NODE,
+        limit=1.0,
+        factor=N_NEW_FLOWS_PER_S / N_NODES / 1e6,
+        mechanism="rendezvous over the service's few servers",
+        **common,
+    )
+
+
+async def _socket_us(n_datagrams: int) -> float:
+    """Return the processor time of receiving and sending one datagram."""
+    n_received = 0
+    done = asyncio.Event()
+
+    def on_datagram(payload: bytes, address: Address) -> None:
+        nonlocal n_received
+        n_received += 1
+        if n_received == n_datagrams:
+            done.set()
+        else:
+            socket.send(payload, address)
+
+    socket = await UdpSocket.bind(("127.0.0.1", 0), on_datagram)
+    start_ns = time.process_time_ns()
+    socket.send(BODY, socket.address)
+    async with asyncio.timeout(SOCKET_LIMIT_S):
+        await done.wait()
+    spent_us = (time.process_time_ns() - start_ns) / n_datagrams / 1000
+    socket.close()
+    return spent_us
+
+
+def _open_us(n_flows: int) -> float:
+    start_ns = time.process_time_ns()
+    _director(n_flows)
+    return (time.process_time_ns() - start_ns) / n_flows / 1000
+
+
+def _memory(
+    name: str, role: str, measure: Callable[[int], int], copies: int = 1
+) -> Slope:
+    return Slope(
+        name=name,
+        role=role,
+        unit="B",
+        sizes=TABLE_SIZES,
+        values=[measure(size) for size in TABLE_SIZES],
+        size_of="flows kept",
+        target_size=FLOWS_PER_NODE * copies,
+        limit=CONTROL_MEMORY_BYTES,
+        mechanism="columns of arrays in place of objects"
+        if copies == 1
+        else "two owners a flow, at worst for each open flow",
+    )
+
+
+def _table_bytes(n_flows: int) -> int:
+    gc.collect()
+    tracemalloc.start()
+    table = FlowTable(n_flows)
+    random_state = random.Random(1)
+    for _ in range(n_flows):
+        flow = FlowId(random_state.getrandbits(64))
+        table.insert(SERVICE, flow, ServerId("s1"), 1)
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return size
+
+
+def _claim(key: int) -> Claim:
+    return Claim(RequestKey(key), CLAIM_LIFE_S * 1000, 1)
+
+
+def _claims() -> Iterator[Slope]:
+    measured = [_claim_cost(size) for size in CLAIM_SIZES]
+    common: dict[str, Sequence[float] | str] = {
+        "sizes": CLAIM_SIZES,
+        "size_of": "claims kept",
+        "role": "claim keeper",
+    }
+    yield Slope(
+        name="claim_processor_share",
+        unit="of a core",
+        values=[spent_us for spent_us, _ in measured],
+        target_size=CLAIMS_PER_NODE_S * CLAIM_LIFE_S,
+        factor=CLAIMS_PER_NODE_S / 1e6,
+        limit=1.0,
+        mechanism="three keepers a request; all requests taken as not idempotent, "
+        "40 a second an endpoint",
+        **common,
+    )
+    yield Slope(
+        name="claim_memory",
+        unit="B",
+        values=[n_bytes for _, n_bytes in measured],
+        target_size=CLAIMS_PER_NODE_S * CLAIM_LIFE_S,
+        limit=CONTROL_MEMORY_BYTES,
+        mechanism="a claim is forgotten after its deadline; taken: 10 s",
+        **common,
+    )
+
+
+def _claim_cost(n_claims: int) -> tuple[float, int]:
+    random_state = random.Random(1)
+    claims = [_claim(random_state.getrandbits(64)) for _ in range(n_claims)]
+    gc.collect()
+    tracemalloc.start()
+    keeper = ClaimKeeper(0, n_claims)
+    for claim in claims:
+        keeper.claim(InstanceId("osu-1"), claim, 0)
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    fresh = ClaimKeeper(0, n_claims)
+    start_ns = time.process_time_ns()
+    for claim in claims:
+        fresh.claim(InstanceId("osu-1"), claim, 0)
+    return (time.process_time_ns() - start_ns) / n_claims / 1000, size
+
+
+def _gate_bytes(n_gates: int) -> int:
+    gc.collect()
+    tracemalloc.start()
+    gates = [
+        ServerGate(ServerId(f"server-{n}"), 2, 4000, LimitConfig(), 0)
+        for n in range(n_gates)
+    ]
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert len(gates) == n_gates
+    return size
+
+
+def _gates() -> Slope:
+    return Slope(
+        name="admission_gate_memory",
+        role="admission owner",
+        unit="B",
+        sizes=GATE_SIZES,
+        values=[_gate_bytes(size) for size in GATE_SIZES],
+        size_of="servers owned",
+        target_size=N_ENDPOINTS / N_NODES,
+        limit=CONTROL_MEMORY_BYTES,
+        mechanism="one owner a server, in the server's data centre: 7.2 a node",
+    )
--- a/packages/sapphirerail-core/src/sapphirerail_core/fleet/owners.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/owners.py
@@ -1,5 +1,8 @@
 """Owners of keys by rendezvous hashing over slots, kept until members change."""
 
+import heapq
+from array import array
+
 import xxhash
 
 from .. import rendezvous
@@ -10,19 +13,23 @@
 N_SLOTS = 16384
 N_RANKED = 4
 """Ranked instances kept for a slot; longer rankings are computed each time."""
+NOBODY = 0xFFFF
+KEY_MASK = (1 << 64) - 1
 
 
 def slot_of(key: int) -> int:
     """Return the slot of a key; keys of a slot have the same owners."""
-    digest: int = xxhash.xxh3_64_intdigest(
-        (key & 0xFFFFFFFFFFFFFFFF).to_bytes(8, "little")
-    )
+    packed = (key & KEY_MASK).to_bytes(8, "little")
+    digest: int = xxhash.xxh3_64_intdigest(packed)
     return digest % N_SLOTS
 
 
 class OwnerTable:
     """Ranks the live instances of one data centre for each slot.
 
+    The order is that of `rendezvous.rank` for the slot's number: with equal weights
+    it is the order of the digests, which saves the logarithms.
+
     Parameters
     ----------
     instances : tuple of InstanceId
@@ -30,53 +37,74 @@
     """
 
     def __init__(self, instances: tuple[InstanceId, ...]) -> None:
-        self._keys = {name: rendezvous.hash_key(name) for name in instances}
-        self._ranked: dict[int, list[tuple[float, InstanceId]]] = {}
+        self._names: list[InstanceId | None] = list(instances)
+        self._node_keys = [rendezvous.hash_key(name) for name in instances]
+        self._numbers = {name: number for number, name in enumerate(instances)}
+        self._ranked = array("H", [NOBODY]) * (N_SLOTS * N_RANKED)
+        # The digest that a newcomer must exceed to be ranked in a slot.
+        self._lowest = array("Q", [0]) * N_SLOTS
 
     def update(self, instances: tuple[InstanceId, ...]) -> None:
         """Take over a changed set of live instances."""
         names = set(instances)
-        for name in [n for n in self._keys if n not in names]:
+        for name in [n for n in self._numbers if n not in names]:
             self._remove(name)
         for name in instances:
-            if name not in self._keys:
+            if name not in self._numbers:
                 self._add(name)
 
     def owners(self, key: int, n_owners: int) -> tuple[InstanceId, ...]:
         """Return the instances that rank first for a key."""
         slot = slot_of(key)
         if n_owners > N_RANKED:
-            return tuple(name for _, name in self._rank(slot, n_owners))
-        ranked = self._ranked.get(slot)
-        if ranked is None:
-            ranked = self._rank(slot, N_RANKED)
-            self._ranked[slot] = ranked
-        return tuple(name for _, name in ranked[:n_owners])
-
-    def _rank(self, slot: int, n_ranked: int) -> list[tuple[float, InstanceId]]:
+            return self._named([number for _, number in self._rank(slot, n_owners)])
+        base = slot * N_RANKED
+        if self._ranked[base] == NOBODY:
+            self._fill(slot)
+        return self._named(self._ranked[base : base + n_owners])
+
+    def _named(self, numbers: "array[int] | list[int]") -> tuple[InstanceId, ...]:
+        found = [self._names[number] for number in numbers if number != NOBODY]
+        return tuple(name for name in found if name is not None)
+
+    def _fill(self, slot: int) -> None:
+        ranked = self._rank(slot, N_RANKED)
+        base = slot * N_RANKED
+        for place in range(N_RANKED):
+            is_taken = place < len(ranked)
+            self._ranked[base + place] = ranked[place][1] if is_taken else NOBODY
+        self._lowest[slot] = ranked[-1][0] if len(ranked) == N_RANKED else 0
+
+    def _rank(self, slot: int, n_ranked: int) -> list[tuple[int, int]]:
+        packed = slot.to_bytes(8, "little")
+        digest = xxhash.xxh3_64_intdigest
         scored = [
-            (-rendezvous.score(slot, node_key), name)
-            for name, node_key in self._keys.items()
+            (digest(packed, seed=self._node_keys[number]), number)
+            for number in self._numbers.values()
         ]
-        scored.sort()
-        return scored[:n_ranked]
+        return heapq.nlargest(n_ranked, scored)
 
     def _remove(self, name: InstanceId) -> None:
-        del self._keys[name]
-        stale = [
-            slot
-            for slot, ranked in self._ranked.items()
-            if any(name == ranked_name for _, ranked_name in ranked)
-        ]
-        for slot in stale:
-            del self._ranked[slot]
+        number = self._numbers.pop(name)
+        self._names[number] = None
+        for position, ranked in enumerate(self._ranked):
+            if ranked == number:
+                self._ranked[position - position % N_RANKED] = NOBODY
 
     def _add(self, name: InstanceId) -> None:
         node_key = rendezvous.hash_key(name)
-        self._keys[name] = node_key
-        for slot, ranked in self._ranked.items():
-            scored = (-rendezvous.score(slot, node_key), name)
-            if len(ranked) < N_RANKED or scored < ranked[-1]:
-                ranked.append(scored)
-                ranked.sort()
-                del ranked[N_RANKED:]
+        number = self._free_number()
+        self._names[number] = name
+        self._node_keys[number] = node_key
+        self._numbers[name] = number
+        for slot in range(N_SLOTS):
+            packed = slot.to_bytes(8, "little")
+            if xxhash.xxh3_64_intdigest(packed, seed=node_key) > self._lowest[slot]:
+                self._ranked[slot * N_RANKED] = NOBODY
+
+    def _free_number(self) -> int:
+        if len(self._numbers) < len(self._names):
+            return self._names.index(None)
+        self._names.append(None)
+        self._node_keys.append(0)
+        return len(self._names) - 1
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/virtual_fleet.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/virtual_fleet.py
@@ -13,7 +13,7 @@
 from sapphirerail_core.journal import Journal
 from sapphirerail_core.types import DataCentreId, InstanceId
 
-__all__ = ["Link", "VirtualFleet", "names_of"]
+__all__ = ["Link", "Traffic", "VirtualFleet", "names_of"]
 
 TICK_MS = 100
 TAG_BYTES = 16
@@ -106,6 +106,21 @@
             for name in names_of(data_centre, n_instances)
         ]
 
+    def list_only(self, record: MemberRecord) -> None:
+        """Let the platform's list name a single instance."""
+        self.listing = [
+            ListedInstance(
+                record.instance,
+                record.data_centre,
+                record.peer_address,
+                record.api_address,
+            )
+        ]
+
+    def traffic_of(self, name: InstanceId) -> Traffic:
+        """Return what an instance has sent so far."""
+        return self.traffic.setdefault(name, Traffic())
+
     def start(
         self, name: InstanceId, data_centre: DataCentreId, *, listed: bool = True
     ) -> Membership:
@@ -128,7 +143,7 @@
         )
         self.members[name] = membership
         self.journals[name] = journal
-        self.traffic.setdefault(name, Traffic())
+        self.traffic_of(name)
         if listed:
             self._send(name, membership.on_listing(self.listing, self.now_ms))
         phase_ms = self._random_state.randrange(TICK_MS)
@@ -251,7 +266,7 @@
     def _send_one(self, sender: InstanceId, effect: SendToPeer) -> None:
         if self.members[sender].peer_address(effect.instance) is None:
             return
-        traffic = self.traffic[sender]
+        traffic = self.traffic_of(sender)
         traffic.n_messages += 1
         traffic.n_bytes += self._wire_bytes(sender, effect.message)
         link = self.link
