--- a/packages/sapphirerail-core/src/sapphirerail_core/fleet/owners.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/owners.py
@@ -53,6 +53,13 @@
             if name not in self._numbers:
                 self._add(name)
 
+    def digest(self, key: int, instance: InstanceId) -> int:
+        """Return the rank value of any instance for a key; the highest owns it."""
+        packed = slot_of(key).to_bytes(8, "little")
+        seed = rendezvous.hash_key(instance)
+        value: int = xxhash.xxh3_64_intdigest(packed, seed=seed)
+        return value
+
     def owners(self, key: int, n_owners: int) -> tuple[InstanceId, ...]:
         """Return the instances that rank first for a key."""
         slot = slot_of(key)
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/director.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/director.py
@@ -29,7 +29,7 @@
     Release,
     Return,
 )
-from .owners import OwnerMap
+from .owners import members_of
 from .placement import Placement
 from .record_codec import ServerCodes
 from .record_store import RecordStore
@@ -224,7 +224,7 @@
 
     @_on.register
     def _(self, message: Release, sender: InstanceId, now_ms: int) -> list[Effect]:
-        self._way_back.on_release(message)
+        self._way_back.on_release(message, now_ms)
         return []
 
     @_on.register
@@ -289,10 +289,10 @@
     def _update_owners(self, now_ms: int) -> None:
         context = self._context
         leaving = context.self_id if context.is_draining else None
-        owners = OwnerMap.from_fleet(context.fleet, context.plan, leaving)
-        previous = context.owners.replace(owners, now_ms)
-        if previous is not None:
-            self._sweep.on_owners_changed(previous)
+        members = members_of(context.fleet, context.plan, leaving)
+        change = context.owners.replace(members, now_ms)
+        if change is not None:
+            self._sweep.on_owners_changed(change)
 
     def _count_draining(self) -> dict[ServerId, int]:
         context = self._context
@@ -308,5 +308,14 @@
     return {
         service
         for service in after.plan.services
-        if before.defaults_key(service) != after.defaults_key(service)
+        if _has_changed(before.plan, after.plan, service)
+        and before.defaults_key(service) != after.defaults_key(service)
     }
+
+
+def _has_changed(before: Plan, after: Plan, service: ServiceId) -> bool:
+    """Return whether a service or its past differ; a quick test for most."""
+    if before.layers.get(service) != after.layers.get(service):
+        return True
+    servers = before.servers_by_service.get(service)
+    return servers != after.servers_by_service.get(service)
