--- a/packages/sapphirerail-core/src/sapphirerail_core/request/claimant.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/claimant.py
@@ -7,10 +7,18 @@
 from ..rendezvous import hash_key
 from ..types import DataCentreId, InstanceId
 from .context import Context
+from .history import MembershipHistory
 from .keeper import NOBODY, ClaimKeeper
 from .keys import RequestKey, claim_data_centres
 from .messages import Claim, Grant, Withdraw
-from .panel import Panel, quorum_first, quorum_retransmission
+from .panel import (
+    Panel,
+    n_missing_allowed,
+    quorum_first,
+    quorum_retransmission,
+)
+
+_RESEND_MAX_MS = 640
 
 __all__ = ["ClaimDecision", "ClaimResult", "Claimant"]
 
@@ -40,8 +48,14 @@
     deadline_at_ms: int
     panels: list[Panel]
     ask_again_at_ms: int
+    silent_at_ms: int
+    yield_at_ms: int
     fail_at_ms: int
-    n_homes_passed: int = 0
+    n_asked: int = 0
+
+    def denials(self) -> list[InstanceId]:
+        """Return who holds the claim in the keepers' opinion."""
+        return [who for panel in self.panels for who in panel.denials.values()]
 
 
 class Claimant:
@@ -53,13 +67,19 @@
         Plan, fleet and settings.
     keeper : ClaimKeeper
         This instance's own memory, asked without a message.
+    history : MembershipHistory
+        Who joined and died of late.
     """
 
-    def __init__(self, context: Context, keeper: ClaimKeeper) -> None:
+    def __init__(
+        self, context: Context, keeper: ClaimKeeper, history: MembershipHistory
+    ) -> None:
         self._context = context
+        self._history = history
         self._keeper = keeper
         self._attempts: dict[RequestKey, _Attempt] = {}
         self._decided: list[ClaimResult] = []
+        self._silent_until_ms: dict[DataCentreId, int] = {}
         self._former: list[DataCentreId] = []
         self._former_until_ms = 0
 
@@ -82,7 +102,9 @@
             deadline_at_ms=deadline_at_ms,
             panels=[],
             ask_again_at_ms=now_ms + config.claim_resend_ms,
-            fail_at_ms=now_ms + config.claim_timeout_ms,
+            silent_at_ms=now_ms + config.claim_silence_ms,
+            yield_at_ms=now_ms + config.claim_contention_ms,
+            fail_at_ms=deadline_at_ms - config.claim_reserve_ms,
         )
         attempt.panels = self._panels(attempt, now_ms)
         self._attempts[key] = attempt
@@ -104,13 +126,36 @@
         """Ask silent keepers again, and end the claims that take too long."""
         effects: list[Effect] = []
         for attempt in list(self._attempts.values()):
-            if now_ms >= attempt.fail_at_ms:
-                effects += self._time_out(attempt, now_ms)
-            elif now_ms >= attempt.ask_again_at_ms:
-                attempt.ask_again_at_ms = now_ms + self._context.config.claim_resend_ms
-                effects += self._ask(attempt, now_ms, is_again=True)
+            effects += self._advance(attempt, now_ms)
         return effects
 
+    def _advance(self, attempt: _Attempt, now_ms: int) -> list[Effect]:
+        if now_ms >= attempt.fail_at_ms:
+            return self._give_up(attempt, ClaimDecision.FAILED)
+        denials = attempt.denials()
+        if denials and now_ms >= attempt.yield_at_ms:
+            return self._give_up(attempt, ClaimDecision.HELD, max(denials))
+        if self._is_home_silent(attempt, now_ms):
+            return self._next_home(attempt, now_ms)
+        if now_ms < attempt.ask_again_at_ms:
+            return []
+        attempt.n_asked += 1
+        wait_ms = self._context.config.claim_resend_ms << attempt.n_asked
+        attempt.ask_again_at_ms = now_ms + min(wait_ms, _RESEND_MAX_MS)
+        self._refresh(attempt, now_ms)
+        return self._ask(attempt, now_ms, is_again=True)
+
+    def _refresh(self, attempt: _Attempt, now_ms: int) -> None:
+        """Use the present membership, and keep the votes that still count."""
+        former = {panel.data_centre: panel for panel in attempt.panels}
+        attempt.panels = self._panels(attempt, now_ms)
+        for panel in attempt.panels:
+            voted = former.get(panel.data_centre)
+            if voted is None:
+                continue
+            panel.grants = voted.grants & set(panel.keepers)
+            panel.denials = voted.denials
+
     def take_decided(self) -> list[ClaimResult]:
         """Return the claims that were decided since the last call."""
         decided, self._decided = self._decided, []
@@ -121,41 +166,54 @@
         former = self._former if now_ms < self._former_until_ms else []
         former = [place for place in former if place not in places]
         if not attempt.is_first:
-            return [self._panel(attempt, place) for place in places + former]
-        home = self._home(places, attempt.n_homes_passed)
-        panels = [self._panel(attempt, home)] if home is not None else []
+            return [self._panel(attempt, place, now_ms) for place in places + former]
+        home = self._home(places, now_ms)
+        panels = [self._panel(attempt, home, now_ms)]
         for place in former:
-            panel = self._panel(attempt, place)
+            panel = self._panel(attempt, place, now_ms)
             panel.is_optional = True
             panels.append(panel)
         return panels
 
-    def _home(self, places: list[DataCentreId], n_passed: int) -> DataCentreId | None:
+    def _home(self, places: list[DataCentreId], now_ms: int) -> DataCentreId:
         fleet = self._context.fleet
-        live = [place for place in places if fleet.live(place)]
-        if fleet.self_data_centre not in live:
-            live.append(fleet.self_data_centre)
-        return live[n_passed] if n_passed < len(live) else None
+        for place in places:
+            is_silent = now_ms < self._silent_until_ms.get(place, 0)
+            if fleet.live(place) and not is_silent:
+                return place
+        return fleet.self_data_centre
 
-    def _panel(self, attempt: _Attempt, place: DataCentreId) -> Panel:
+    def _panel(self, attempt: _Attempt, place: DataCentreId, now_ms: int) -> Panel:
         config = self._context.config
-        n_keepers = config.n_keepers
-        if not attempt.is_first:
-            n_keepers = config.n_keepers_retransmission
+        if attempt.is_first:
+            n_keepers = config.n_keepers
+            keepers = self._context.fleet.owners(attempt.key, n_keepers, place)
+            return Panel(place, keepers, quorum_first(len(keepers)))
+        n_keepers = config.n_keepers_retransmission
         keepers = self._context.fleet.owners(attempt.key, n_keepers, place)
-        n_keepers = len(keepers)
-        quorum = quorum_first(n_keepers)
-        if not attempt.is_first:
-            quorum = quorum_retransmission(n_keepers)
-        return Panel(place, keepers, quorum)
+        if not self._history.is_complete(now_ms):
+            return Panel(place, keepers, quorum_retransmission(len(keepers)))
+        seasoned = self._history.seasoned(keepers, now_ms)
+        n_dead = self._history.n_dead_keepers(attempt.key, keepers, now_ms)
+        n_missing = n_missing_allowed(len(seasoned), n_dead, config.n_keepers)
+        return Panel(
+            place,
+            keepers,
+            quorum_first(len(keepers)),
+            seasoned,
+            len(seasoned) - n_missing,
+        )
 
     def _ask(self, attempt: _Attempt, now_ms: int, *, is_again: bool) -> list[Effect]:
         effects: list[Effect] = []
+        self_id = self._context.fleet.self_id
         remaining_ms = max(0, attempt.deadline_at_ms - now_ms)
         claim = Claim(attempt.key, remaining_ms, attempt.epoch)
         for panel in attempt.panels:
             wanted = panel.unanswered()
-            if not is_again:
+            if not is_again and attempt.is_first:
+                # Its own grant costs no message.
+                wanted.sort(key=lambda name: name != self_id)
                 wanted = wanted[: panel.quorum]
             effects += self._ask_keepers(attempt, claim, wanted, now_ms)
         return effects + self._decide(attempt, now_ms)
@@ -186,10 +244,12 @@
     def _decide(self, attempt: _Attempt, now_ms: int) -> list[Effect]:
         if attempt.key not in self._attempts:
             return []
-        denials = [d for panel in attempt.panels for d in panel.denials.values()]
+        denials = attempt.denials()
         if denials:
             return self._on_denied(attempt, denials)
         required = [panel for panel in attempt.panels if not panel.is_optional]
+        if not attempt.is_first and not self._has_waited(attempt, now_ms):
+            return []
         optional = [panel for panel in attempt.panels if panel.is_optional]
         if not required or not all(panel.has_quorum() for panel in required):
             return []
@@ -199,14 +259,20 @@
         self._end(attempt, ClaimDecision.OWNED)
         return []
 
+    @staticmethod
+    def _has_waited(attempt: _Attempt, now_ms: int) -> bool:
+        """Return whether a denial that is on its way would have come by now."""
+        if all(not panel.unanswered() for panel in attempt.panels):
+            return True
+        return now_ms >= attempt.silent_at_ms
+
     def _on_denied(self, attempt: _Attempt, denials: list[InstanceId]) -> list[Effect]:
         holder = max(denials)
         if holder != NOBODY and self._goes_first(attempt.key, holder):
             # Both hold some grants: the one that goes first asks again, the other
             # one withdraws.
             return []
-        self._end(attempt, ClaimDecision.HELD, holder)
-        return self._withdraw(attempt)
+        return self._give_up(attempt, ClaimDecision.HELD, holder)
 
     def _goes_first(self, key: RequestKey, other: InstanceId) -> bool:
         self_id = self._context.fleet.self_id
@@ -215,27 +281,30 @@
             other,
         )
 
-    def _time_out(self, attempt: _Attempt, now_ms: int) -> list[Effect]:
-        denials = [d for panel in attempt.panels for d in panel.denials.values()]
-        if denials:
-            self._end(attempt, ClaimDecision.HELD, max(denials))
-            return self._withdraw(attempt)
-        config = self._context.config
-        silent = all(panel.is_silent() for panel in attempt.panels)
-        passed_ms = now_ms + config.claim_timeout_ms
-        if attempt.is_first and silent and passed_ms < attempt.deadline_at_ms:
-            return self._next_home(attempt, now_ms)
-        self._end(attempt, ClaimDecision.FAILED)
+    def _give_up(
+        self,
+        attempt: _Attempt,
+        decision: ClaimDecision,
+        holder: InstanceId = NOBODY,
+    ) -> list[Effect]:
+        self._end(attempt, decision, holder)
         return self._withdraw(attempt)
 
+    def _is_home_silent(self, attempt: _Attempt, now_ms: int) -> bool:
+        """Return whether no keeper of a first transmission can be reached."""
+        if not attempt.is_first or now_ms < attempt.silent_at_ms:
+            return False
+        return all(panel.is_silent() for panel in attempt.panels)
+
     def _next_home(self, attempt: _Attempt, now_ms: int) -> list[Effect]:
-        attempt.n_homes_passed += 1
+        config = self._context.config
+        for panel in attempt.panels:
+            if panel.data_centre != self._context.fleet.self_data_centre:
+                until_ms = now_ms + config.unresponsive_ms
+                self._silent_until_ms[panel.data_centre] = until_ms
         attempt.panels = self._panels(attempt, now_ms)
-        if not attempt.panels:
-            self._end(attempt, ClaimDecision.FAILED)
-            return []
-        attempt.ask_again_at_ms = now_ms + self._context.config.claim_resend_ms
-        attempt.fail_at_ms = now_ms + self._context.config.claim_timeout_ms
+        attempt.ask_again_at_ms = now_ms + config.claim_resend_ms
+        attempt.silent_at_ms = now_ms + config.claim_silence_ms
         return self._ask(attempt, now_ms, is_again=False)
 
     def _end(
