Count a forward that waited through a pause as a retransmission

Cause: an owner that woke after some seconds claimed a forward as a first transmission, at keepers that had all been replaced meanwhile, and refused as not run what had been run elsewhere.

--- a/packages/sapphirerail-core/src/sapphirerail_core/request/ingress.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/ingress.py
@@ -90,6 +90,8 @@
             return self._cancel_here(forward.datagram, now_ms)
         if forward.is_attached:
             return self._admission.on_attached(forward, now_ms)
+        if self._may_have_waited(now_ms):
+            forward = msgspec.structs.replace(forward, is_uncertain=True)
         work = self._admission.ledger.get(request_key(forward.datagram))
         if work is None:
             return self._take(sender, forward, now_ms)
--- a/packages/sapphirerail-core/tests/request/test_dispatcher.py
+++ b/packages/sapphirerail-core/tests/request/test_dispatcher.py
@@ -1,6 +1,7 @@
 from bench.request_world import SERVICE, RequestWorld, small_plan
 
 from sapphirerail_core.datagram import Datagram, Kind, RefusalCode, Run
+from sapphirerail_core.request.keys import request_key
 from sapphirerail_core.request.messages import Forward
 from sapphirerail_core.types import (
     FlowId,
@@ -227,3 +228,23 @@
     world.run(30)
     world.run(4_000)
     assert len(world.answers) == 4
+
+
+def test_a_forward_that_waited_through_a_pause_counts_as_a_retransmission():
+    # The woken owner claimed it at keepers that had all been replaced meanwhile,
+    # and refused as not run what had been run elsewhere.
+    world = RequestWorld(small_plan(1, 1), n_instances=2)
+    world.run(1_000)
+    owner = world.nodes[InstanceId("dc0-0")].dispatcher
+    datagram = Datagram(
+        kind=Kind.REQUEST,
+        service=SERVICE,
+        flow=FlowId(9),
+        request=RequestId(1),
+        deadline_ms=2_000,
+        caller="caller:9",
+    )
+    message = Forward(datagram, ServerId("s0"))
+    owner.on_message(InstanceId("dc0-1"), message, world.now_ms + 5_000)
+    work = owner._admission.ledger.get(request_key(datagram))
+    assert work.is_uncertain
