Keep the whole plan's answer for the next newcomer

Cause: each newcomer's question sorted and compared all shards anew; a data centre of newcomers would ask hundreds of times at once.

Conclusion: a second question at the same revision packs nothing (tested).

--- a/packages/sapphirerail-cli/src/sapphirerail_cli/watching.py
+++ b/packages/sapphirerail-cli/src/sapphirerail_cli/watching.py
@@ -61,7 +61,7 @@
             name = part.data_centre
             task = self._tasks.get(name)
             if task is None:
-                task = self._bars.add_task(name, note="")
+                task = self._bars.add_task(name, total=part.n_listed, note="")
                 self._tasks[name] = task
             note = f"{len(part.unknown)} not known" if part.unknown else ""
             self._bars.update(
--- a/packages/sapphirerail-node/src/sapphirerail_node/plan_answers.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/plan_answers.py
@@ -18,6 +18,7 @@
     def __init__(self) -> None:
         self._revision = Revision(0)
         self._deltas: dict[Revision, PlanDelta | None] = {}
+        self._whole: FullPlan | None = None
         self._packed: dict[int, tuple[Shard, str]] = {}
 
     async def answer(self, plan: Plan, since: Revision, age_ms: int) -> PlanAnswer:
@@ -57,6 +58,8 @@
 
     async def _full(self, plan: Plan) -> FullPlan:
         """Pack the shards that changed, one at a time between other work."""
+        if self._whole is not None and self._whole.root.revision == plan.revision:
+            return self._whole
         texts = []
         for index, shard in layout.split(plan).items():
             known = self._packed.get(index)
@@ -65,4 +68,7 @@
                 self._packed[index] = known
                 await asyncio.sleep(0)
             texts.append(known[1])
-        return FullPlan(layout.root_of(plan, {}, ()), tuple(texts))
+        whole = FullPlan(layout.root_of(plan, {}, ()), tuple(texts))
+        if self._whole is None or self._whole.root.revision < plan.revision:
+            self._whole = whole
+        return whole
