--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/director.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/director.py
@@ -18,6 +18,7 @@
 )
 from .config import FlowConfig
 from .context import FlowContext
+from .delivery import Delivery
 from .forwarding import Forwarding
 from .messages import (
     Forget,
@@ -68,9 +69,10 @@
         self._silence = silence
         self._sweep = Sweep(context, registrar, silence)
         self._way_back = WayBack(context, store, registrar, silence)
-        self._forwarding = Forwarding(context, store, registrar, search, silence)
+        delivery = Delivery(context, registrar, silence)
+        self._forwarding = Forwarding(context, store, search, silence, delivery)
         self._returning = Returning(
-            context, registrar, search, silence, self._forwarding
+            context, registrar, search, silence, self._forwarding, delivery
         )
 
     @classmethod
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/forwarding.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/forwarding.py
@@ -3,17 +3,16 @@
 import msgspec
 
 from ..datagram import Datagram, Kind, RefusalCode
-from ..effects import Effect, SendToPeer, SendToServer
+from ..effects import Effect, SendToPeer
 from ..journal import Reason
 from ..types import InstanceId, ServerId, TrafficClass
-from .address import pack_address
 from .context import FlowContext
+from .delivery import Delivery
 from .messages import Locate, Located, NotLocated
 from .placement import flow_key
 from .record_store import RecordStore
-from .registrar import Registrar
 from .search import Search
-from .silence import Silence, is_long_lived
+from .silence import Silence
 from .table import FlowMark
 
 __all__ = ["Forwarding"]
@@ -30,27 +29,27 @@
         Shared state.
     store : RecordStore
         The records that are kept here.
-    registrar : Registrar
-        Records what a search found, and forgets what has ended.
     search : Search
         Asks the servers when nothing else is left.
     silence : Silence
-        Watches for the servers' answers.
+        Knows the flows that go over another instance.
+    delivery : Delivery
+        Sends to servers that are known.
     """
 
     def __init__(
         self,
         context: FlowContext,
         store: RecordStore,
-        registrar: Registrar,
         search: Search,
         silence: Silence,
+        delivery: Delivery,
     ) -> None:
         self._context = context
         self._store = store
-        self._registrar = registrar
         self._search = search
         self._silence = silence
+        self._delivery = delivery
 
     def on_caller_datagram(self, datagram: Datagram, now_ms: int) -> list[Effect]:
         """Forward a datagram of an open flow."""
@@ -63,11 +62,11 @@
             context.table.remove(row)
             row = None
         if row is not None:
-            return self._forward(row, datagram, now_ms)
+            return self._delivery.deliver(row, datagram, now_ms)
         recorded = self._store.server(datagram.service, datagram.flow)
         if recorded is not None:
             row = context.add(datagram, recorded, now_ms, FlowMark.CONFIRMED)
-            return self._forward(row, datagram, now_ms)
+            return self._delivery.deliver(row, datagram, now_ms)
         answers = context.placement.answers(datagram.service, datagram.flow)
         # A server answers a close with nothing, so that a wrong guess would not
         # be noticed.
@@ -118,7 +117,7 @@
         if server is not None:
             row = context.add(datagram, server, now_ms, FlowMark.CONFIRMED)
             located = Located(datagram.service, datagram.flow, server)
-            effects = self._forward(row, datagram, now_ms)
+            effects = self._delivery.deliver(row, datagram, now_ms)
             return [*effects, SendToPeer(message.asker, located)]
         return self._pass_on(message, now_ms)
 
@@ -259,50 +258,4 @@
     ) -> list[Effect]:
         self._search.keep(datagram)
         row = self._context.add(datagram, server, now_ms)
-        return self._forward(row, datagram, now_ms)
-
-    def _forward(self, row: int, datagram: Datagram, now_ms: int) -> list[Effect]:
-        context = self._context
-        table = context.table
-        server = table.server(row)
-        if not context.placement.is_reachable(server):
-            return self._give_up(row, datagram, server, now_ms)
-        if not context.placement.serves(server, datagram.service):
-            context.journal.note(
-                now_ms, Reason.DATAGRAM_DROPPED, flow=datagram.flow, server=server
-            )
-            table.remove(row)
-            return []
-        caller = pack_address(datagram.caller)
-        if caller:
-            table.set_caller(row, caller)
-        table.set_traffic_class(row, datagram.traffic_class)
-        table.hear_caller(row, now_ms)
-        if datagram.kind is Kind.CLOSE:
-            self.end(row, now_ms)
-        else:
-            self._silence.on_forwarded(row, datagram, now_ms)
-        return [SendToServer(server, datagram)]
-
-    def end(self, row: int, now_ms: int) -> None:
-        """Note that a flow has ended and drop its records."""
-        context = self._context
-        table = context.table
-        table.mark(row, FlowMark.ENDED)
-        table.unmark(row, FlowMark.AWAITING)
-        # Another instance may have registered it, unless it is short-lived.
-        may_be_registered = is_long_lived(table, row) and not table.has(
-            row, FlowMark.NEW
-        )
-        if may_be_registered or table.has(row, FlowMark.REGISTERED):
-            self._registrar.forget(row, now_ms)
-
-    def _give_up(
-        self, row: int, datagram: Datagram, server: ServerId, now_ms: int
-    ) -> list[Effect]:
-        context = self._context
-        if context.table.has(row, FlowMark.REGISTERED):
-            self._registrar.forget(row, now_ms)
-        context.table.remove(row)
-        code, reason = context.loss_of(server)
-        return context.give_up(datagram, code, reason, now_ms)
+        return self._delivery.deliver(row, datagram, now_ms)
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/returning.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/returning.py
@@ -8,6 +8,7 @@
 from ..types import ServerId
 from .address import unpack_address
 from .context import FlowContext
+from .delivery import Delivery
 from .forwarding import Forwarding
 from .messages import Return
 from .placement import flow_key
@@ -36,6 +37,8 @@
         Learns which servers are heard.
     forwarding : Forwarding
         Asks the owners when a server does not know a flow.
+    delivery : Delivery
+        Ends flows.
     """
 
     def __init__(
@@ -45,12 +48,14 @@
         search: Search,
         silence: Silence,
         forwarding: Forwarding,
+        delivery: Delivery,
     ) -> None:
         self._context = context
         self._registrar = registrar
         self._search = search
         self._silence = silence
         self._forwarding = forwarding
+        self._delivery = delivery
 
     def on_server_datagram(
         self, server: ServerId, datagram: Datagram, now_ms: int
@@ -72,7 +77,7 @@
             context.table.mark(row, FlowMark.ANSWERING)
             self._silence.watch(row, now_ms)
             if self._ends(datagram):
-                self._forwarding.end(row, now_ms)
+                self._delivery.end(row, now_ms)
         if is_own_probe:
             return effects
         return effects + self._pass(server, row, datagram, now_ms)
