--- a/packages/sapphirerail-standins/src/sapphirerail_standins/operators.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/operators.py
@@ -16,6 +16,8 @@
 
 COMMAND_TIMEOUT_MS = 60_000
 CHANGED = "changed"
+EXIT_OK = 0
+EXIT_NOT_IN_FORCE = 7
 
 
 @dataclass(frozen=True)
@@ -26,6 +28,11 @@
     output: str
     errors: str
 
+    @property
+    def is_accepted(self) -> bool:
+        """Whether all lines were accepted, in force or not yet."""
+        return self.exit_code in (EXIT_OK, EXIT_NOT_IN_FORCE)
+
     @property
     def report(self) -> dict[str, Any]:
         """The JSON report; empty if there is none."""
@@ -85,21 +92,29 @@
         operator: str = "tests",
         path: str = "-",
     ) -> CommandResult:
-        """Apply a sheet, from standard input or a file; record accepted lines."""
+        """Apply a sheet, from standard input or a file; record accepted lines.
+
+        The command does not wait for the lines to be in force: that is measured.
+        """
+        asked_ms = LoopClock().now_ms()
         result = await self.run(
             "sheet",
             "apply",
             path,
             "--json",
+            "--wait",
+            "0",
             "--operator",
             operator,
             *flags,
             standard_input=render_sheet(rows),
         )
-        self._note(rows, result)
+        self._note(rows, result, asked_ms)
         return result
 
-    def _note(self, rows: Sequence[SheetRow], result: CommandResult) -> None:
+    def _note(
+        self, rows: Sequence[SheetRow], result: CommandResult, asked_ms: int
+    ) -> None:
         changed = {
             line["name"]
             for line in result.report.get("lines", [])
@@ -114,5 +129,10 @@
         self.events.append(accepted)
         for row in rows:
             if row.name in changed and row.state:
-                event = PlanChanged(at_ms=at_ms, subject=row.name, state=row.state)
+                event = PlanChanged(
+                    at_ms=at_ms,
+                    subject=row.name,
+                    state=row.state,
+                    asked_ms=asked_ms,
+                )
                 self.events.append(event)
