--- a/conftest.py
+++ b/conftest.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+pytest_plugins = ["pytester"]
+
 KNOWN_RED_PATH = Path(__file__).parent / "KNOWN-RED.txt"
 ENTRY_PREFIX = "test: "
 
