Eject a server that answers no probe, and move its openings elsewhere

Cause: probes were sent to each server, but nothing was concluded when none was answered; a crashed server was noticed only after two requests had waited out their whole deadlines, and openings that waited there were refused after 5 s.

--- a/packages/sapphirerail-core/src/sapphirerail_core/load/config.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/load/config.py
@@ -31,6 +31,8 @@
         First and longest wait before an ejected server gets a request again.
     n_sheds_to_eject : int
         Refusals in a row, at the lowest limit, after which a server is ejected.
+    n_probes_to_eject : int
+        Probes in a row without any sign of life after which a server is ejected.
     stall_floor_ms : int
         Least age of an unanswered request that counts as a sign of a cold server.
     silence_grace_ms : int
@@ -51,6 +53,7 @@
     probation_ms: int = 1_000
     probation_max_ms: int = 16_000
     n_sheds_to_eject: int = 8
+    n_probes_to_eject: int = 3
     stall_floor_ms: int = 250
     silence_grace_ms: int = 100
     n_queued_per_slot: int = 8
--- a/packages/sapphirerail-core/src/sapphirerail_core/load/gate.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/load/gate.py
@@ -63,6 +63,7 @@
         self.in_flight: dict[int, InFlight] = {}
         self._config = config
         self._proven_at_ms = -1
+        self._n_probes_unanswered = 0
         self._inherited: dict[str, Inherited] = {}
 
     def n_in_flight(self, now_ms: int) -> int:
@@ -133,13 +134,25 @@
         """Count a request as in flight."""
         self.in_flight[key] = InFlight(now_ms, deadline_at_ms)
 
+    def on_probe_sent(self, now_ms: int) -> None:
+        """Count a probe; several in a row without a sign of life eject the server."""
+        if self.is_unreachable():
+            self.limit.on_unreachable(now_ms)
+        self._n_probes_unanswered += 1
+
+    def is_unreachable(self) -> bool:
+        """Return whether the server answered none of the last probes."""
+        return self._n_probes_unanswered >= self._config.n_probes_to_eject
+
     def on_report(self, report: HealthReport, now_ms: int) -> None:
         """Take in what the server says of itself."""
+        self._n_probes_unanswered = 0
         self.n_flows = report.n_flows
         self.limit.on_report(report, now_ms)
 
     def on_answer(self, key: int, now_ms: int) -> None:
         """Free the slot of a request that was answered."""
+        self._n_probes_unanswered = 0
         work = self.in_flight.pop(key, None)
         if work is not None:
             self._proven_at_ms = max(self._proven_at_ms, work.sent_at_ms)
@@ -147,10 +160,15 @@
 
     def on_refusal(self, key: int, is_shed: bool, now_ms: int) -> None:
         """Free the slot of a request that the server refused."""
+        self._n_probes_unanswered = 0
         work = self.in_flight.pop(key, None)
         if work is not None and is_shed:
             self.limit.on_shed(now_ms)
 
+    def give_up(self, key: int) -> None:
+        """Free the slot of a request that the server surely does not run."""
+        self.in_flight.pop(key, None)
+
     def take_overdue(self, now_ms: int) -> list[int]:
         """Return the keys whose deadline passed since the last call."""
         overdue = []
--- a/packages/sapphirerail-core/src/sapphirerail_core/load/limit.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/load/limit.py
@@ -122,6 +122,13 @@
         elif self.state is not LimitState.EJECTED:
             self._fall(now_ms, "missed a deadline")
 
+    def on_unreachable(self, now_ms: int) -> None:
+        """Take in that the server answers no probe: it gets no trial request."""
+        if self.state is not LimitState.EJECTED:
+            self._eject(now_ms, "answers no probe")
+        until_ms = now_ms + self._config.probation_ms
+        self._ejected_until_ms = max(self._ejected_until_ms, until_ms)
+
     def on_late(self, now_ms: int) -> None:
         """Take in a missed deadline that a healthy server might miss as well."""
         self._n_late += 1
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/admission.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/admission.py
@@ -10,7 +10,7 @@
 from .context import Context
 from .forwarder import Forwarder
 from .gates import GateTable
-from .keys import request_key
+from .keys import RequestKey, request_key
 from .ledger import Ledger
 from .messages import Forward
 from .mover import Mover, refuse_attached
@@ -174,6 +174,8 @@
         for gate in self._gates.all():
             for key in gate.take_overdue(now_ms):
                 effects += self._on_overdue(key, now_ms)
+            if gate.is_unreachable():
+                effects += self._leave_unreachable(gate, now_ms)
             effects += self._leave_closed(gate, now_ms)
             effects += self.pump(gate, now_ms)
         self.ledger.tick(now_ms)
@@ -369,6 +371,25 @@
             return self.leave(gate, now_ms)
         return []
 
+    def _leave_unreachable(self, gate: ServerGate, now_ms: int) -> list[Effect]:
+        """Send elsewhere what an unreachable server has got and may run twice."""
+        effects: list[Effect] = []
+        for key in list(gate.in_flight):
+            work = self.ledger.get(RequestKey(key))
+            if work is None or work.state is not WorkState.SENT or work.parts:
+                continue
+            if needs_claim(work.datagram):
+                continue
+            work.is_uncertain = True
+            self.forget_opening(work, now_ms)
+            moved = self.retry(work, now_ms)
+            if moved is None:
+                work.was_sent = True
+                continue
+            gate.give_up(key)
+            effects += moved
+        return effects
+
     def _find_owner(self, gate: ServerGate, now_ms: int) -> list[Effect]:
         """Go on with what waits after the role was given up with the lease."""
         target = self._roles.holder_of(gate.server, now_ms)
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/gates.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/gates.py
@@ -107,7 +107,10 @@
             if gate is None:
                 continue
             effects += self._roles.notice(server, gate.limit.limit)
-            effects += self._probe(server)
+            probe = self._probe(server)
+            if probe:
+                gate.on_probe_sent(now_ms)
+            effects += probe
         return effects
 
     def n_untold(self) -> int:
--- a/packages/sapphirerail-core/tests/load/test_gate.py
+++ b/packages/sapphirerail-core/tests/load/test_gate.py
@@ -1,3 +1,4 @@
+from sapphirerail_core.datagram import HealthReport
 from sapphirerail_core.load import LimitConfig, LimitState, QueueItem, ServerGate
 from sapphirerail_core.types import ServerId, TrafficClass
 
@@ -124,3 +125,40 @@
     made.queue.push(QueueItem(TrafficClass.TRANSACTION, 10_000, 9))
     assert made.is_hopeless(int(usual_ms) - 1)
     assert not made.is_hopeless(int(usual_ms) + 1)
+
+
+def test_server_that_answers_no_probe_is_ejected_and_gets_no_trial():
+    made = warm_gate()
+    for now_ms in (1_000, 2_000, 3_000):
+        made.on_probe_sent(now_ms)
+        assert made.limit.state is LimitState.WARM
+    made.on_probe_sent(4_000)
+    assert made.limit.state is LimitState.EJECTED
+    assert made.is_closed(4_000 + CONFIG.probation_ms - 1)
+    made.on_probe_sent(5_000)
+    assert made.is_closed(5_000 + CONFIG.probation_ms - 1)
+
+
+def test_any_sign_of_life_starts_the_count_of_probes_anew():
+    made = warm_gate()
+    signs = (
+        lambda: made.on_report(HealthReport(), 0),
+        lambda: made.on_answer(9, 0),
+        lambda: made.on_refusal(9, is_shed=False, now_ms=0),
+    )
+    for sign in signs:
+        for now_ms in range(CONFIG.n_probes_to_eject):
+            made.on_probe_sent(now_ms)
+        assert made.is_unreachable()
+        sign()
+        assert not made.is_unreachable()
+    assert made.limit.state is LimitState.WARM
+
+
+def test_server_that_answers_probes_again_gets_a_trial():
+    made = warm_gate()
+    for now_ms in range(0, 5_000, 1_000):
+        made.on_probe_sent(now_ms)
+    made.on_report(HealthReport(), 5_000)
+    assert made.is_closed(4_500)
+    assert made.has_room(4_000 + CONFIG.probation_ms)
