Print the ready line only when there is a plan

Cause: an instance was handed packets as soon as it printed its ready line, and refused them for want of a plan until it had one. Without platform and peers the line comes after 3 s, with a warning. Conclusion: ready means usable.

--- a/packages/sapphirerail-node/src/sapphirerail_node/__main__.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/__main__.py
@@ -66,6 +66,9 @@
     stop_timeout_ms: Annotated[
         int, _option("--stop-timeout-ms", "Longest graceful shutdown.")
     ] = 60_000,
+    ready_timeout_ms: Annotated[
+        int, _option("--ready-timeout-ms", "Longest wait for a first plan.")
+    ] = 3_000,
     log_level: Annotated[
         str, _option("--log-level", "debug, info, warning or error.")
     ] = "info",
--- a/packages/sapphirerail-node/src/sapphirerail_node/application.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/application.py
@@ -53,6 +53,7 @@
 METRICS_INTERVAL_MS = 1_000
 LISTING_INTERVAL_MS = 2_000
 SHUTDOWN_INTERVAL_MS = 50
+READY_INTERVAL_MS = 20
 
 
 class Application:
@@ -129,6 +130,7 @@
         """
         self._watch_signals()
         await self.start()
+        await self._wait_for_plan()
         ready = self._sockets.ready_line(self.settings)
         sys.stdout.write(msgspec.json.encode(ready).decode() + "\n")
         sys.stdout.flush()
@@ -148,6 +150,18 @@
         self.life.on_close("ticker", self.ticker.close)
         self.life.phase = Phase.SERVING
 
+    async def _wait_for_plan(self) -> None:
+        """Wait until there is a plan, so that no caller is refused for want of one.
+
+        Without platform and peers there is none to wait for, and the time ends it.
+        """
+        deadline_ms = monotonic_ms() + self.settings.ready_timeout_ms
+        while not self.plans.is_informed and not self._stopped.is_set():
+            if monotonic_ms() >= deadline_ms:
+                _log.warning("ready without a plan; all work is refused until it comes")
+                return
+            await asyncio.sleep(READY_INTERVAL_MS / 1000)
+
     def stop(self) -> None:
         """Begin a graceful shutdown; a second call ends the process at once."""
         if self.shutdown.has_begun:
--- a/packages/sapphirerail-node/src/sapphirerail_node/plan_service.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/plan_service.py
@@ -151,6 +151,13 @@
         """The plan in force; never changed in place."""
         return self._sync.plan
 
+    @property
+    def is_informed(self) -> bool:
+        """Whether there is a plan, or the store is known to hold none."""
+        if self.plan.revision > 0:
+            return True
+        return self._sync.contact_age_ms(monotonic_ms()) >= 0
+
     async def start(self) -> None:
         """Start watching the store."""
         self._start_task(self._watch())
--- a/packages/sapphirerail-node/src/sapphirerail_node/settings.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/settings.py
@@ -60,6 +60,8 @@
         How long a stopping instance waits after the last packet of a caller.
     stop_timeout_ms : int
         Longest graceful shutdown.
+    ready_timeout_ms : int
+        Longest wait for a first plan before the ready line.
     log_level : str
         One of debug, info, warning and error.
     seed : int
@@ -80,6 +82,7 @@
     n_flows_max: int = 300_000
     stop_linger_ms: int = 2_000
     stop_timeout_ms: int = 60_000
+    ready_timeout_ms: int = 3_000
     log_level: str = "info"
     seed: int = 0
 
@@ -193,6 +196,7 @@
     "n_flows_max": _check_range(1_000, 5_000_000),
     "stop_linger_ms": _check_range(0, 600_000),
     "stop_timeout_ms": _check_range(1_000, 3_600_000),
+    "ready_timeout_ms": _check_range(0, 600_000),
     "log_level": _check_level,
     "seed": _check_range(0, 2**63 - 1),
 }
--- a/packages/sapphirerail-node/tests/test_main.py
+++ b/packages/sapphirerail-node/tests/test_main.py
@@ -47,7 +47,7 @@
 
 def _start(*flags):
     return subprocess.Popen(
-        _command(*flags),
+        _command("--ready-timeout-ms", "0", *flags),
         env=_environment(),
         stdout=subprocess.PIPE,
         stderr=subprocess.PIPE,
@@ -129,3 +129,11 @@
     code, logs = _finish(process)
     assert code == ExitCode.FORCED
     assert any("cut" in line["message"] for line in logs)
+
+
+def test_ready_without_platform_is_told_in_the_log():
+    process = _start("--stop-linger-ms", "0")
+    process.stdout.readline()
+    process.send_signal(signal.SIGTERM)
+    _, logs = _finish(process)
+    assert any("without a plan" in line["message"] for line in logs)
--- a/packages/sapphirerail-node/tests/test_settings.py
+++ b/packages/sapphirerail-node/tests/test_settings.py
@@ -14,6 +14,7 @@
     "n_flows_max": 300_000,
     "stop_linger_ms": 2_000,
     "stop_timeout_ms": 60_000,
+    "ready_timeout_ms": 3_000,
     "log_level": "info",
     "seed": 0,
 }
@@ -38,6 +39,7 @@
         ("platform_address", "", "--platform"),
         ("key", "short", "SAPPHIRERAIL_KEY"),
         ("n_flows_max", 1, "--n-flows-max"),
+        ("ready_timeout_ms", -1, "--ready-timeout-ms"),
         ("log_level", "loud", "--log-level"),
         ("seed", -1, "--seed"),
     ],
