--- a/bench/capacity_paths.py
+++ b/bench/capacity_paths.py
@@ -140,7 +140,7 @@
         target_size=SOCKET_SIZES[-1],
         limit=1.0,
         factor=FLOWS_PER_NODE * DATAGRAMS_PER_FLOW_S / 1e6,
-        mechanism="asyncio datagram endpoints, one receive and one send each",
+        mechanism="sockets read in batches, one receive and one send each",
     )
     yield Slope(
         name="new_flow_processor_share",
