--- a/bench/capacity_paths.py
+++ b/bench/capacity_paths.py
@@ -22,7 +22,7 @@
 from sapphirerail_core.types import DataCentreId, FlowId, InstanceId, ServerId
 from sapphirerail_transport.udp import Address, UdpSocket
 
-from .request_world import SERVICE, small_plan
+from .request_plan import SERVICE, small_plan
 from .slope import Slope
 
 __all__ = ["slopes"]
--- /dev/null
+++ b/bench/request_node.py
@@ -0,0 +1,39 @@
+"""One instance of the virtual world of requests, and the faults of its network."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from sapphirerail_core.effects import Effect
+from sapphirerail_core.request import Dispatcher
+from sapphirerail_core.types import DataCentreId
+
+from .alone import AloneDispatcher
+from .fake_fleet import LaggingFleet
+from .request_plan import Flows
+
+__all__ = ["Faults", "Node"]
+
+
+@dataclass
+class Faults:
+    """What the network does to messages and datagrams."""
+
+    loss: float = 0.0
+    duplication: float = 0.0
+    delay_max_ms: int = 3
+    cut: set[DataCentreId] = field(default_factory=set)
+
+
+@dataclass
+class Node:
+    """One instance and what the world does to it."""
+
+    dispatcher: Dispatcher | AloneDispatcher
+    fleet: LaggingFleet
+    place: DataCentreId
+    flows: Flows
+    is_paused: bool = False
+    is_dead: bool = False
+    is_leaving: bool = False
+    heard_at_ms: int = 0
+    inbox: list[Callable[[int], list[Effect]]] = field(default_factory=list)
--- /dev/null
+++ b/bench/request_plan.py
@@ -0,0 +1,70 @@
+"""The plan and the placement that the virtual world of requests runs on."""
+
+from collections import Counter
+
+from sapphirerail_core.datagram import Datagram
+from sapphirerail_core.effects import Effect
+from sapphirerail_core.plan.model import DataCentre, Plan, Server, Service
+from sapphirerail_core.rendezvous import rank
+from sapphirerail_core.types import (
+    DataCentreId,
+    FlowId,
+    Revision,
+    ServerId,
+    ServerState,
+    ServiceId,
+    TenantId,
+)
+
+__all__ = ["Flows", "SERVICE", "small_plan"]
+
+SERVICE = ServiceId("holds")
+NEW_WORK = (ServerState.ENTERING, ServerState.ACTIVE)
+
+
+def small_plan(n_data_centres: int = 3, n_servers: int = 6, n_slots: int = 2) -> Plan:
+    """Return a plan of one service over several data centres."""
+    places = [DataCentreId(f"dc{i}") for i in range(n_data_centres)]
+    servers = [
+        Server(
+            server=ServerId(f"s{i}"),
+            service=SERVICE,
+            data_centre=places[i % n_data_centres],
+            address=f"10.0.0.{i}:9000",
+            seat=i,
+            n_slots=n_slots,
+        )
+        for i in range(n_servers)
+    ]
+    return Plan(
+        revision=Revision(1),
+        data_centres={name: DataCentre(name) for name in places},
+        services={SERVICE: Service(SERVICE, TenantId("adwinsa"))},
+        servers={server.server: server for server in servers},
+    )
+
+
+class Flows:
+    """Placement by plain rendezvous, as the dispatcher asks for it."""
+
+    def __init__(self, plan: Plan) -> None:
+        self.plan = plan
+        self.n_opened: Counter[int] = Counter()
+
+    def candidates(self, service: ServiceId, flow: FlowId) -> list[ServerId]:
+        """Return the servers for new work, preferred first."""
+        servers = self.plan.servers_by_service.get(service, ())
+        names = [server.server for server in servers if server.state in NEW_WORK]
+        return [ServerId(name) for name in rank(flow, names)]
+
+    def lookup(self, service: ServiceId, flow: FlowId) -> ServerId | None:
+        """Return nothing: no record is kept."""
+        return None
+
+    def opened(self, datagram: Datagram, server: ServerId, now_ms: int) -> list[Effect]:
+        """Count the opening."""
+        self.n_opened[datagram.flow] += 1
+        return []
+
+    def refused(self, datagram: Datagram, server: ServerId, now_ms: int) -> None:
+        """Ignore the refusal: no record is kept."""
--- a/bench/request_storm.py
+++ b/bench/request_storm.py
@@ -11,7 +11,8 @@
 from sapphirerail_core.types import InstanceId
 
 from .fake_server import RunKey
-from .request_world import RequestWorld, small_plan
+from .request_plan import small_plan
+from .request_world import RequestWorld
 
 __all__ = ["ALL_FAULTS", "BUSY", "Fault", "Shape", "Storm", "StormResult", "WIDE"]
 
--- a/bench/request_world.py
+++ b/bench/request_world.py
@@ -4,7 +4,6 @@
 import random
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 import msgspec
 
@@ -17,8 +16,7 @@
     SendToServer,
 )
 from sapphirerail_core.journal import Journal
-from sapphirerail_core.plan.model import DataCentre, Plan, Server, Service
-from sapphirerail_core.rendezvous import rank
+from sapphirerail_core.plan.model import Plan
 from sapphirerail_core.request import Dispatcher, DispatcherConfig
 from sapphirerail_core.types import (
     DataCentreId,
@@ -26,98 +24,21 @@
     InstanceId,
     InstanceState,
     RequestId,
-    Revision,
     ServerId,
-    ServerState,
-    ServiceId,
-    TenantId,
     TrafficClass,
 )
 
 from .alone import AloneDispatcher
 from .fake_fleet import LEASE_MS, LaggingFleet
 from .fake_server import FakeServer, RunKey, run_key
+from .request_node import Faults, Node
+from .request_plan import SERVICE, Flows
 
-__all__ = ["Faults", "Flows", "RequestWorld", "SERVICE", "small_plan"]
+__all__ = ["RequestWorld"]
 
-SERVICE = ServiceId("holds")
 TICK_MS = 20
 HEARTBEAT_MS = 100
 DEAD_AFTER_MS = 1_500
-NEW_WORK = (ServerState.ENTERING, ServerState.ACTIVE)
-
-
-def small_plan(n_data_centres: int = 3, n_servers: int = 6, n_slots: int = 2) -> Plan:
-    """Return a plan of one service over several data centres."""
-    places = [DataCentreId(f"dc{i}") for i in range(n_data_centres)]
-    servers = [
-        Server(
-            server=ServerId(f"s{i}"),
-            service=SERVICE,
-            data_centre=places[i % n_data_centres],
-            address=f"10.0.0.{i}:9000",
-            seat=i,
-            n_slots=n_slots,
-        )
-        for i in range(n_servers)
-    ]
-    return Plan(
-        revision=Revision(1),
-        data_centres={name: DataCentre(name) for name in places},
-        services={SERVICE: Service(SERVICE, TenantId("adwinsa"))},
-        servers={server.server: server for server in servers},
-    )
-
-
-class Flows:
-    """Placement by plain rendezvous, as the dispatcher asks for it."""
-
-    def __init__(self, plan: Plan) -> None:
-        self.plan = plan
-        self.n_opened: Counter[int] = Counter()
-
-    def candidates(self, service: ServiceId, flow: FlowId) -> list[ServerId]:
-        """Return the servers for new work, preferred first."""
-        servers = self.plan.servers_by_service.get(service, ())
-        names = [server.server for server in servers if server.state in NEW_WORK]
-        return [ServerId(name) for name in rank(flow, names)]
-
-    def lookup(self, service: ServiceId, flow: FlowId) -> ServerId | None:
-        """Return nothing: no record is kept."""
-        return None
-
-    def opened(self, datagram: Datagram, server: ServerId, now_ms: int) -> list[Effect]:
-        """Count the opening."""
-        self.n_opened[datagram.flow] += 1
-        return []
-
-    def refused(self, datagram: Datagram, server: ServerId, now_ms: int) -> None:
-        """Ignore the refusal: no record is kept."""
-
-
-@dataclass
-class Faults:
-    """What the network does to messages and datagrams."""
-
-    loss: float = 0.0
-    duplication: float = 0.0
-    delay_max_ms: int = 3
-    cut: set[DataCentreId] = field(default_factory=set)
-
-
-@dataclass
-class Node:
-    """One instance and what the world does to it."""
-
-    dispatcher: Dispatcher | AloneDispatcher
-    fleet: LaggingFleet
-    place: DataCentreId
-    flows: Flows
-    is_paused: bool = False
-    is_dead: bool = False
-    is_leaving: bool = False
-    heard_at_ms: int = 0
-    inbox: list[Callable[[int], list[Effect]]] = field(default_factory=list)
 
 
 class RequestWorld:
--- a/bench/requests.py
+++ b/bench/requests.py
@@ -6,8 +6,9 @@
 
 from sapphirerail_core.types import TrafficClass
 
+from .request_plan import small_plan
 from .request_storm import Storm, StormResult
-from .request_world import RequestWorld, small_plan
+from .request_world import RequestWorld
 from .result import Baseline, Figure
 
 __all__ = ["figures"]
--- a/packages/sapphirerail-core/tests/request/test_dispatcher.py
+++ b/packages/sapphirerail-core/tests/request/test_dispatcher.py
@@ -1,4 +1,5 @@
-from bench.request_world import SERVICE, RequestWorld, small_plan
+from bench.request_plan import SERVICE, small_plan
+from bench.request_world import RequestWorld
 
 from sapphirerail_core.datagram import Datagram, Kind, RefusalCode, Run
 from sapphirerail_core.request.keys import request_key
--- a/packages/sapphirerail-core/tests/request/test_request_machine.py
+++ b/packages/sapphirerail-core/tests/request/test_request_machine.py
@@ -1,6 +1,7 @@
 """Random faults and transmissions; what must never be, never is."""
 
-from bench.request_world import RequestWorld, small_plan
+from bench.request_plan import small_plan
+from bench.request_world import RequestWorld
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
