Add a debug command that prints all that one instance knows

Cause: operators could see an instance's settings and their effect only on its machine. Before: GET /debug was served and nothing called it.

--- a/packages/sapphirerail-cli/src/sapphirerail_cli/__main__.py
+++ b/packages/sapphirerail-cli/src/sapphirerail_cli/__main__.py
@@ -16,6 +16,7 @@
 command.command("status")(fleet_commands.status)
 command.command("wait")(fleet_commands.wait)
 command.command("explain")(fleet_commands.explain)
+command.command("debug")(fleet_commands.debug)
 
 
 def main() -> None:
--- a/packages/sapphirerail-cli/src/sapphirerail_cli/fleet_commands.py
+++ b/packages/sapphirerail-cli/src/sapphirerail_cli/fleet_commands.py
@@ -7,14 +7,14 @@
 from sapphirerail_core.errors import InputError
 from sapphirerail_core.explain import Query
 from sapphirerail_core.explain import render as render_explanation
-from sapphirerail_core.types import Revision
+from sapphirerail_core.types import InstanceId, Revision
 
 from . import render
 from .exit_code import ExitCode
 from .invocation import JsonOption, PlatformOption, facades, run
 from .watching import watch_revision
 
-__all__ = ["explain", "status", "wait"]
+__all__ = ["debug", "explain", "status", "wait"]
 
 DEFAULT_TIMEOUT_S = 30.0
 
@@ -61,3 +61,13 @@
     fleet = facades(platform).needed_fleet()
     found = run(lambda: fleet.explain(query))
     typer.echo(render.as_json(found) if json else render_explanation(found))
+
+
+def debug(
+    instance: Annotated[str, typer.Argument(metavar="INSTANCE", help="Its name.")],
+    platform: PlatformOption = "",
+) -> None:
+    """Print all that one instance knows, as JSON; the shared key is never shown."""
+    fleet = facades(platform).needed_fleet()
+    known = run(lambda: fleet.debug(InstanceId(instance)))
+    typer.echo(render.as_json(known))
--- a/packages/sapphirerail-cli/src/sapphirerail_cli/fleet_operator.py
+++ b/packages/sapphirerail-cli/src/sapphirerail_cli/fleet_operator.py
@@ -5,6 +5,7 @@
 import time
 import uuid
 from collections.abc import Callable, Sequence
+from typing import Any
 
 import msgspec
 
@@ -147,6 +148,22 @@
         """Gather what the listed instances decided about something."""
         return await gather(self._fleet, query, await self._fleet.listed())
 
+    async def debug(self, instance: InstanceId) -> Any:
+        """Return all that one instance knows: settings, status and decisions.
+
+        Raises
+        ------
+        SapphirerailError
+            ``instance.unknown`` if it is not on the platform's list, and another code
+            if it gave no answer.
+        """
+        listed = {entry.instance: entry for entry in await self._fleet.listed()}
+        if instance not in listed:
+            known = ", ".join(sorted(listed)) or "none"
+            text = f"{instance!r} is not on the platform's list; listed are: {known}"
+            raise SapphirerailError("instance.unknown", text)
+        return await self._fleet.get(listed[instance], "/debug", Any)
+
     async def highest_known(self) -> Revision:
         """Return the highest revision that a few instances have; 0 if none answers."""
         try:
--- a/packages/sapphirerail-cli/tests/test_commands.py
+++ b/packages/sapphirerail-cli/tests/test_commands.py
@@ -73,6 +73,8 @@
             return await self.plans.handle_plan(request)
         if request.path == "/explain":
             return HttpResponse(self._explain(request.query))
+        if request.path == "/debug":
+            return HttpResponse({"settings": {"instance": self.name, "seed": "0"}})
         return HttpResponse(
             {
                 "instance": self.name,
@@ -462,3 +464,22 @@
         assert "another key" not in result.output
 
     play(scenario)
+
+
+def test_debug_prints_what_one_instance_knows(play):
+    async def scenario(world):
+        result = await world.run("debug", "i1")
+        assert result.exit_code == ExitCode.OK
+        assert json.loads(result.stdout)["settings"]["instance"] == "i1"
+
+    play(scenario)
+
+
+def test_debug_of_an_instance_that_is_not_listed_names_those_that_are(play):
+    async def scenario(world):
+        result = await world.run("debug", "i9")
+        assert result.exit_code == ExitCode.FAILED
+        assert "instance.unknown" in result.stderr
+        assert "i0, i1" in result.stderr
+
+    play(scenario)
