--- a/packages/sapphirerail-node/src/sapphirerail_node/settings.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/settings.py
@@ -2,7 +2,7 @@
 
 import ipaddress
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, fields
+from dataclasses import MISSING, dataclass, fields
 from enum import Enum
 from typing import Any
 
@@ -93,7 +93,8 @@
         Parameters
         ----------
         config : mapping of str to object
-            Raw values by field name, as flags and environment give them.
+            Raw values by field name, as flags and environment give them; one that is
+            absent or None takes its default, if it has one.
 
         Returns
         -------
@@ -108,7 +109,7 @@
         checked = {}
         for field in fields(cls):
             raw = config.get(field.name)
-            if raw is None and field.name in _OPTIONAL:
+            if raw is None and field.default is not MISSING:
                 continue
             checked[field.name] = _CHECKS[field.name](_flag(field.name), raw)
         return cls(**checked)
@@ -121,7 +122,6 @@
         return texts
 
 
-_OPTIONAL = frozenset({"statsd_address", "peer_advertised", "api_advertised"})
 _FLAGS = {
     "key": "SAPPHIRERAIL_KEY",
     "platform_address": "--platform",
--- a/packages/sapphirerail-node/tests/test_settings.py
+++ b/packages/sapphirerail-node/tests/test_settings.py
@@ -60,3 +60,13 @@
     with pytest.raises(SettingsError) as refused:
         Settings.from_config(_GOOD | {"key": "secret"})
     assert "secret" not in str(refused.value)
+
+
+def test_absent_values_take_their_defaults():
+    needed = ("instance", "data_centre", "platform_address", "key")
+    addresses = [name for name in _GOOD if name.endswith("_address")]
+    config = {name: _GOOD[name] for name in (*needed, *addresses)}
+    assert Settings.from_config(config) == Settings.from_config(_GOOD)
+    with pytest.raises(SettingsError) as refused:
+        Settings.from_config(config | {"instance": None})
+    assert refused.value.flag == "--instance"
