--- a/tests/test_partition.py
+++ b/tests/test_partition.py
@@ -67,3 +67,30 @@
         await feeds_go_on(feeds)
 
     run_scenario(SPEC, scenario)
+
+
+def test_two_data_centres_cut_off_at_once_each_serve_and_agree_afterwards():
+    async def scenario(system, workload):
+        for data_centre in ("osu", "madina"):
+            await system.partition(data_centre)
+
+        async def all_serve():
+            answered = [
+                await _holds_from(system, data_centre, 4)
+                for data_centre in ("osu", "madina", "tema")
+            ]
+            return answered == [4, 4, 4]
+
+        await wait_until("all three sides serve", all_serve, 40_000)
+        row = server_row(system.servers.running["bookings-3"], "draining")
+        result = await system.operators.apply([row])
+        assert result.is_accepted, result
+        inside = [i.name for i in system.instances.of("tema")]
+        await system.in_force(result.revision, inside)
+        for data_centre in ("osu", "madina"):
+            await system.heal(data_centre)
+        await system.in_force(result.revision)
+        for data_centre in ("osu", "madina", "tema"):
+            assert await _holds_from(system, data_centre, 4) == 4
+
+    run_scenario(SPEC, scenario)
