--- a/packages/sapphirerail-cli/src/sapphirerail_cli/plan_commands.py
+++ b/packages/sapphirerail-cli/src/sapphirerail_cli/plan_commands.py
@@ -74,7 +74,7 @@
     wait_s: WaitOption = DEFAULT_WAIT_S,
     json: JsonOption = False,
 ) -> None:
-    """Announce a server that is going to take work."""
+    """Let a new server take work, one request at a time at first."""
     _change(_server_line(name, ServerState.ENTERING), platform, operator, wait_s, json)
 
 
@@ -86,7 +86,7 @@
     wait_s: WaitOption = DEFAULT_WAIT_S,
     json: JsonOption = False,
 ) -> None:
-    """Let a server take work; it starts cold."""
+    """Let a server take work, or take it again after a drain."""
     _change(_server_line(name, ServerState.ACTIVE), platform, operator, wait_s, json)
 
 
--- a/packages/sapphirerail-core/src/sapphirerail_core/types.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/types.py
@@ -40,7 +40,11 @@
 
 
 class ServerState(Enum):
-    """Place of a backend server in its planned life."""
+    """Place of a backend server in its planned life.
+
+    Entering and active servers take new work; either begins with one request at a
+    time. Draining ones keep their flows only.
+    """
 
     ENTERING = "entering"
     ACTIVE = "active"
