Drop a needless constructor and one of two copies of a histogram's update

Cause: the read-through of the whole change. UdpSocket.adopt only called the constructor, and latency and size each clamped and recorded on their own. Before: an awaited wrapper, two copies. Conclusion: behaviour is the same. Looked at and left: the repeated option lists of the commands (typer reads them from each signature), the settings' options, the typed events and messages of like shape.

--- a/packages/sapphirerail-node/src/sapphirerail_node/edge.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/edge.py
@@ -40,7 +40,7 @@
 
     async def open(self, bound: socket.socket) -> None:
         """Start reading from a bound socket."""
-        self._socket = await UdpSocket.adopt(bound, self._on_payload)
+        self._socket = UdpSocket(bound, self._on_payload)
 
     def close(self) -> None:
         """Close the socket."""
--- a/packages/sapphirerail-node/src/sapphirerail_node/metrics.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/metrics.py
@@ -15,6 +15,7 @@
 # Two digits keep a histogram at a few kilobytes.
 SIGNIFICANT_DIGITS = 2
 PERCENTILES = (50.0, 99.0)
+HistogramKey = tuple[TenantId, TrafficClass, str]
 
 
 class StatsdSink(Protocol):
@@ -68,7 +69,7 @@
         self._sink = sink
         self.counters: Counter[str] = Counter()
         self._sent: Counter[str] = Counter()
-        self._histograms: dict[tuple[TenantId, TrafficClass, str], HdrHistogram] = {}
+        self._histograms: dict[HistogramKey, HdrHistogram] = {}
 
     def count(self, name: str, n_events: int = 1) -> None:
         """Add to a counter."""
@@ -78,29 +79,23 @@
         self, tenant: TenantId, traffic_class: TrafficClass, latency_ms: int
     ) -> None:
         """Add the latency of one answer."""
-        value = min(max(latency_ms, 1), LATENCY_MAX_MS)
-        self._histogram(
-            tenant, traffic_class, "latency_ms", LATENCY_MAX_MS
-        ).record_value(value)
+        key = (tenant, traffic_class, "latency_ms")
+        self._observe(key, latency_ms, LATENCY_MAX_MS)
 
     def observe_size(
         self, tenant: TenantId, traffic_class: TrafficClass, size_bytes: int
     ) -> None:
         """Add the size of one payload."""
-        value = min(max(size_bytes, 1), SIZE_MAX_BYTES)
-        self._histogram(
-            tenant, traffic_class, "size_bytes", SIZE_MAX_BYTES
-        ).record_value(value)
-
-    def _histogram(
-        self, tenant: TenantId, traffic_class: TrafficClass, measure: str, highest: int
-    ) -> HdrHistogram:
-        key = (tenant, traffic_class, measure)
+        key = (tenant, traffic_class, "size_bytes")
+        self._observe(key, size_bytes, SIZE_MAX_BYTES)
+
+    def _observe(self, key: HistogramKey, value: int, highest: int) -> None:
+        """Add a value, moved into the histogram's range."""
         found = self._histograms.get(key)
         if found is None:
             found = HdrHistogram(1, highest, SIGNIFICANT_DIGITS)
             self._histograms[key] = found
-        return found
+        found.record_value(min(max(value, 1), highest))
 
     def summaries(self) -> list[HistogramSummary]:
         """Return every histogram in short, in a stable order."""
--- a/packages/sapphirerail-node/src/sapphirerail_node/peers.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/peers.py
@@ -59,7 +59,7 @@
 
     async def open(self, bound: socket.socket) -> None:
         """Start reading from a bound socket."""
-        self._socket = await UdpSocket.adopt(bound, self._on_payload)
+        self._socket = UdpSocket(bound, self._on_payload)
 
     def close(self) -> None:
         """Close the socket."""
--- a/packages/sapphirerail-transport/src/sapphirerail_transport/udp.py
+++ b/packages/sapphirerail-transport/src/sapphirerail_transport/udp.py
@@ -66,13 +66,6 @@
             raise
         return cls(bound, on_datagram)
 
-    @classmethod
-    async def adopt(
-        cls, bound: socket.socket, on_datagram: Callable[[bytes, Address], None]
-    ) -> "UdpSocket":
-        """Read from a socket that is bound already and may hold datagrams."""
-        return cls(bound, on_datagram)
-
     @property
     def address(self) -> Address:
         """The address that the socket is bound to."""
