Run a doubled request once also while instances still learn of each other

Cause: two majorities of keepers meet only if the views behind them differ by one instance. While a whole fleet starts, or many join at once, one instance still counted itself as the only keeper when others already were a majority without it, and one that knew nobody in a request's home data centre took the next one for the home. Ruled out: doubled datagrams on the way to the servers (counted apart), a second owner of the server (the two runs had a claim each).

Now an instance makes no claim in its first 2 s; while a newcomer is among the keepers, the keepers of before must grant as well; keepers tell newcomers the claims they keep from now on; a young owner leaves its requests to the next in line. Who died of a claim's keepers is now ranked as the membership ranks owners, not by another hash.

Found on the way: a keeper's denial was kept after it was no keeper any longer and had granted, so that two claimants passed a request to and fro until it was dropped without a word; such a request is now answered as unknown.

--- /dev/null
+++ b/bench/growing_fleet.py
@@ -0,0 +1,93 @@
+"""First transmissions doubled by the network while instances learn of each other."""
+
+import msgspec
+
+from sapphirerail_core.request import DispatcherConfig
+from sapphirerail_core.types import InstanceId
+
+from .fake_server import RunKey
+from .request_plan import small_plan
+from .request_world import RequestWorld
+
+__all__ = ["GrowthResult", "fleet_start", "mass_join"]
+
+_N_DATA_CENTRES = 2
+_N_SERVERS = 4
+_N_INSTANCES = 3
+_N_JOINING = 4
+_N_REQUESTS = 80
+_GAP_MS = 25
+_DEADLINE_MS = 4_000
+_DUPLICATE_LAG_MAX_MS = 30
+_OUTCOMES_MS = 25_000
+
+
+class GrowthResult(msgspec.Struct, frozen=True):
+    """What became of the requests.
+
+    Parameters
+    ----------
+    n_requests, n_answered : int
+        Requests that were sent, and that were answered.
+    n_without_outcome : int
+        Requests with neither answer nor refusal.
+    n_double_runs : int
+        Requests that ran more than once.
+    n_false_refusals : int
+        Requests that ran although a refusal says that they did not.
+    """
+
+    n_requests: int
+    n_answered: int
+    n_without_outcome: int
+    n_double_runs: int
+    n_false_refusals: int
+
+
+def fleet_start(seed: int, config: DispatcherConfig | None = None) -> GrowthResult:
+    """Send doubled requests to a fleet whose instances all start at once.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the lags with which they hear of each other.
+    config : DispatcherConfig or None
+        Settings of every dispatcher.
+    """
+    plan = small_plan(_N_DATA_CENTRES, _N_SERVERS)
+    world = RequestWorld(plan, _N_INSTANCES, seed, config, is_fresh=True)
+    return _run(world)
+
+
+def mass_join(seed: int, config: DispatcherConfig | None = None) -> GrowthResult:
+    """Send doubled requests to a small fleet that many instances join at once."""
+    plan = small_plan(_N_DATA_CENTRES, _N_SERVERS)
+    world = RequestWorld(plan, 1, seed, config)
+    world.run(1_000)
+    for place in plan.data_centres:
+        for i in range(_N_JOINING):
+            world.join(InstanceId(f"{place}-new-{i}"), place)
+    return _run(world)
+
+
+def _run(world: RequestWorld) -> GrowthResult:
+    keys: set[RunKey] = {(flow, 1) for flow in range(1, _N_REQUESTS + 1)}
+    for flow, _ in keys:
+        world.at(flow * _GAP_MS, lambda f=flow: _send_doubled(world, f))
+    world.run(_N_REQUESTS * _GAP_MS + _OUTCOMES_MS)
+    return GrowthResult(
+        n_requests=len(keys),
+        n_answered=len(world.answers),
+        n_without_outcome=sum(not world.outcomes(key) for key in keys),
+        n_double_runs=len(world.double_runs(keys)),
+        n_false_refusals=len(world.false_refusals()),
+    )
+
+
+def _send_doubled(world: RequestWorld, flow: int) -> None:
+    live = sorted(name for name, node in world.nodes.items() if not node.is_dead)
+    for name in world.random.sample(live, 2):
+        world.at(
+            world.random.randrange(_DUPLICATE_LAG_MAX_MS),
+            lambda n=name: world.request(flow, name=n, deadline_ms=_DEADLINE_MS),
+        )
--- a/bench/request_node.py
+++ b/bench/request_node.py
@@ -32,8 +32,9 @@
     fleet: LaggingFleet
     place: DataCentreId
     flows: Flows
+    started_at_ms: int
+    heard_at_ms: int
     is_paused: bool = False
     is_dead: bool = False
     is_leaving: bool = False
-    heard_at_ms: int = 0
     inbox: list[Callable[[int], list[Effect]]] = field(default_factory=list)
--- a/bench/request_world.py
+++ b/bench/request_world.py
@@ -39,6 +39,7 @@
 TICK_MS = 20
 HEARTBEAT_MS = 100
 DEAD_AFTER_MS = 1_500
+JOIN_LAG_MAX_MS = 1_000
 
 
 class RequestWorld:
@@ -56,6 +57,8 @@
         Settings of every dispatcher.
     is_alone : bool
         Whether the baseline runs in place of the dispatcher.
+    is_fresh : bool
+        Whether all instances start at 0 and have yet to hear of each other.
     """
 
     def __init__(
@@ -66,6 +69,7 @@
         config: DispatcherConfig | None = None,
         *,
         is_alone: bool = False,
+        is_fresh: bool = False,
     ) -> None:
         self.plan = plan
         self.is_alone = is_alone
@@ -91,26 +95,48 @@
         self._encoder = msgspec.msgpack.Encoder()
         for place in plan.data_centres:
             for i in range(n_instances):
-                self.join(InstanceId(f"{place}-{i}"), place, is_known=True)
+                name = InstanceId(f"{place}-{i}")
+                if is_fresh:
+                    self._start_unknown(name, place)
+                else:
+                    self.join(name, place, is_known=True)
         self._at(0, self._beat)
 
     def join(
         self, name: InstanceId, place: DataCentreId, *, is_known: bool = False
     ) -> None:
         """Start an instance; the others learn of it with a lag of their own."""
-        live = {n: node.place for n, node in self.nodes.items() if not node.is_dead}
-        fleet = LaggingFleet(name, live | {name: place})
+        others = dict(self.nodes)
+        live = {n: node.place for n, node in others.items() if not node.is_dead}
+        self._start(name, place, live, -60_000 if is_known else self.now_ms)
+        for other, known in others.items():
+            lag_ms = 0 if is_known else self.random.randrange(JOIN_LAG_MAX_MS)
+            self._at(lag_ms, lambda o=other, n=name, p=place: self._learn(o, n, p))
+            if is_known:
+                known.fleet.add(name, place)
+
+    def _start_unknown(self, name: InstanceId, place: DataCentreId) -> None:
+        """Start an instance that hears of each other one with a lag, as they of it."""
+        others = dict(self.nodes)
+        self._start(name, place, {}, self.now_ms)
+        for other, node in others.items():
+            for one, two, at in ((name, other, node.place), (other, name, place)):
+                lag_ms = self.random.randrange(JOIN_LAG_MAX_MS)
+                self._at(lag_ms, lambda o=one, t=two, p=at: self._learn(o, t, p))
+
+    def _start(
+        self,
+        name: InstanceId,
+        place: DataCentreId,
+        known: dict[InstanceId, DataCentreId],
+        started_at_ms: int,
+    ) -> None:
+        fleet = LaggingFleet(name, known | {name: place})
         fleet.lease_until_ms = self.now_ms + LEASE_MS
         flows = Flows(self.plan)
-        started_at_ms = -60_000 if is_known else self.now_ms
         dispatcher = self._dispatcher(name, fleet, flows, started_at_ms)
         dispatcher.on_plan(self.plan, self.now_ms)
-        node = Node(dispatcher, fleet, place, flows, heard_at_ms=self.now_ms)
-        for other, known in self.nodes.items():
-            lag_ms = 0 if is_known else self.random.randrange(1_000)
-            self._at(lag_ms, lambda o=other, n=name, p=place: self._learn(o, n, p))
-            if is_known:
-                known.fleet.add(name, place)
+        node = Node(dispatcher, fleet, place, flows, started_at_ms, self.now_ms)
         self.nodes[name] = node
         self._at(self.random.randrange(TICK_MS), lambda: self._tick_node(name))
 
@@ -263,7 +289,9 @@
                     lambda o=other: self._unlearn(o, name, InstanceState.DEAD),
                 )
             elif not is_member and not lost.is_leaving and not lost.is_dead:
-                if not is_cut and silent_ms <= HEARTBEAT_MS:
+                is_heard = silent_ms <= HEARTBEAT_MS
+                is_announced = self.now_ms >= lost.started_at_ms + JOIN_LAG_MAX_MS
+                if not is_cut and is_heard and is_announced:
                     self._learn(other, name, lost.place)
 
     def _learn(self, name: InstanceId, other: InstanceId, place: DataCentreId) -> None:
--- a/bench/requests.py
+++ b/bench/requests.py
@@ -4,8 +4,10 @@
 from collections.abc import Iterator
 from statistics import fmean
 
+from sapphirerail_core.request import DispatcherConfig
 from sapphirerail_core.types import TrafficClass
 
+from .growing_fleet import fleet_start, mass_join
 from .request_plan import small_plan
 from .request_storm import Storm, StormResult
 from .request_world import RequestWorld
@@ -23,6 +25,7 @@
 def figures() -> Iterator[Figure]:
     """Yield the figures of requests under storms and in calm."""
     yield from _storm_figures()
+    yield from _growth_figures()
     yield from _calm_figures()
 
 
@@ -65,6 +68,36 @@
     )
 
 
+def _growth_figures() -> Iterator[Figure]:
+    unsettled = DispatcherConfig(view_settle_ms=0)
+    for name, scenario in (("fleet_start", fleet_start), ("mass_join", mass_join)):
+        ours = [scenario(seed) for seed in _SEEDS]
+        before = [scenario(seed, unsettled) for seed in _SEEDS]
+        yield Figure.at_most(
+            f"requests_double_runs_in_{name}",
+            sum(result.n_double_runs for result in ours),
+            "1",
+            0,
+            Baseline("claims_at_once", sum(r.n_double_runs for r in before)),
+        )
+        yield Figure.at_most(
+            f"requests_false_not_run_in_{name}",
+            sum(result.n_false_refusals for result in ours),
+            "1",
+            0,
+            Baseline("claims_at_once", sum(r.n_false_refusals for r in before)),
+        )
+        n_sent = sum(result.n_requests for result in ours)
+        yield Figure(
+            f"requests_answered_in_{name}_share",
+            sum(result.n_answered for result in ours) / n_sent,
+            "1",
+            baseline=Baseline(
+                "claims_at_once", sum(r.n_answered for r in before) / n_sent
+            ),
+        )
+
+
 def _calm_world(*, idempotent: bool, is_alone: bool = False) -> RequestWorld:
     world = RequestWorld(small_plan(), n_instances=5, seed=7, is_alone=is_alone)
     world.faults.delay_max_ms = 1
--- a/packages/sapphirerail-core/src/sapphirerail_core/fleet/membership.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/membership.py
@@ -1,7 +1,7 @@
 """The membership as one instance sees it: heartbeats, suspicion and the peer lease."""
 
 import random
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 from ..effects import Effect, Message
 from ..journal import Journal, Reason
@@ -12,7 +12,7 @@
 from .listing import ListedInstance, ListedState
 from .member import Member
 from .messages import MemberRecord
-from .owners import OwnerTable
+from .owners import OwnerTable, first_of
 from .state import FleetState, StateChangeCallback
 from .status import FleetStatus, MemberStatus
 
@@ -141,6 +141,12 @@
         self._owner_sets[data_centre] = live
         return table.owners(key, n_owners)
 
+    def first_of(
+        self, key: int, instances: Iterable[InstanceId], n_first: int
+    ) -> tuple[InstanceId, ...]:
+        """Return those of any instances that would be a key's first owners."""
+        return first_of(key, instances, n_first)
+
     def holds_lease(self, now_ms: int) -> bool:
         """Return whether exclusive decisions of this instance are valid now."""
         return not self._fleet.leaving and self._fleet.lease.holds(now_ms)
--- a/packages/sapphirerail-core/src/sapphirerail_core/fleet/owners.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/owners.py
@@ -2,13 +2,14 @@
 
 import heapq
 from array import array
+from collections.abc import Iterable
 
 import xxhash
 
 from .. import rendezvous
 from ..types import InstanceId
 
-__all__ = ["N_SLOTS", "OwnerTable", "slot_of"]
+__all__ = ["N_SLOTS", "OwnerTable", "first_of", "owner_digest", "slot_of"]
 
 N_SLOTS = 16384
 N_RANKED = 4
@@ -24,6 +25,22 @@
     return digest % N_SLOTS
 
 
+def owner_digest(key: int, instance: InstanceId) -> int:
+    """Return the rank value of any instance for a key; the highest owns it."""
+    packed = slot_of(key).to_bytes(8, "little")
+    seed = rendezvous.hash_key(instance)
+    value: int = xxhash.xxh3_64_intdigest(packed, seed=seed)
+    return value
+
+
+def first_of(
+    key: int, instances: Iterable[InstanceId], n_first: int
+) -> tuple[InstanceId, ...]:
+    """Return those of any instances that would rank first for a key."""
+    scored = [(owner_digest(key, name), name) for name in instances]
+    return tuple(name for _, name in heapq.nlargest(n_first, scored))
+
+
 class OwnerTable:
     """Ranks the live instances of one data centre for each slot.
 
@@ -53,13 +70,6 @@
             if name not in self._numbers:
                 self._add(name)
 
-    def digest(self, key: int, instance: InstanceId) -> int:
-        """Return the rank value of any instance for a key; the highest owns it."""
-        packed = slot_of(key).to_bytes(8, "little")
-        seed = rendezvous.hash_key(instance)
-        value: int = xxhash.xxh3_64_intdigest(packed, seed=seed)
-        return value
-
     def owners(self, key: int, n_owners: int) -> tuple[InstanceId, ...]:
         """Return the instances that rank first for a key."""
         slot = slot_of(key)
--- a/packages/sapphirerail-core/src/sapphirerail_core/fleet/view.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/view.py
@@ -1,6 +1,6 @@
 """What the other aggregates may ask of the fleet."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Protocol
 
 from .. import rendezvous
@@ -40,6 +40,12 @@
         """Return the owners of a key among the live instances of a data centre."""
         ...
 
+    def first_of(
+        self, key: int, instances: Iterable[InstanceId], n_first: int
+    ) -> tuple[InstanceId, ...]:
+        """Return those of any instances that would be a key's first owners."""
+        ...
+
     def holds_lease(self, now_ms: int) -> bool:
         """Return whether exclusive decisions of this instance are still valid.
 
@@ -111,7 +117,13 @@
         self, key: int, n_owners: int, data_centre: DataCentreId
     ) -> tuple[InstanceId, ...]:
         """Return the members that rank first for a key."""
-        names = rendezvous.top(key, self.live(data_centre), n_owners)
+        return self.first_of(key, self.live(data_centre), n_owners)
+
+    def first_of(
+        self, key: int, instances: Iterable[InstanceId], n_first: int
+    ) -> tuple[InstanceId, ...]:
+        """Return the instances that rank first for a key."""
+        names = rendezvous.top(key, tuple(instances), n_first)
         return tuple(InstanceId(name) for name in names)
 
     def holds_lease(self, now_ms: int) -> bool:
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/claimant.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/claimant.py
@@ -1,5 +1,6 @@
 """Obtains the sole right to run a request from its keepers."""
 
+from collections.abc import Set
 from dataclasses import dataclass
 from enum import Enum
 
@@ -107,22 +108,28 @@
         if len(self._attempts) >= config.n_claims_open_max:
             self._decided.append(ClaimResult(key, ClaimDecision.FAILED))
             return []
+        ask_at_ms = max(now_ms, self._history.settled_at_ms(now_ms))
         attempt = _Attempt(
             key=key,
             epoch=self._context.random_state.getrandbits(31),
             is_first=is_first,
             deadline_at_ms=deadline_at_ms,
             panels=[],
-            ask_again_at_ms=now_ms + config.claim_resend_ms,
-            silent_at_ms=now_ms + config.claim_silence_ms,
-            yield_at_ms=now_ms + config.claim_contention_ms,
+            ask_again_at_ms=ask_at_ms + config.claim_resend_ms,
+            silent_at_ms=ask_at_ms + config.claim_silence_ms,
+            yield_at_ms=ask_at_ms + config.claim_contention_ms,
             fail_at_ms=deadline_at_ms - config.claim_reserve_ms,
             # Most retransmissions are known at home; the other data centres are
             # asked only after the home's keepers knew nothing or kept silent.
             is_wide=is_first,
         )
-        attempt.panels = self._panels(attempt, now_ms)
         self._attempts[key] = attempt
+        if ask_at_ms > now_ms:
+            # With a view that is still growing, two instances could each find a
+            # majority of keepers that does not meet the other's.
+            attempt.ask_again_at_ms = ask_at_ms
+            return []
+        attempt.panels = self._panels(attempt, now_ms)
         return self._ask(attempt, now_ms, is_again=False)
 
     def stop(self, key: RequestKey) -> None:
@@ -150,10 +157,14 @@
         denials = attempt.denials()
         if denials and now_ms >= attempt.yield_at_ms:
             return self._give_up(attempt, ClaimDecision.HELD, max(denials))
+        if now_ms < self._history.settled_at_ms(now_ms):
+            return []
         if self._is_home_silent(attempt, now_ms):
             return self._next_home(attempt, now_ms)
         if now_ms < attempt.ask_again_at_ms:
             return []
+        if not attempt.panels:
+            return self._ask_first(attempt, now_ms)
         attempt.n_asked += 1
         if all(panel.is_silent() for panel in attempt.asked()):
             attempt.is_wide = True
@@ -162,16 +173,21 @@
         self._refresh(attempt, now_ms)
         return self._ask(attempt, now_ms, is_again=True)
 
+    def _ask_first(self, attempt: _Attempt, now_ms: int) -> list[Effect]:
+        """Ask for a claim that waited for the view of the fleet to settle."""
+        attempt.panels = self._panels(attempt, now_ms)
+        attempt.ask_again_at_ms = now_ms + self._context.config.claim_resend_ms
+        return self._ask(attempt, now_ms, is_again=False)
+
     def _refresh(self, attempt: _Attempt, now_ms: int) -> None:
         """Use the present membership, and keep the votes that still count."""
-        former = {panel.data_centre: panel for panel in attempt.panels}
+        former = attempt.panels
         attempt.panels = self._panels(attempt, now_ms)
         for panel in attempt.panels:
-            voted = former.get(panel.data_centre)
-            if voted is None:
-                continue
-            panel.grants = voted.grants & set(panel.keepers)
-            panel.denials = voted.denials
+            for voted in former:
+                if voted.data_centre == panel.data_centre:
+                    panel.grants |= voted.grants & set(panel.keepers)
+                    panel.denials |= voted.denials
 
     def take_decided(self) -> list[ClaimResult]:
         """Return the claims that were decided since the last call."""
@@ -184,19 +200,50 @@
         former = [place for place in former if place not in places]
         if not attempt.is_first:
             return [self._panel(attempt, place, now_ms) for place in places + former]
+        newcomers = self._history.newcomers(now_ms)
         home = self._home(places, now_ms)
         panels = [self._panel(attempt, home, now_ms)]
+        if newcomers:
+            panels += self._earlier_panels(attempt, panels[0], newcomers, now_ms)
         for place in former:
             panel = self._panel(attempt, place, now_ms)
             panel.is_optional = True
             panels.append(panel)
         return panels
 
-    def _home(self, places: list[DataCentreId], now_ms: int) -> DataCentreId:
+    def _earlier_panels(
+        self,
+        attempt: _Attempt,
+        panel: Panel,
+        newcomers: set[InstanceId],
+        now_ms: int,
+    ) -> list[Panel]:
+        """Return the keepers as an instance sees them that knows no newcomer yet.
+
+        Two instances that hear of a join at different times have either the
+        present keepers in common or these, however many join at once.
+        """
+        places = claim_data_centres(self._context.plan, attempt.key)
+        home = self._home(places, now_ms, newcomers)
+        if home == panel.data_centre and not newcomers & set(panel.keepers):
+            return []
+        live = [n for n in self._context.fleet.live(home) if n not in newcomers]
+        n_keepers = self._context.config.n_keepers
+        keepers = self._context.fleet.first_of(attempt.key, live, n_keepers)
+        return [Panel(home, keepers, quorum_first(len(keepers)))]
+
+    def _home(
+        self,
+        places: list[DataCentreId],
+        now_ms: int,
+        newcomers: Set[InstanceId] = frozenset(),
+    ) -> DataCentreId:
         fleet = self._context.fleet
         for place in places:
             is_silent = now_ms < self._silent_until_ms.get(place, 0)
-            if fleet.live(place) and not is_silent:
+            if is_silent:
+                continue
+            if any(name not in newcomers for name in fleet.live(place)):
                 return place
         return fleet.self_data_centre
 
@@ -226,14 +273,16 @@
         self_id = self._context.fleet.self_id
         remaining_ms = max(0, attempt.deadline_at_ms - now_ms)
         claim = Claim(attempt.key, remaining_ms, attempt.epoch)
+        asked: set[InstanceId] = set()
         for panel in attempt.asked():
             if panel.has_quorum():
                 continue
-            wanted = panel.unanswered()
+            wanted = [name for name in panel.unanswered() if name not in asked]
             if not is_again and attempt.is_first:
                 # Its own grant costs no message.
                 wanted.sort(key=lambda name: name != self_id)
                 wanted = wanted[: panel.quorum]
+            asked.update(wanted)
             effects += self._ask_keepers(attempt, claim, wanted, now_ms)
         return effects + self._decide(attempt, now_ms)
 
@@ -252,11 +301,13 @@
 
     def _count(self, attempt: _Attempt, sender: InstanceId, grant: Grant) -> None:
         for panel in attempt.panels:
+            if grant.holder == self._context.fleet.self_id:
+                # Also of a former keeper, whose denial was kept.
+                panel.denials.pop(sender, None)
             if sender not in panel.keepers:
                 continue
             if grant.holder == self._context.fleet.self_id:
                 panel.grants.add(sender)
-                panel.denials.pop(sender, None)
             else:
                 panel.denials[sender] = grant.holder
 
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/config.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/config.py
@@ -50,6 +50,10 @@
         Wait before a role is asked for again.
     role_settle_ms : int
         Wait of a newly started instance before it takes a role from nobody.
+    view_settle_ms : int
+        Time until all instances have heard of a newcomer. No claim is made by an
+        instance that is younger, and the keepers of before a join count as well
+        for as long.
     n_role_witnesses : int
         Instances next in line for a server that are asked for its role.
     role_memory_ms : int
@@ -62,7 +66,7 @@
 
     deadline_default_ms: int = 5_000
     deadline_max_ms: int = 10_000
-    reply_reserve_ms: int = 50
+    reply_reserve_ms: int = 100
     n_hops_max: int = 5
     forward_resend_ms: int = 40
     n_forward_sends: int = 3
@@ -81,6 +85,7 @@
     retry_share: float = 0.1
     role_resend_ms: int = 60
     role_settle_ms: int = 500
+    view_settle_ms: int = 2_000
     n_role_witnesses: int = 3
     role_memory_ms: int = 30_000
     notice_ms: int = 1_000
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/dispatcher.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/dispatcher.py
@@ -17,7 +17,7 @@
 from .context import Context
 from .forwarder import Forwarder
 from .gates import GateTable
-from .handover import claim_handovers
+from .handover import ClaimTransfer, claim_handovers
 from .history import MembershipHistory
 from .ingress import Ingress
 from .keeper import ClaimKeeper
@@ -63,6 +63,7 @@
         self._keeper = ClaimKeeper(config.claim_margin_ms, config.n_claims_max)
         self._history = MembershipHistory(context, started_at_ms)
         self._claimant = Claimant(context, self._keeper, self._history)
+        self._transfer = ClaimTransfer(context, self._keeper)
         self._forwarder = Forwarder(context)
         self._roles = RoleTable(context, self._routes, started_at_ms)
         self._gates = GateTable(context, self._roles)
@@ -158,8 +159,10 @@
         self._history.on_state(instance, state, now_ms)
         if state in (InstanceState.DEAD, InstanceState.LEFT):
             self._roles.on_lost(instance, now_ms)
+            self._transfer.on_lost(instance)
         elif state is InstanceState.ALIVE:
             self._roles.on_back(instance)
+            self._transfer.on_joined(instance, now_ms)
         return []
 
     def tick(self, now_ms: int) -> list[Effect]:
@@ -167,7 +170,8 @@
         self._check_lease(now_ms)
         self._routes.tick(now_ms)
         self._keeper.forget_expired(now_ms)
-        effects = self._claimant.tick(now_ms)
+        effects = self._transfer.tick(now_ms)
+        effects += self._claimant.tick(now_ms)
         effects += self._admission.on_claims_decided(now_ms)
         repeated, failed = self._forwarder.tick(now_ms)
         effects += repeated
@@ -204,10 +208,11 @@
             self._seen_at_ms = now_ms
             self._history.start(now_ms)
             self._roles.start(now_ms)
-        paused = now_ms - self._seen_at_ms > _PAUSE_MS
+        gap_ms = now_ms - self._seen_at_ms
+        paused = gap_ms > _PAUSE_MS
         self._seen_at_ms = now_ms
         if paused:
-            self._history.on_pause(now_ms)
+            self._history.on_pause(gap_ms, now_ms)
             self._context.woke_at_ms = now_ms
         if paused or not self._context.fleet.holds_lease(now_ms):
             self._roles.suspend()
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/history.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/history.py
@@ -1,6 +1,5 @@
 """Recent changes of the membership that the keepers of open claims went through."""
 
-from ..rendezvous import top
 from ..types import InstanceId, InstanceState
 from .context import Context
 from .keys import RequestKey
@@ -24,6 +23,10 @@
         self._context = context
         self._memory_ms = config.deadline_max_ms + config.claim_margin_ms
         self._started_at_ms = started_at_ms
+        self._view_settle_ms = config.view_settle_ms
+        self._settled_at_ms = started_at_ms
+        if started_at_ms is not None:
+            self._settled_at_ms = started_at_ms + self._view_settle_ms
         self._joined_at_ms: dict[InstanceId, int] = {}
         self._died_at_ms: dict[InstanceId, int] = {}
 
@@ -40,10 +43,24 @@
         """Take the present for the start, unless the start is known."""
         if self._started_at_ms is None:
             self._started_at_ms = now_ms
+            self._settled_at_ms = now_ms + self._view_settle_ms
 
-    def on_pause(self, now_ms: int) -> None:
+    def on_pause(self, paused_ms: int, now_ms: int) -> None:
         """Take in that this instance was paused and missed what happened."""
         self._started_at_ms = now_ms
+        if paused_ms > self._view_settle_ms // 2:
+            self._settled_at_ms = now_ms + self._view_settle_ms
+
+    def settled_at_ms(self, now_ms: int) -> int:
+        """Return when this instance has heard of all that the others know of."""
+        if self._settled_at_ms is None:
+            return now_ms + self._view_settle_ms
+        return self._settled_at_ms
+
+    def newcomers(self, now_ms: int) -> set[InstanceId]:
+        """Return who joined so lately that another instance may not know it yet."""
+        since_ms = now_ms - self._view_settle_ms
+        return {name for name, at_ms in self._joined_at_ms.items() if at_ms > since_ms}
 
     def is_complete(self, now_ms: int) -> bool:
         """Return whether this instance saw all changes that matter."""
@@ -72,7 +89,8 @@
             if at_ms > oldest_ms and self._may_be_in(name, place)
         ]
         known = self.seasoned(keepers, now_ms)
-        first = top(key, [*known, *dead], self._context.config.n_keepers)
+        n_keepers = self._context.config.n_keepers
+        first = self._context.fleet.first_of(key, [*known, *dead], n_keepers)
         return len(set(first) & set(dead))
 
     def _may_be_in(self, instance: InstanceId, place: str | None) -> bool:
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/mover.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/mover.py
@@ -59,7 +59,8 @@
         if work.state is WorkState.MOVED and not work.is_claimed:
             return self.forward(work, holder, now_ms)
         if hop >= self._context.config.n_hops_max:
-            return []
+            # Each takes another one for the holder; nobody can tell what became of it.
+            return self._unknown(work)
         forward = Forward(
             outgoing(work, now_ms), work.server, hop=hop + 1, is_attached=True
         )
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/roles.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/roles.py
@@ -99,7 +99,7 @@
                 return role.holder
         if role is not None and role.state is RoleState.ACTIVE:
             return self._context.fleet.self_id
-        return self._routes.owner_of(server)
+        return self._owner_of(server, now_ms)
 
     def take(self, server: ServerId, now_ms: int) -> list[Effect]:
         """Begin to take the role of a server, unless it is held or being taken."""
@@ -231,6 +231,21 @@
                 return [SendToPeer(name, LoadNotice(server, limit))]
         return []
 
+    def _owner_of(self, server: ServerId, now_ms: int) -> InstanceId | None:
+        """Return the owner, or who is next while this instance may not claim yet."""
+        in_line = self._routes.in_line(server)
+        if not in_line:
+            return None
+        self_id = self._context.fleet.self_id
+        if in_line[0] == self_id and self._is_young(now_ms):
+            return in_line[:2][-1]
+        return in_line[0]
+
+    def _is_young(self, now_ms: int) -> bool:
+        if self._started_at_ms is None:
+            return True
+        return now_ms < self._started_at_ms + self._context.config.view_settle_ms
+
     def _possible_holders(self, server: ServerId) -> set[InstanceId]:
         n_witnesses = self._context.config.n_role_witnesses
         self_id = self._context.fleet.self_id
