Refuse in time what a usual delay would make late, and tell late from lost

A request that others wait behind is now sent only if the mean and two mean deviations of the server's latency fit into its time; else it is refused as not run. A missed deadline that was too short for a usual run is told as DEADLINE_EXCEEDED, and SERVER_LOST only where the server had ample time.

--- a/packages/sapphirerail-core/src/sapphirerail_core/load/gate.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/load/gate.py
@@ -117,14 +117,24 @@
         return usual_ms * (1 + n_ahead / max(1, self.limit.limit))
 
     def is_hopeless(self, remaining_ms: int) -> bool:
-        """Return whether a request would surely miss its deadline.
+        """Return whether a request may well miss its deadline while it runs.
 
-        Without another one that waits, it is sent all the same: its latency may
-        show that the usual one has changed.
+        Its slot is then better given to one that waits, and it can still be refused
+        as not run. Without another one that waits it is sent all the same: its
+        latency may show that the usual one has changed.
         """
         if not len(self.queue):
             return False
-        return remaining_ms < self.limit.latency.expected_ms(0)
+        return remaining_ms < self.limit.latency.likely_within_ms(0)
+
+    def gave_enough(self, given_ms: int) -> bool:
+        """Return whether a healthy server answers within a time, as far as known."""
+        usual_ms = self.limit.latency.expected_ms(0)
+        return given_ms >= self._config.miss_factor * usual_ms
+
+    def has_stalled(self, sent_at_ms: int, now_ms: int) -> bool:
+        """Return whether a request has been unanswered for suspiciously long."""
+        return now_ms - sent_at_ms > self.limit.stall_age_ms()
 
     def inherit(self, holder: str, n_in_flight: int, until_ms: int) -> None:
         """Count the requests that another owner has in flight at the server."""
@@ -183,7 +193,7 @@
             elif work.is_overdue:
                 # The server may have dropped it at the deadline: no further sign.
                 continue
-            elif now_ms - work.sent_at_ms > self.limit.stall_age_ms():
+            elif self.has_stalled(work.sent_at_ms, now_ms):
                 if not is_lost_alone:
                     self.limit.on_stall(now_ms)
                 elif self.limit.state is LimitState.WARM:
@@ -194,9 +204,7 @@
 
     def _on_missed(self, work: InFlight, now_ms: int) -> None:
         """Take in a missed deadline; one that was too short shows little."""
-        given_ms = work.deadline_at_ms - work.sent_at_ms
-        enough_ms = self._config.miss_factor * self.limit.latency.expected_ms(0)
-        if given_ms >= enough_ms:
+        if self.gave_enough(work.deadline_at_ms - work.sent_at_ms):
             self.limit.on_silence(now_ms)
         else:
             self.limit.on_late(now_ms)
--- a/packages/sapphirerail-core/src/sapphirerail_core/load/latency.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/load/latency.py
@@ -3,25 +3,33 @@
 __all__ = ["LatencyTrack"]
 
 _SMOOTHING = 0.1
+_N_DEVIATIONS = 2
 
 
 class LatencyTrack:
-    """Exponentially weighted mean of latencies that are not outliers."""
+    """Exponentially weighted mean and deviation of latencies without outliers."""
 
     def __init__(self) -> None:
         self.mean_ms: float | None = None
+        self.deviation_ms = 0.0
 
     def add(self, latency_ms: int) -> None:
-        """Take a latency into the mean."""
+        """Take a latency into the mean and the mean absolute deviation."""
         if self.mean_ms is None:
             self.mean_ms = float(latency_ms)
             return
-        self.mean_ms += _SMOOTHING * (latency_ms - self.mean_ms)
+        distance_ms = latency_ms - self.mean_ms
+        self.mean_ms += _SMOOTHING * distance_ms
+        self.deviation_ms += _SMOOTHING * (abs(distance_ms) - self.deviation_ms)
 
     def expected_ms(self, default_ms: int) -> float:
         """Return the mean, or the default before the first latency."""
         return float(default_ms) if self.mean_ms is None else self.mean_ms
 
+    def likely_within_ms(self, default_ms: int) -> float:
+        """Return a time that few answers exceed, or the default before the first."""
+        return self.expected_ms(default_ms) + _N_DEVIATIONS * self.deviation_ms
+
     def is_slow(self, latency_ms: int, factor: float, floor_ms: int) -> bool:
         """Return whether a latency is far above the mean."""
         if self.mean_ms is None or latency_ms < floor_ms:
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/admission.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/admission.py
@@ -350,7 +350,7 @@
         gate = self._gates.gate(work.server, now_ms)
         if work.parts:
             return []
-        if now_ms - work.sent_at_ms < gate.limit.stall_age_ms():
+        if not gate.has_stalled(work.sent_at_ms, now_ms):
             return []
         work.is_uncertain = True
         return self.retry(work, now_ms) or []
@@ -359,7 +359,11 @@
         work = self.ledger.get(key)
         if work is None or work.state is not WorkState.SENT:
             return []
-        return self.refuse(work, RefusalCode.SERVER_LOST, now_ms)
+        gate = self._gates.gate(work.server, now_ms)
+        # A server that was given too little time has not lost the request.
+        had_time = gate.gave_enough(work.deadline_at_ms - work.sent_at_ms)
+        lost, late = RefusalCode.SERVER_LOST, RefusalCode.DEADLINE_EXCEEDED
+        return self.refuse(work, lost if had_time else late, now_ms)
 
     def _leave_closed(self, gate: ServerGate, now_ms: int) -> list[Effect]:
         if not len(gate.queue):
--- a/packages/sapphirerail-core/tests/load/test_gate.py
+++ b/packages/sapphirerail-core/tests/load/test_gate.py
@@ -127,6 +127,18 @@
     assert not made.is_hopeless(int(usual_ms) + 1)
 
 
+def test_request_that_a_usual_delay_would_make_late_is_not_sent():
+    # With the mean alone, a request with 226 ms left for runs of about 200 ms was
+    # sent and could only be answered as unknown when it took 229 ms.
+    made = gate()
+    for key, latency_ms in enumerate((200, 230, 190, 205, 240, 195) * 3, start=1):
+        made.on_sent(key, 5_000_000, 1_000 * key)
+        made.on_answer(key, 1_000 * key + latency_ms)
+    made.queue.push(QueueItem(TrafficClass.TRANSACTION, 10_000, 99))
+    assert made.is_hopeless(226)
+    assert not made.is_hopeless(300)
+
+
 def test_server_that_answers_no_probe_is_ejected_and_gets_no_trial():
     made = warm_gate()
     for now_ms in (1_000, 2_000, 3_000):
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/conversation.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/conversation.py
@@ -88,6 +88,7 @@
             request=datagram.request,
             attempt=datagram.attempt,
             idempotent=datagram.idempotent,
+            deadline_ms=left_ms,
         )
         self._events.append(event)
         self._send(datagram)
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/history.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/history.py
@@ -52,6 +52,7 @@
     request: int = 0
     attempt: int = 0
     idempotent: bool = False
+    deadline_ms: int = 0
 
 
 class Answered(Event, frozen=True, kw_only=True, tag=True):
