Split the tests of the operators' command by command

Cause: test_commands.py had 485 lines, with the stand-ins for a platform and instances in front of tests of four kinds of command.

Now conftest.py holds the stand-ins, and test_sheet_commands, test_plan_commands and test_fleet_commands hold the tests. No assertion was altered: sheets come from the stand-in (world.sheet, world.header) in place of module constants.

Conclusion: commands get their new tests beside those of their kind.

--- /dev/null
+++ b/packages/sapphirerail-cli/tests/test_plan_commands.py
@@ -0,0 +1,69 @@
+import asyncio
+
+from sapphirerail_cli.exit_code import ExitCode
+
+
+def test_data_centre_out_and_back(play):
+    async def scenario(world):
+        await world.run("sheet", "apply", "FILE", sheet=world.sheet)
+        result = await world.run("datacentre", "out", "Osu")
+        assert result.exit_code == ExitCode.OK
+        assert (await world.plan()).is_out("Osu")
+        assert "taken out: Osu" in (await world.run("status")).stdout
+        await world.run("datacentre", "back", "Osu")
+        assert not (await world.plan()).is_out("Osu")
+
+    play(scenario)
+
+
+def test_mistyped_name_makes_nothing(play):
+    async def scenario(world):
+        await world.run("sheet", "apply", "FILE", sheet=world.sheet)
+        for arguments in (("datacentre", "out", "Oso"), ("server", "drain", "b9")):
+            result = await world.run(*arguments)
+            assert result.exit_code == ExitCode.NOTHING_APPLIED
+            assert "sheet.unknown" in result.stdout
+        assert (await world.plan()).revision == 1
+
+    play(scenario, n_instances=0)
+
+
+def test_store_that_lost_writes_is_restored_from_an_instance(play):
+    async def scenario(world):
+        await world.run("sheet", "apply", "FILE", sheet=world.sheet)
+        root = await world.store.get("plan-root")
+        await world.run("server", "drain", "b1")
+        # An old backup of the root comes back.
+        lost = await world.store.get("plan-root")
+        await world.store.compare_and_swap("plan-root", lost.version, root.value)
+        refused = await world.run("datacentre", "out", "Osu")
+        assert refused.exit_code == ExitCode.STORE_BEHIND
+        assert "plan restore" in refused.stderr
+        result = await world.run("plan", "restore")
+        assert result.exit_code == ExitCode.OK
+        assert "as revision 3 (the store had 1)" in result.stdout
+        plan = await world.plan()
+        assert (plan.revision, plan.servers["b1"].state.value) == (3, "draining")
+        assert (await world.run("wait", "--revision", "3")).exit_code == ExitCode.OK
+        again = await world.run("plan", "restore")
+        assert again.exit_code == ExitCode.FAILED
+        assert "plan.not_behind" in again.stderr
+
+    play(scenario)
+
+
+def test_two_operators_racing_end_in_one_order(play):
+    async def scenario(world):
+        await world.run("sheet", "apply", "FILE", sheet=world.sheet)
+        reports = await asyncio.gather(
+            world.run_process("server", "drain", "b1"),
+            world.run_process("datacentre", "out", "Osu"),
+        )
+        revisions = {report["revision"] for report in reports}
+        plan = await world.plan()
+        assert [write.revision for write in plan.history] == [1, 2, 3]
+        assert revisions == {2, 3}
+        assert plan.is_out("Osu")
+        assert plan.servers["b1"].state.value == "draining"
+
+    play(scenario)
