Let operators remove services and data centres from the plan

Cause: services and data centres could only be emptied or taken out, so that a plan, its shards and every instance kept them for ever.

A sheet line with state 'removed', 'sapphirerail service remove' and 'datacentre remove' put a tombstone in place of the part. A service whose servers have not left, and a data centre that is in service or has servers, is refused with line number, code and reason. A name comes back as new for the same tenant; a sheet of an older revision can't revive it (sheet.race), nor can another tenant take it while late packets may name it. Tombstones and servers that left go after 8,000 to 16,000 revisions, and empty shards with them.

Conclusion: the plan no longer only grows.

--- a/bench/plan.py
+++ b/bench/plan.py
@@ -14,6 +14,7 @@
 from sapphirerail_core.plan.draft import Change, apply_lines
 from sapphirerail_core.plan.model import Write, WriteId
 from sapphirerail_core.plan.repository import PlanRepository
+from sapphirerail_core.plan.retention import forget_gone
 from sapphirerail_core.plan.sheet_line import (
     DataCentreLine,
     ServerLine,
@@ -60,6 +61,7 @@
 N_MERGES = 5
 MEAN_JITTER = 0.875
 N_WRITES = 50
+N_REMOVED = 1000
 CHANGE_MS = 5000
 N_CHANGES_PER_S = 4000 / 86_400
 WORST = NetworkConfig(loss=0.05, silent_watches=True)
@@ -76,6 +78,7 @@
     yield from _at_size(TARGET, WORST, "_silent_watches")
     yield from _burst()
     yield from _target_plan()
+    yield from _removal()
 
 
 def _today() -> Iterator[Figure]:
@@ -301,6 +304,35 @@
     assert committed.change.n_changed == len(lines)
 
 
+def _removal() -> Iterator[Figure]:
+    """Yield what removing a tenth of the services costs, and what it leaves."""
+    full = _applied(EMPTY_PLAN, _lines(10_000, 28_000))
+    doomed = {ServiceId(f"address-{n}") for n in range(N_REMOVED)}
+    lines: list[SheetLine] = [
+        ServerLine(number=1, name=name, state=ServerState.LEFT)
+        for name, server in full.servers.items()
+        if server.service in doomed
+    ]
+    lines += [ServiceLine(number=1, name=name, is_removed=True) for name in doomed]
+    began_s = time.perf_counter()
+    removed = _applied(full, lines)
+    spent_s = time.perf_counter() - began_s
+    delta = delta_since(removed, full.revision)
+    assert delta is not None
+    assert merge(full, delta) == removed
+    yield Figure.at_most("plan_removal_time_target", spent_s, "s", IN_FORCE_S)
+    n_bytes = len(msgspec.json.encode(delta))
+    yield Figure("plan_removal_delta_target", n_bytes, "byte")
+    left = forget_gone(removed, removed.revision)
+    n_kept = sum(server.service in doomed for server in left.servers.values())
+    n_kept += len(left.removed_services) + len(doomed & left.services.keys())
+    yield Figure.at_most("plan_removed_parts_kept_target", n_kept, "1", 0)
+    for name, plan in (("full", full), ("removed", removed), ("forgotten", left)):
+        packed = [layout.pack(shard) for shard in layout.split(plan).values()]
+        n_bytes = sum(len(text) for text in packed)
+        yield Figure(f"plan_in_store_{name}_target", n_bytes, "byte")
+
+
 def _packed_target() -> tuple[tuple[str, ...], layout.Root]:
     plan = _applied(EMPTY_PLAN, _lines(10_000, 28_000))
     texts = tuple(layout.pack(shard) for shard in layout.split(plan).values())
--- a/packages/sapphirerail-cli/src/sapphirerail_cli/__main__.py
+++ b/packages/sapphirerail-cli/src/sapphirerail_cli/__main__.py
@@ -11,6 +11,7 @@
 )
 command.add_typer(sheet_commands.command, name="sheet")
 command.add_typer(plan_commands.data_centre_command, name="datacentre")
+command.add_typer(plan_commands.service_command, name="service")
 command.add_typer(plan_commands.server_command, name="server")
 command.add_typer(plan_commands.plan_command, name="plan")
 command.command("status")(fleet_commands.status)
--- a/packages/sapphirerail-cli/src/sapphirerail_cli/operator.py
+++ b/packages/sapphirerail-cli/src/sapphirerail_cli/operator.py
@@ -154,6 +154,9 @@
 
 
 def _is_known(plan: Plan, line: SheetLine) -> bool:
+    if not isinstance(line, ServerLine) and line.is_removed:
+        # Removing something twice changes nothing; the draft refuses other names.
+        return True
     if isinstance(line, DataCentreLine):
         return line.name in plan.data_centres
     if isinstance(line, ServerLine):
--- a/packages/sapphirerail-cli/src/sapphirerail_cli/plan_commands.py
+++ b/packages/sapphirerail-cli/src/sapphirerail_cli/plan_commands.py
@@ -4,12 +4,18 @@
 
 import typer
 
-from sapphirerail_core.plan.sheet_line import DataCentreLine, ServerLine, SheetLine
+from sapphirerail_core.plan.sheet_line import (
+    DataCentreLine,
+    ServerLine,
+    ServiceLine,
+    SheetLine,
+)
 from sapphirerail_core.types import (
     DataCentreId,
     DataCentreState,
     ServerId,
     ServerState,
+    ServiceId,
 )
 
 from . import render
@@ -25,13 +31,16 @@
 from .operator import SheetReport
 from .sheet_commands import DEFAULT_WAIT_S, finish_change
 
-__all__ = ["data_centre_command", "plan_command", "server_command"]
+__all__ = ["data_centre_command", "plan_command", "server_command", "service_command"]
 
 LINE_NUMBER = 1
 
 data_centre_command = typer.Typer(
     no_args_is_help=True, help="Take data centres out of service and back."
 )
+service_command = typer.Typer(
+    no_args_is_help=True, help="Remove services from the plan."
+)
 server_command = typer.Typer(
     no_args_is_help=True, help="Move backend servers through their planned life."
 )
@@ -66,6 +75,32 @@
     _change(line, platform, operator, wait_s, json)
 
 
+@data_centre_command.command("remove")
+def remove_data_centre(
+    name: NameArgument,
+    platform: PlatformOption = "",
+    operator: OperatorOption = "",
+    wait_s: WaitOption = DEFAULT_WAIT_S,
+    json: JsonOption = False,
+) -> None:
+    """Remove a data centre that is out and whose servers have all left."""
+    line = DataCentreLine(number=LINE_NUMBER, name=DataCentreId(name), is_removed=True)
+    _change(line, platform, operator, wait_s, json)
+
+
+@service_command.command("remove")
+def remove_service(
+    name: NameArgument,
+    platform: PlatformOption = "",
+    operator: OperatorOption = "",
+    wait_s: WaitOption = DEFAULT_WAIT_S,
+    json: JsonOption = False,
+) -> None:
+    """Remove a service whose servers have all left."""
+    line = ServiceLine(number=LINE_NUMBER, name=ServiceId(name), is_removed=True)
+    _change(line, platform, operator, wait_s, json)
+
+
 @server_command.command("enter")
 def enter_server(
     name: NameArgument,
--- a/packages/sapphirerail-cli/tests/test_plan_commands.py
+++ b/packages/sapphirerail-cli/tests/test_plan_commands.py
@@ -28,6 +28,36 @@
     play(scenario, n_instances=0)
 
 
+def test_service_and_data_centre_are_removed_once_they_are_empty(play):
+    async def scenario(world):
+        await world.run("sheet", "apply", "FILE", sheet=world.sheet)
+        for arguments, code in (
+            (("service", "remove", "bookings"), "sheet.service_in_use"),
+            (("datacentre", "remove", "Osu"), "sheet.data_centre_in_use"),
+            (("service", "remove", "booking"), "sheet.unknown"),
+        ):
+            refused = await world.run(*arguments)
+            assert refused.exit_code == ExitCode.NOTHING_APPLIED
+            assert f"refused: {code}" in refused.stdout
+        await world.run("server", "leave", "b1")
+        await world.run("datacentre", "out", "Osu")
+        for arguments in (
+            ("service", "remove", "bookings"),
+            ("datacentre", "remove", "Osu"),
+        ):
+            removed = await world.run(*arguments)
+            assert removed.exit_code == ExitCode.OK
+            assert "1 changed" in removed.stdout
+            assert "in force in 2 of 2" in removed.stdout
+            again = await world.run(*arguments)
+            assert "0 changed, 1 unchanged" in again.stdout
+        plan = await world.plan()
+        assert (plan.services, plan.data_centres) == ({}, {})
+        assert world.instances[0].plans.plan == plan
+
+    play(scenario)
+
+
 def test_store_that_lost_writes_is_restored_from_an_instance(play):
     async def scenario(world):
         await world.run("sheet", "apply", "FILE", sheet=world.sheet)
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/owners.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/owners.py
@@ -9,7 +9,7 @@
 from ..fleet.view import FleetView
 from ..plan.model import Plan
 from ..rendezvous import hash_key
-from ..types import DataCentreId, DataCentreState, InstanceId
+from ..types import DataCentreId, InstanceId
 
 __all__ = ["N_OWNERS", "OwnerChange", "OwnerHistory", "OwnerMap", "members_of"]
 
@@ -188,7 +188,7 @@
         return any(
             place not in self.now.members
             and now_ms - seen_ms < _CUT_OFF_MS
-            and not _is_out(plan, place)
+            and not plan.was_taken_out(place)
             for place, seen_ms in self._places_seen_ms.items()
         )
 
@@ -233,11 +233,6 @@
     found: dict[DataCentreId, list[InstanceId]] = {}
     for name in fleet.live():
         place = fleet.data_centre(name)
-        if name != without and place is not None and not _is_out(plan, place):
+        if name != without and place is not None and not plan.was_taken_out(place):
             found.setdefault(place, []).append(name)
     return {place: tuple(names) for place, names in sorted(found.items())}
-
-
-def _is_out(plan: Plan, data_centre: DataCentreId) -> bool:
-    known = plan.data_centres.get(data_centre)
-    return known is not None and known.state is DataCentreState.OUT
--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/delta.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/delta.py
@@ -1,12 +1,12 @@
 """What changed between two revisions of a plan, and whole plans on the wire."""
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from typing import TypeVar
 
 import msgspec
 
 from ..errors import InputError
-from ..types import Revision, ServerId, ServiceId
+from ..types import DataCentreId, Revision, ServerId, ServiceId
 from . import layout
 from .digest import Part, part_digest
 from .layout import Root, Shard
@@ -14,13 +14,15 @@
     DataCentre,
     Layer,
     Plan,
+    RemovedDataCentre,
+    RemovedService,
     Server,
     Service,
     ServiceLayers,
     Write,
     in_seat_order,
 )
-from .retention import forget_left
+from .retention import forget_gone
 
 __all__ = [
     "FullPlan",
@@ -31,7 +33,9 @@
     "merge",
 ]
 
-PartT = TypeVar("PartT", DataCentre, Service, Server)
+PartT = TypeVar("PartT", DataCentre, Service, Server, RemovedDataCentre, RemovedService)
+IdT = TypeVar("IdT", DataCentreId, ServiceId)
+ValueT = TypeVar("ValueT")
 
 
 class PlanDelta(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -51,6 +55,8 @@
         The writes that made the changes, as far as the giver keeps them.
     forgotten_at : Revision
         As in `Plan`.
+    removed_data_centres, removed_services : tuple
+        What was removed and is not in use again.
     """
 
     since: Revision
@@ -62,6 +68,8 @@
     layers: tuple[ServiceLayers, ...] = ()
     history: tuple[Write, ...] = ()
     forgotten_at: Revision = Revision(0)
+    removed_data_centres: tuple[RemovedDataCentre, ...] = ()
+    removed_services: tuple[RemovedService, ...] = ()
 
 
 class FullPlan(msgspec.Struct, frozen=True):
@@ -121,6 +129,8 @@
         ),
         history=_history_since(plan.history, since),
         forgotten_at=plan.forgotten_at,
+        removed_data_centres=_changed(plan.removed_data_centres.values(), since),
+        removed_services=_changed(plan.removed_services.values(), since),
     )
 
 
@@ -144,6 +154,10 @@
         ),
         history=_history_since(root.history, since),
         forgotten_at=root.forgotten_at,
+        removed_data_centres=_changed(root.removed_data_centres, since),
+        removed_services=_changed(
+            (p for shard in found for p in shard.removed_services), since
+        ),
     )
 
 
@@ -176,14 +190,14 @@
     merged = msgspec.structs.replace(
         plan,
         revision=delta.revision,
-        data_centres=plan.data_centres | {p.data_centre: p for p in delta.data_centres},
-        services=plan.services | {p.service: p for p in delta.services},
         servers=plan.servers | {p.server: p for p in delta.servers},
         layers=_merged_layers(plan, delta),
         digest=_merged_digest(plan, delta),
         history=_joined(plan.history, delta.history),
+        **_merged_data_centres(plan, delta),
+        **_merged_services(plan, delta),
     )
-    merged = forget_left(merged, delta.forgotten_at)
+    merged = forget_gone(merged, delta.forgotten_at)
     _carry_index(plan, merged, delta)
     if merged.digest != delta.digest:
         text = f"revision {delta.revision} does not follow from {plan.revision}"
@@ -191,6 +205,30 @@
     return merged
 
 
+def _merged_data_centres(plan: Plan, delta: PlanDelta) -> dict[str, object]:
+    """Return the fields about data centres: a name is in use or removed."""
+    used = {part.data_centre: part for part in delta.data_centres}
+    gone = {part.data_centre: part for part in delta.removed_data_centres}
+    return {
+        "data_centres": _without(plan.data_centres, gone) | used,
+        "removed_data_centres": _without(plan.removed_data_centres, used) | gone,
+    }
+
+
+def _merged_services(plan: Plan, delta: PlanDelta) -> dict[str, object]:
+    """Return the fields about services: a name is in use or removed."""
+    used = {part.service: part for part in delta.services}
+    gone = {part.service: part for part in delta.removed_services}
+    return {
+        "services": _without(plan.services, gone) | used,
+        "removed_services": _without(plan.removed_services, used) | gone,
+    }
+
+
+def _without(parts: dict[IdT, ValueT], names: Container[IdT]) -> dict[IdT, ValueT]:
+    return {name: part for name, part in parts.items() if name not in names}
+
+
 def _carry_index(plan: Plan, merged: Plan, delta: PlanDelta) -> None:
     """Derive the merged plan's index of servers from that of the plan before.
 
@@ -207,8 +245,12 @@
     for server in delta.servers:
         changed.setdefault(server.service, {})[server.server] = server
     for service, servers in changed.items():
+        if service not in merged.services:
+            continue
         kept = {server.server: server for server in index.get(service, ())}
         index[service] = in_seat_order((kept | servers).values())
+    for gone in delta.removed_services:
+        index.pop(gone.service, None)
     merged.__dict__["servers_by_service"] = index
 
 
@@ -223,6 +265,7 @@
 def _merged_layers(plan: Plan, delta: PlanDelta) -> dict[ServiceId, tuple[Layer, ...]]:
     """Return the layers: a changed service without layers in the delta has none."""
     changed = {part.service for part in delta.services}
+    changed |= {part.service for part in delta.removed_services}
     kept = {k: v for k, v in plan.layers.items() if k not in changed}
     return kept | {part.service: part.layers for part in delta.layers}
 
@@ -230,13 +273,21 @@
 def _merged_digest(plan: Plan, delta: PlanDelta) -> int:
     digest = plan.digest
     pairs: list[tuple[Part | None, Part]] = []
-    pairs += [(plan.data_centres.get(p.data_centre), p) for p in delta.data_centres]
-    pairs += [(plan.services.get(p.service), p) for p in delta.services]
-    pairs += [(plan.servers.get(p.server), p) for p in delta.servers]
-    for service in delta.services:
+    places: list[DataCentre | RemovedDataCentre] = [*delta.data_centres]
+    places += delta.removed_data_centres
+    for place in places:
+        name = place.data_centre
+        known = plan.data_centres.get(name) or plan.removed_data_centres.get(name)
+        pairs.append((known, place))
+    services: list[Service | RemovedService] = [*delta.services]
+    services += delta.removed_services
+    for service in services:
+        held = plan.services.get(service.service)
+        pairs.append((held or plan.removed_services.get(service.service), service))
         layers = plan.layers.get(service.service)
         if layers is not None:
             digest ^= part_digest(ServiceLayers(service.service, layers))
+    pairs += [(plan.servers.get(p.server), p) for p in delta.servers]
     pairs += [(None, part) for part in delta.layers]
     for old, new in pairs:
         if old is not None:
--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/digest.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/digest.py
@@ -5,11 +5,21 @@
 import msgspec
 import xxhash
 
-from .model import DataCentre, Plan, Server, Service, ServiceLayers
+from .model import (
+    DataCentre,
+    Plan,
+    RemovedDataCentre,
+    RemovedService,
+    Server,
+    Service,
+    ServiceLayers,
+)
 
 __all__ = ["Part", "content_digest", "part_digest", "parts"]
 
-Part = DataCentre | Service | Server | ServiceLayers
+Part = (
+    DataCentre | Service | Server | ServiceLayers | RemovedDataCentre | RemovedService
+)
 
 
 def part_digest(part: Part) -> int:
@@ -23,6 +33,8 @@
     yield from plan.data_centres.values()
     yield from plan.services.values()
     yield from plan.servers.values()
+    yield from plan.removed_data_centres.values()
+    yield from plan.removed_services.values()
     for service, layers in plan.layers.items():
         yield ServiceLayers(service, layers)
 
--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/draft.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/draft.py
@@ -14,9 +14,19 @@
 )
 from .digest import part_digest
 from .layers import next_layers
-from .model import DataCentre, Layer, Plan, Server, Service, ServiceLayers
+from .model import (
+    DataCentre,
+    Layer,
+    Plan,
+    RemovedDataCentre,
+    RemovedService,
+    Server,
+    Service,
+    ServiceLayers,
+)
 from .places import Places, changed_server, new_server
-from .retention import forget_left, forgotten_at
+from .removal import added_service, removed_data_centre, removed_service
+from .retention import forget_gone, forgotten_at
 from .sheet_line import (
     DataCentreLine,
     LineError,
@@ -29,7 +39,7 @@
 
 __all__ = ["Change", "LineResult", "Outcome", "apply_lines", "refused_result"]
 
-Statement = DataCentre | Service | Server
+Statement = DataCentre | Service | Server | RemovedDataCentre | RemovedService
 
 
 class Outcome(Enum):
@@ -88,8 +98,8 @@
 ) -> Change:
     """Return the plan that follows when the lines are applied.
 
-    Data centres come first, then services, servers that leave, and other servers,
-    whatever their order in the file: a sheet is a set of statements.
+    Data centres come first, then services, servers that leave, other servers, and
+    removals, whatever their order in the file: a sheet is a set of statements.
 
     Parameters
     ----------
@@ -129,9 +139,9 @@
 
 def _order(line: SheetLine) -> tuple[int, int]:
     if isinstance(line, DataCentreLine):
-        return 0, line.number
+        return (4 if line.is_removed else 0), line.number
     if isinstance(line, ServiceLine):
-        return 1, line.number
+        return (4 if line.is_removed else 1), line.number
     leaves = line.state in (ServerState.LEFT, ServerState.DRAINING)
     return (2 if leaves else 3), line.number
 
@@ -148,6 +158,8 @@
         self._data_centres = dict(plan.data_centres)
         self._services = dict(plan.services)
         self._servers = dict(plan.servers)
+        self._removed_data_centres = dict(plan.removed_data_centres)
+        self._removed_services = dict(plan.removed_services)
         self._places = Places(plan.servers.values())
 
     def apply(self, line: SheetLine) -> LineResult:
@@ -171,11 +183,13 @@
             data_centres=self._data_centres,
             services=self._services,
             servers=self._servers,
+            removed_data_centres=self._removed_data_centres,
+            removed_services=self._removed_services,
         )
         layers = next_layers(self._plan, changed, now_ms)
         self._stamp_layers(layers)
         changed = msgspec.structs.replace(changed, digest=self._digest, layers=layers)
-        return forget_left(changed, forgotten_at(changed))
+        return forget_gone(changed, forgotten_at(changed))
 
     def _stamp_layers(self, layers: dict[ServiceId, tuple[Layer, ...]]) -> None:
         """Let a service whose layers differ count as changed, so that deltas tell."""
@@ -186,7 +200,9 @@
             for found in (old.get(name), layers.get(name)):
                 if found is not None:
                     self._digest ^= part_digest(ServiceLayers(name, found))
-            known = self._services[name]
+            known = self._services.get(name)
+            if known is None:
+                continue
             stamped = msgspec.structs.replace(known, changed_at=self._revision)
             self._digest ^= part_digest(known) ^ part_digest(stamped)
             self._services[name] = stamped
@@ -199,7 +215,10 @@
         )
 
     def _check_race(self, known: Statement | None) -> None:
-        if known is None or known.changed_at == self._revision:
+        if known is None:
+            self._check_remembered()
+            return
+        if known.changed_at == self._revision:
             return
         if known.changed_at > self._base:
             raise LineError(
@@ -208,6 +227,15 @@
                 "which this sheet was applied to; look at it and apply again",
             )
 
+    def _check_remembered(self) -> None:
+        """Refuse to add what may have been removed after the base, and forgotten."""
+        if self._base < self._plan.forgotten_at:
+            raise LineError(
+                RefusalReason.RACE,
+                f"what left up to revision {self._plan.forgotten_at} is not known any "
+                f"more, and this sheet is of revision {self._base}; export it again",
+            )
+
     @singledispatchmethod
     def _wanted(self, line: SheetLine) -> tuple[Statement | None, Statement]:
         """Return the part that the plan has and the one that the line asks for."""
@@ -216,15 +244,22 @@
     @_wanted.register
     def _(self, line: DataCentreLine) -> tuple[Statement | None, Statement]:
         known = self._data_centres.get(line.name)
+        removed = self._removed_data_centres.get(line.name)
+        if line.is_removed:
+            return known or removed, removed_data_centre(known or removed, self._places)
         if known is None:
-            return None, DataCentre(line.name, line.state or DataCentreState.IN)
+            return removed, DataCentre(line.name, line.state or DataCentreState.IN)
         return known, msgspec.structs.replace(known, state=line.state or known.state)
 
     @_wanted.register
     def _(self, line: ServiceLine) -> tuple[Statement | None, Statement]:
         known = self._services.get(line.name)
+        removed = self._removed_services.get(line.name)
+        if line.is_removed:
+            found = known or removed
+            return found, removed_service(found, line, self._places)
         if known is None:
-            return None, Service(line.name, line.tenant)
+            return removed, added_service(removed, line)
         if known.tenant != line.tenant:
             reason = f"it belongs to {known.tenant!r}; give the service another name"
             raise LineError(RefusalReason.TENANT_FIXED, reason)
@@ -234,6 +269,9 @@
     def _(self, line: ServerLine) -> tuple[Statement | None, Statement]:
         known = self._servers.get(line.name)
         wanted = new_server(line) if known is None else changed_server(known, line)
+        if known == wanted and wanted.state is ServerState.LEFT:
+            # Its service or data centre may have been removed since.
+            return known, wanted
         if wanted.service not in self._services:
             reason = f"service {wanted.service!r} is in neither the sheet nor the plan"
             raise LineError(RefusalReason.UNKNOWN_SERVICE, reason)
@@ -254,13 +292,55 @@
             self.n_changed += 1
         if known is not None:
             self._digest ^= part_digest(known)
+            self._take_out(known)
         self._digest ^= part_digest(wanted)
-        if isinstance(wanted, DataCentre):
-            self._data_centres[wanted.data_centre] = wanted
-        elif isinstance(wanted, Service):
-            self._services[wanted.service] = wanted
-        else:
-            if isinstance(known, Server):
-                self._places.remove(known)
-            self._servers[wanted.server] = wanted
-            self._places.add(wanted)
+        self._put_in(wanted)
+
+    @singledispatchmethod
+    def _take_out(self, known: Statement) -> None:
+        raise NotImplementedError(type(known).__name__)
+
+    @_take_out.register
+    def _(self, known: DataCentre) -> None:
+        del self._data_centres[known.data_centre]
+
+    @_take_out.register
+    def _(self, known: RemovedDataCentre) -> None:
+        del self._removed_data_centres[known.data_centre]
+
+    @_take_out.register
+    def _(self, known: Service) -> None:
+        del self._services[known.service]
+
+    @_take_out.register
+    def _(self, known: RemovedService) -> None:
+        del self._removed_services[known.service]
+
+    @_take_out.register
+    def _(self, known: Server) -> None:
+        self._places.remove(known)
+
+    @singledispatchmethod
+    def _put_in(self, wanted: Statement) -> None:
+        raise NotImplementedError(type(wanted).__name__)
+
+    @_put_in.register
+    def _(self, wanted: DataCentre) -> None:
+        self._data_centres[wanted.data_centre] = wanted
+
+    @_put_in.register
+    def _(self, wanted: RemovedDataCentre) -> None:
+        self._removed_data_centres[wanted.data_centre] = wanted
+
+    @_put_in.register
+    def _(self, wanted: Service) -> None:
+        self._services[wanted.service] = wanted
+
+    @_put_in.register
+    def _(self, wanted: RemovedService) -> None:
+        self._removed_services[wanted.service] = wanted
+
+    @_put_in.register
+    def _(self, wanted: Server) -> None:
+        self._servers[wanted.server] = wanted
+        self._places.add(wanted)
--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/layout.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/layout.py
@@ -11,7 +11,17 @@
 from ..rendezvous import hash_key
 from ..types import Revision, ServiceId
 from .digest import content_digest
-from .model import DataCentre, Plan, Server, Service, ServiceLayers, Write, WriteId
+from .model import (
+    DataCentre,
+    Plan,
+    RemovedDataCentre,
+    RemovedService,
+    Server,
+    Service,
+    ServiceLayers,
+    Write,
+    WriteId,
+)
 from .store import Version
 
 __all__ = [
@@ -91,6 +101,8 @@
         As in `Plan`.
     garbage : tuple of Garbage
         Shards to delete.
+    removed_data_centres : tuple of RemovedDataCentre
+        As in `Plan`.
     """
 
     revision: Revision
@@ -101,6 +113,7 @@
     forgotten_at: Revision = Revision(0)
     garbage: tuple[Garbage, ...] = ()
     format: int = ROOT_FORMAT
+    removed_data_centres: tuple[RemovedDataCentre, ...] = ()
 
 
 class Shard(msgspec.Struct, frozen=True, array_like=True):
@@ -109,6 +122,7 @@
     services: tuple[Service, ...] = ()
     servers: tuple[Server, ...] = ()
     layers: tuple[ServiceLayers, ...] = ()
+    removed_services: tuple[RemovedService, ...] = ()
 
 
 class StoredShard(msgspec.Struct, frozen=True):
@@ -147,14 +161,27 @@
         services.setdefault(shard_index(service.service), []).append(service)
     for server in plan.servers.values():
         servers.setdefault(shard_index(server.service), []).append(server)
-    indices = sorted(services.keys() | servers.keys())
+    removed: dict[int, list[RemovedService]] = {}
+    for part in plan.removed_services.values():
+        removed.setdefault(shard_index(part.service), []).append(part)
+    indices = sorted(services.keys() | servers.keys() | removed.keys())
     return {
-        index: _shard(plan, services.get(index, []), servers.get(index, []))
+        index: _shard(
+            plan,
+            services.get(index, []),
+            servers.get(index, []),
+            removed.get(index, []),
+        )
         for index in indices
     }
 
 
-def _shard(plan: Plan, services: list[Service], servers: list[Server]) -> Shard:
+def _shard(
+    plan: Plan,
+    services: list[Service],
+    servers: list[Server],
+    removed: list[RemovedService],
+) -> Shard:
     services = sorted(services, key=lambda part: part.service)
     return Shard(
         tuple(services),
@@ -164,6 +191,7 @@
             for part in services
             if part.service in plan.layers
         ),
+        tuple(sorted(removed, key=lambda part: part.service)),
     )
 
 
@@ -188,6 +216,10 @@
         digest=root.digest,
         forgotten_at=root.forgotten_at,
         history=root.history,
+        removed_data_centres={p.data_centre: p for p in root.removed_data_centres},
+        removed_services={
+            part.service: part for shard in found for part in shard.removed_services
+        },
     )
     if content_digest(plan) != root.digest:
         text = f"the shards of revision {root.revision} don't belong to its root"
@@ -215,6 +247,7 @@
         history=plan.history,
         forgotten_at=plan.forgotten_at,
         garbage=tuple(garbage),
+        removed_data_centres=tuple(plan.removed_data_centres.values()),
     )
 
 
--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/model.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/model.py
@@ -21,6 +21,8 @@
     "DataCentre",
     "Layer",
     "Plan",
+    "RemovedDataCentre",
+    "RemovedService",
     "Seat",
     "Server",
     "Service",
@@ -60,6 +62,32 @@
     changed_at: Revision = Revision(0)
 
 
+class RemovedDataCentre(msgspec.Struct, frozen=True, array_like=True):
+    """A data centre that operators removed; kept so that a delta can tell of it."""
+
+    data_centre: DataCentreId
+    changed_at: Revision = Revision(0)
+
+
+class RemovedService(msgspec.Struct, frozen=True, array_like=True):
+    """A service that operators removed; kept so that a delta can tell of it.
+
+    Parameters
+    ----------
+    service : ServiceId
+        Its name.
+    tenant : TenantId
+        Whose it was: only the same tenant may use the name again while late packets
+        of old callers may still come.
+    changed_at : Revision
+        Revision that removed it.
+    """
+
+    service: ServiceId
+    tenant: TenantId
+    changed_at: Revision = Revision(0)
+
+
 class Server(msgspec.Struct, frozen=True, kw_only=True):
     """A backend server behind a service.
 
@@ -180,6 +208,9 @@
         Past memberships of each service, oldest first, as `next_layers` in
         `sapphirerail_core.plan.layers` computes them; the one in force is not
         among them.
+    removed_data_centres, removed_services
+        What was removed after `forgotten_at`, by id; a name that is in use again is
+        not among them.
     """
 
     revision: Revision = Revision(0)
@@ -190,6 +221,8 @@
     forgotten_at: Revision = Revision(0)
     history: tuple[Write, ...] = ()
     layers: dict[ServiceId, tuple[Layer, ...]] = {}
+    removed_data_centres: dict[DataCentreId, RemovedDataCentre] = {}
+    removed_services: dict[ServiceId, RemovedService] = {}
 
     @cached_property
     def servers_by_service(self) -> dict[ServiceId, tuple[Server, ...]]:
@@ -205,6 +238,12 @@
         known = self.data_centres.get(data_centre)
         return known is None or known.state is DataCentreState.OUT
 
+    def was_taken_out(self, data_centre: DataCentreId) -> bool:
+        """Return whether operators took it out, as opposed to never naming it."""
+        return self.is_out(data_centre) and (
+            data_centre in self.data_centres or data_centre in self.removed_data_centres
+        )
+
 
 def in_seat_order(servers: Iterable[Server]) -> tuple[Server, ...]:
     """Return the servers that have not left, in order of their seats."""
--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/places.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/places.py
@@ -1,10 +1,11 @@
 """What backend servers may be: their addresses, their seats, and their moves."""
 
+from collections import Counter
 from collections.abc import Iterable
 
 import msgspec
 
-from ..types import ServerId, ServerState, ServiceId
+from ..types import DataCentreId, ServerId, ServerState, ServiceId
 from .model import Server
 from .sheet_line import LineError, RefusalReason, ServerLine
 
@@ -24,6 +25,8 @@
         self._addresses: dict[str, ServerId] = {}
         self._seats: dict[ServiceId, dict[int, list[Server]]] = {}
         self._free_from: dict[ServiceId, int] = {}
+        self._n_in_service: Counter[ServiceId] = Counter()
+        self._n_in_data_centre: Counter[DataCentreId] = Counter()
         for server in servers:
             self.add(server)
 
@@ -34,6 +37,8 @@
         self._addresses[server.address] = server.server
         seats = self._seats.setdefault(server.service, {})
         seats.setdefault(server.seat, []).append(server)
+        self._n_in_service[server.service] += 1
+        self._n_in_data_centre[server.data_centre] += 1
 
     def remove(self, server: Server) -> None:
         """Forget a server, before it is added as changed."""
@@ -41,9 +46,19 @@
             return
         del self._addresses[server.address]
         self._seats[server.service][server.seat].remove(server)
+        self._n_in_service[server.service] -= 1
+        self._n_in_data_centre[server.data_centre] -= 1
         free_from = self._free_from.get(server.service, 0)
         self._free_from[server.service] = min(free_from, server.seat)
 
+    def n_of_service(self, service: ServiceId) -> int:
+        """Return how many servers of a service have not left."""
+        return self._n_in_service[service]
+
+    def n_in_data_centre(self, data_centre: DataCentreId) -> int:
+        """Return how many servers of a data centre have not left."""
+        return self._n_in_data_centre[data_centre]
+
     def placed(self, known: Server | None, seat: int | None, wanted: Server) -> Server:
         """Return a server with its seat.
 
--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/retention.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/retention.py
@@ -1,38 +1,64 @@
-"""How long a plan keeps backend servers that have left."""
+"""How long a plan keeps what has left or was removed."""
 
 import msgspec
 
 from ..types import Revision, ServerState
-from .digest import part_digest
+from .digest import Part, part_digest
 from .model import Plan
 
-__all__ = ["RETENTION_REVISIONS", "forget_left", "forgotten_at"]
+__all__ = ["RETENTION_REVISIONS", "forget_gone", "forgotten_at"]
 
 RETENTION_REVISIONS = 8000
-"""Revisions that a server which has left stays in the plan, so that a delta can tell
-of its leaving; two days of changes at 4,000 a day."""
+"""Revisions that what has left or was removed stays in the plan, so that a delta can
+tell of it; two days of changes at 4,000 a day."""
 
 
 def forgotten_at(plan: Plan) -> Revision:
-    """Return up to which revision the servers that left are dropped.
+    """Return up to which revision all that has gone is dropped.
 
-    It moves in steps of `RETENTION_REVISIONS`, so that the scan for them is rare.
+    It moves in steps of `RETENTION_REVISIONS`, so that the scan for it is rare.
     """
     if plan.revision - plan.forgotten_at <= 2 * RETENTION_REVISIONS:
         return plan.forgotten_at
     return Revision(plan.revision - RETENTION_REVISIONS)
 
 
-def forget_left(plan: Plan, up_to: Revision) -> Plan:
-    """Return the plan without the servers that left at a revision or before."""
+def forget_gone(plan: Plan, up_to: Revision) -> Plan:
+    """Return the plan without what left or was removed at a revision or before."""
     if up_to <= plan.forgotten_at:
         return plan
-    kept = dict(plan.servers)
+    servers = {
+        name: server
+        for name, server in plan.servers.items()
+        if server.state is not ServerState.LEFT or server.changed_at > up_to
+    }
+    data_centres = {
+        name: place
+        for name, place in plan.removed_data_centres.items()
+        if place.changed_at > up_to
+    }
+    services = {
+        name: service
+        for name, service in plan.removed_services.items()
+        if service.changed_at > up_to
+    }
+    dropped: list[Part] = [p for n, p in plan.servers.items() if n not in servers]
+    dropped += [
+        part
+        for name, part in plan.removed_data_centres.items()
+        if name not in data_centres
+    ]
+    dropped += [
+        part for name, part in plan.removed_services.items() if name not in services
+    ]
     digest = plan.digest
-    for name, server in plan.servers.items():
-        if server.state is ServerState.LEFT and server.changed_at <= up_to:
-            digest ^= part_digest(server)
-            del kept[name]
+    for part in dropped:
+        digest ^= part_digest(part)
     return msgspec.structs.replace(
-        plan, servers=kept, digest=digest, forgotten_at=up_to
+        plan,
+        servers=servers,
+        removed_data_centres=data_centres,
+        removed_services=services,
+        digest=digest,
+        forgotten_at=up_to,
     )
--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/sheet_field.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/sheet_field.py
@@ -29,6 +29,9 @@
 NAME_MAX_CHARACTERS = 64
 NUMBER_MAX = 1_000_000
 
+REMOVED = "removed"
+"""State of a service or a data centre that is to be removed from the plan."""
+
 StateT = TypeVar("StateT", bound=Enum)
 
 
@@ -69,19 +72,27 @@
         # An instance takes no other signs for the data centre that it stands in.
         reason = f"name {name!r} has signs besides letters, digits, '-', '_' and '.'"
         raise LineError(RefusalReason.BAD_NAME, reason)
+    if state == REMOVED:
+        return DataCentreLine(number=number, name=DataCentreId(name), is_removed=True)
     return DataCentreLine(
         number=number,
         name=DataCentreId(name),
-        state=_state(state, DataCentreState) if state else None,
+        state=_state(state, DataCentreState, REMOVED) if state else None,
     )
 
 
 def _parse_service(number: int, fields: dict[str, str]) -> SheetLine:
-    _check_unused(fields, ("kind", "name", "tenant"))
+    _check_unused(fields, ("kind", "name", "tenant", "state"))
+    is_removed = fields["state"] == REMOVED
+    if fields["state"] and not is_removed:
+        reason = f"a service has no state but {REMOVED!r}; leave it empty"
+        raise LineError(RefusalReason.UNUSED_FIELD, reason)
+    needs_tenant = not is_removed or bool(fields["tenant"])
     return ServiceLine(
         number=number,
         name=ServiceId(_name(fields, "name")),
-        tenant=TenantId(_name(fields, "tenant")),
+        tenant=TenantId(_name(fields, "tenant")) if needs_tenant else None,
+        is_removed=is_removed,
     )
 
 
@@ -134,11 +145,11 @@
     return _name(fields, column) if fields[column] else None
 
 
-def _state(text: str, kind: type[StateT]) -> StateT:
+def _state(text: str, kind: type[StateT], *others: str) -> StateT:
     try:
         return kind(text)
     except ValueError as error:
-        states = ", ".join(state.value for state in kind)
+        states = ", ".join((*(state.value for state in kind), *others))
         reason = f"state {text!r} is not one of {states}"
         raise LineError(RefusalReason.BAD_STATE, reason) from error
 
--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/sheet_line.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/sheet_line.py
@@ -69,6 +69,8 @@
     SERVER_IN_USE = "sheet.server_in_use"
     ADDRESS_TAKEN = "sheet.address_taken"
     SEAT_TAKEN = "sheet.seat_taken"
+    SERVICE_IN_USE = "sheet.service_in_use"
+    DATA_CENTRE_IN_USE = "sheet.data_centre_in_use"
     RACE = "sheet.race"
 
 
@@ -94,19 +96,21 @@
 
 
 class DataCentreLine(msgspec.Struct, frozen=True, kw_only=True):
-    """A data centre that is in service or taken out."""
+    """A data centre that is in service, taken out, or to be removed."""
 
     number: int
     name: DataCentreId
-    state: DataCentreState | None
+    state: DataCentreState | None = None
+    is_removed: bool = False
 
 
 class ServiceLine(msgspec.Struct, frozen=True, kw_only=True):
-    """A service of a tenant."""
+    """A service of a tenant; one that is to be removed needs no tenant."""
 
     number: int
     name: ServiceId
-    tenant: TenantId
+    tenant: TenantId | None = None
+    is_removed: bool = False
 
 
 class ServerLine(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/sapphirerail-core/tests/flow/test_director.py
+++ b/packages/sapphirerail-core/tests/flow/test_director.py
@@ -18,6 +18,7 @@
     change_data_centre,
     change_servers,
     first_plan,
+    remove_service,
 )
 
 I0, I3, I5 = InstanceId("i0"), InstanceId("i3"), InstanceId("i5")
@@ -120,6 +121,34 @@
     assert fleet.servers[left].n_received == before
 
 
+def test_flows_of_a_removed_service_end_and_reach_no_other_one(
+    fleet: FlowFleet,
+) -> None:
+    flows = open_flows(fleet, 60)
+    names = [name for name in first_plan().servers if name.startswith(BOOKINGS)]
+    left = change_servers(first_plan(), dict.fromkeys(names, ServerState.LEFT))
+    removed = remove_service(left, BOOKINGS)
+    # Some instances take both revisions at once, and one is late.
+    late = InstanceId("i0")
+    fleet.set_plan(left, [I3, I5])
+    fleet.set_plan(removed, [name for name in fleet.nodes if name != late])
+    n_before = fleet.nodes[I3].director.n_flows
+    assert n_before > 0
+    send_all(fleet, flows)
+    fleet.set_plan(removed, [late])
+    fleet.run(2_000)
+    send_all(fleet, flows, part=2)
+    assert fleet.n_misdirected == 0
+    assert n_reached(fleet, flows, part=2) == 0
+    for flow in flows:
+        resets = [r for r in fleet.received[BOOKINGS, flow] if r.kind is Kind.RESET]
+        codes = {reset.code for reset in resets}
+        # Who holds it tells of the loss; an instance that does not, of the service.
+        assert RefusalCode.FLOW_LOST in codes
+        assert codes <= {RefusalCode.FLOW_LOST, RefusalCode.UNKNOWN_SERVICE}
+    assert {node.director.n_flows for node in fleet.nodes.values()} == {0}
+
+
 def test_an_owner_becomes_the_way_back_when_the_instance_dies(
     fleet: FlowFleet,
 ) -> None:
--- a/packages/sapphirerail-core/tests/plan/test_sync_machine.py
+++ b/packages/sapphirerail-core/tests/plan/test_sync_machine.py
@@ -67,6 +67,18 @@
         line = f"data_centre,{name},,,,,{state}\n"
         self._write(_apply(self.plans[-1], HEADER + line))
 
+    @precondition(lambda self: self.network.store_up)
+    @rule(name=st.sampled_from(DATA_CENTRES))
+    def remove_data_centre(self, name):
+        line = f"data_centre,{name},,,,,removed\n"
+        self._write(_apply(self.plans[-1], HEADER + line))
+
+    @precondition(lambda self: self.network.store_up)
+    @rule(removed=st.booleans())
+    def remove_or_add_service(self, removed):
+        line = f"service,s2,,t,,,{'removed' if removed else ''}\n"
+        self._write(_apply(self.plans[-1], HEADER + line))
+
     @rule(up=st.booleans())
     def switch_store(self, up):
         self.network.store_up = up
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/flow_plans.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/flow_plans.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from sapphirerail_core.plan import DataCentre, Plan, Server, Service, next_layers
+from sapphirerail_core.plan.model import RemovedService
 from sapphirerail_core.types import (
     DataCentreId,
     DataCentreState,
@@ -24,6 +25,7 @@
     "change_servers",
     "first_plan",
     "new_server",
+    "remove_service",
     "replace_server",
 ]
 
@@ -104,6 +106,19 @@
     return _next(plan, data_centres, plan.servers, now_ms)
 
 
+def remove_service(plan: Plan, name: ServiceId) -> Plan:
+    """Return the next plan, without a service whose servers have left."""
+    revision = Revision(plan.revision + 1)
+    removed = RemovedService(name, plan.services[name].tenant, revision)
+    return msgspec.structs.replace(
+        plan,
+        revision=revision,
+        services={key: part for key, part in plan.services.items() if key != name},
+        layers={key: part for key, part in plan.layers.items() if key != name},
+        removed_services=plan.removed_services | {name: removed},
+    )
+
+
 def _next(
     plan: Plan,
     data_centres: dict[DataCentreId, DataCentre],
