Collect shards of writers that died with an outdated root

Cause: shard generations only grew. A writer with an old base could take a generation that others had used and collected already, and die before the root: no later writer tried that name again, and keys of the platform can't be listed.

Generations now go round after 16, so that a later writer of the shard meets the orphan and lists it as garbage, and each write looks at one of the 1,024 keys. Only a root that took effect has its garbage deleted, by version; by then the orphan's writer can't put its own root through any more, so that no clock or age is needed.

Conclusion: the store holds at most 1,024 shard keys, whatever dies.

--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/layout.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/layout.py
@@ -26,6 +26,7 @@
 
 __all__ = [
     "HISTORY_LENGTH",
+    "N_GENERATIONS",
     "N_SHARDS",
     "ROOT_KEY",
     "Garbage",
@@ -50,6 +51,8 @@
 ROOT_KEY = "plan-root"
 ROOT_FORMAT = 1
 N_SHARDS = 64
+N_GENERATIONS = 16
+"""Keys that a shard can lie at: one that nobody names is found by trying them all."""
 HISTORY_LENGTH = 32
 COMPRESSION_LEVEL = 6
 
@@ -60,7 +63,7 @@
     Parameters
     ----------
     generation : int
-        Part of the key; never used by two writes that both took effect.
+        Part of the key: 1 to `N_GENERATIONS`, round after round.
     version : Version
         Version of the key, for its deletion.
     checksum : int
--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/shard_writer.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/shard_writer.py
@@ -1,5 +1,8 @@
 """Writing the shards of one attempt, and collecting those that it replaces."""
 
+from collections.abc import Iterator
+
+from ..types import Revision
 from . import layout
 from .layout import Garbage, Shard, ShardRef
 from .model import Plan, Write
@@ -16,15 +19,15 @@
 
 __all__ = ["ShardWriter"]
 
-MAX_GENERATIONS = 8
-
 
 class ShardWriter:
     """Writes the shards for one try to replace the root.
 
-    A shard's key holds a generation above that of the base. A generation that
-    another writer took already is left, and becomes garbage once this write wins, so
-    that the shards of a writer that died are found by their names.
+    A shard's key holds the generation after that of the base. A generation that
+    another writer took already is left, and becomes garbage once this write wins: by
+    then no root can name it any more. Generations start again after the last one, so
+    that a shard which a writer left behind is met again, and each write looks at one
+    key more.
 
     Parameters
     ----------
@@ -46,7 +49,7 @@
         self._base = base
         self._write = write
         self._written: dict[int, ShardRef] = {}
-        self._garbage: list[Garbage] = []
+        self._garbage: dict[str, Garbage] = {}
 
     async def write(self, plan: Plan) -> dict[int, ShardRef]:
         """Write the shards that differ from the base and return where all lie."""
@@ -61,12 +64,13 @@
                 refs[index] = await self._write_shard(index, shard)
         for index, ref in self._base.shards.items():
             if refs.get(index) != ref:
-                self._garbage.append(_garbage(index, ref))
+                self._list(_garbage(index, ref))
+        await self._probe(refs)
         return refs
 
     def garbage(self) -> tuple[Garbage, ...]:
         """Return what nobody needs any more once the root is written."""
-        return tuple(self._garbage)
+        return tuple(self._garbage.values())
 
     async def discard(self) -> None:
         """Delete the shards of a root that was certainly not written."""
@@ -77,8 +81,7 @@
         packed = layout.pack(shard)
         value = layout.encode_shard(self._write.write_id, packed)
         known = self._base.shards.get(index)
-        first = 1 if known is None else known.generation + 1
-        for generation in range(first, first + MAX_GENERATIONS):
+        for generation in _generations_after(known):
             key = layout.shard_key(index, generation)
             version = await self._create(key, value)
             if version is None:
@@ -111,15 +114,37 @@
             return None
         if found.value == value:
             return found.version
-        self._garbage.append(Garbage(key, found.version))
+        self._list(Garbage(key, found.version))
         return None
 
+    async def _probe(self, refs: dict[int, ShardRef]) -> None:
+        """Look for a shard that nobody names at one key, another one each time.
+
+        A writer whose base is this one or an older one may still be about to name
+        it. Its root and this write's can't both take effect, and only a root that
+        took effect has its garbage deleted.
+        """
+        index, generation = _probed(self._write.revision)
+        named = (refs.get(index), self._base.shards.get(index))
+        if any(ref is not None and ref.generation == generation for ref in named):
+            return
+        key = layout.shard_key(index, generation)
+        try:
+            found = await self._store.get(key)
+        except StoreError:
+            return
+        if found is not None:
+            self._list(Garbage(key, found.version))
+
+    def _list(self, garbage: Garbage) -> None:
+        self._garbage[garbage.key] = garbage
+
     async def _clear(self) -> None:
         """Delete what the base's root lists; what stays is listed again."""
         listed = () if self._base.root is None else self._base.root.garbage
         for garbage in listed:
             if not await self._delete(garbage):
-                self._garbage.append(garbage)
+                self._list(garbage)
 
     async def _delete(self, garbage: Garbage) -> bool:
         """Return whether a key needs no further deletion."""
@@ -132,5 +157,21 @@
         return True
 
 
+def _generations_after(known: ShardRef | None) -> Iterator[int]:
+    """Yield the generations that a shard may take, the next one first."""
+    last = 0 if known is None else known.generation
+    for step in range(1, layout.N_GENERATIONS + 1):
+        generation = (last + step - 1) % layout.N_GENERATIONS + 1
+        if generation != last:
+            yield generation
+
+
+def _probed(revision: Revision) -> tuple[int, int]:
+    """Return the shard and the generation that a write looks at."""
+    number = revision % (layout.N_SHARDS * layout.N_GENERATIONS)
+    index, step = divmod(number, layout.N_GENERATIONS)
+    return index, step + 1
+
+
 def _garbage(index: int, ref: ShardRef) -> Garbage:
     return Garbage(layout.shard_key(index, ref.generation), ref.version)
