Notice a sheet that was cut between two lines

Cause: a sheet that ended exactly between two lines was taken as whole; what stood after the cut was not done, and nobody was told.

A sheet may end with a line 'end,NUMBER' of its lines. A file where it does not fit is refused as a whole. 'sheet diff' names servers in force that the sheet leaves out. Planners who never write the line are never refused.

Before: a cut at any of the line ends of a 14-line sheet was accepted.

Conclusion: the gap is closed for planners who write one line more, and costs the others nothing.

--- a/bench/plan.py
+++ b/bench/plan.py
@@ -9,12 +9,20 @@
 
 import msgspec
 
+from sapphirerail_core.errors import InputError
 from sapphirerail_core.plan import EMPTY_PLAN, Plan, layout
 from sapphirerail_core.plan.delta import FullPlan, PlanDelta, delta_since, merge
 from sapphirerail_core.plan.draft import Change, apply_lines
 from sapphirerail_core.plan.model import Write, WriteId
 from sapphirerail_core.plan.repository import PlanRepository
 from sapphirerail_core.plan.retention import forget_gone
+from sapphirerail_core.plan.sheet import parse_sheet
+from sapphirerail_core.plan.sheet_guard import (
+    SheetGuardError,
+    check_whole,
+    not_named,
+    record_of,
+)
 from sapphirerail_core.plan.sheet_line import (
     DataCentreLine,
     ServerLine,
@@ -62,6 +70,7 @@
 MEAN_JITTER = 0.875
 N_WRITES = 50
 N_REMOVED = 1000
+N_CUT_LINES = 100
 CHANGE_MS = 5000
 N_CHANGES_PER_S = 4000 / 86_400
 WORST = NetworkConfig(loss=0.05, silent_watches=True)
@@ -79,6 +88,7 @@
     yield from _burst()
     yield from _target_plan()
     yield from _removal()
+    yield from _sheet()
 
 
 def _today() -> Iterator[Figure]:
@@ -333,6 +343,53 @@
         yield Figure(f"plan_in_store_{name}_target", n_bytes, "byte")
 
 
+def _sheet() -> Iterator[Figure]:
+    """Yield the time to read and compare the target's sheet, and cuts not noticed."""
+    payload = _sheet_text(10_000, 28_000)
+    sheet = parse_sheet(payload)
+    plan = apply_lines(EMPTY_PLAN, sheet.lines, Revision(0), 0).plan
+    plain = len(layout.encode_root(layout.root_of(plan, {}, ())))
+    plan = msgspec.structs.replace(plan, sheet=record_of(sheet, plan.revision))
+    recorded = len(layout.encode_root(layout.root_of(plan, {}, ())))
+    yield Figure("sheet_record_in_root", recorded - plain, "byte")
+    began_s = time.perf_counter()
+    check_whole(plan, parse_sheet(payload))
+    n_missing = len(not_named(plan, sheet))
+    spent_s = time.perf_counter() - began_s
+    assert n_missing == 0
+    yield Figure.at_most("sheet_check_time_target", spent_s, "s", IN_FORCE_S)
+    small = _sheet_text(N_CUT_LINES, N_CUT_LINES)
+    rows = small.splitlines(keepends=True)
+    plan = msgspec.structs.replace(
+        plan, sheet=record_of(parse_sheet(small), plan.revision)
+    )
+    n_unnoticed = sum(
+        not _is_noticed(plan, b"".join(rows[:n_rows])) for n_rows in range(len(rows))
+    )
+    yield Figure.at_most("sheet_cuts_unnoticed", n_unnoticed, "1", 0)
+
+
+def _is_noticed(plan: Plan, payload: bytes) -> bool:
+    try:
+        check_whole(plan, parse_sheet(payload))
+    except (InputError, SheetGuardError):
+        return True
+    return False
+
+
+def _sheet_text(n_services: int, n_servers: int) -> bytes:
+    """Return the sheet of a plan, with its end line."""
+    rows = [f"data_centre,{name},,,,,in" for name in DATA_CENTRES]
+    rows += [f"service,address-{n},,tenant-{n % 900},,," for n in range(n_services)]
+    rows += [
+        f"server,server-{n},address-{n % n_services},,{DATA_CENTRES[n % 7]},"
+        f"10.{n >> 16}.{n >> 8 & 255}.{n & 255}:9000,active"
+        for n in range(n_servers)
+    ]
+    head = "kind,name,service,tenant,data_centre,address,state"
+    return "\n".join((head, *rows, f"end,{len(rows)},,,,,", "")).encode()
+
+
 def _packed_target() -> tuple[tuple[str, ...], layout.Root]:
     plan = _applied(EMPTY_PLAN, _lines(10_000, 28_000))
     texts = tuple(layout.pack(shard) for shard in layout.split(plan).values())
--- a/packages/sapphirerail-cli/src/sapphirerail_cli/operator.py
+++ b/packages/sapphirerail-cli/src/sapphirerail_cli/operator.py
@@ -16,6 +16,12 @@
 )
 from sapphirerail_core.plan.model import Write, WriteId
 from sapphirerail_core.plan.repository import PlanRepository
+from sapphirerail_core.plan.sheet_guard import (
+    SheetGuardError,
+    check_whole,
+    not_named,
+    record_of,
+)
 from sapphirerail_core.plan.sheet_line import (
     DataCentreLine,
     Refusal,
@@ -25,7 +31,7 @@
     SheetLine,
 )
 from sapphirerail_core.plan.store import Store
-from sapphirerail_core.types import Revision
+from sapphirerail_core.types import Revision, ServerId
 
 __all__ = ["ApplyOptions", "Operator", "SheetReport"]
 
@@ -40,10 +46,13 @@
         are refused. None takes the revision at the start of the call.
     all_or_nothing : bool
         Apply nothing if any line is refused.
+    partial : bool
+        The sheet is a part of one: it is not compared with the last one.
     """
 
     base: Revision | None = None
     all_or_nothing: bool = False
+    partial: bool = False
 
 
 class SheetReport(msgspec.Struct, frozen=True, kw_only=True):
@@ -65,6 +74,10 @@
         Writes of others that came first, while this one was on its way.
     lines : tuple of LineResult
         The answer for each line.
+    not_named : tuple of ServerId
+        Servers that have not left and that the sheet does not name; `diff` only.
+    doubt : str
+        Why `apply` would take the sheet for a part of one; `diff` only.
     """
 
     revision: Revision
@@ -76,6 +89,8 @@
     n_refused: int
     others: tuple[Write, ...]
     lines: tuple[LineResult, ...]
+    not_named: tuple[ServerId, ...] = ()
+    doubt: str = ""
 
 
 class Operator:
@@ -97,7 +112,12 @@
         """Return what `apply` would answer now, and change nothing."""
         plan = (await self._repository.read()).plan
         change = _decide(plan, sheet.lines, options, plan.revision)
-        return _report(sheet, change, (), WriteId(""))
+        report = _report(sheet, change, (), WriteId(""))
+        return msgspec.structs.replace(
+            report,
+            not_named=not_named(plan, sheet),
+            doubt="" if options.partial else _doubt(plan, sheet),
+        )
 
     async def change(self, line: SheetLine) -> SheetReport:
         """Apply one line about something that the plan has already.
@@ -109,8 +129,9 @@
         if not _is_known(plan, line):
             reason = "the plan has none of this name; a sheet can add it"
             refusal = Refusal(line.number, line.name, RefusalReason.UNKNOWN, reason)
-            return await self.apply(Sheet((), (refusal,), ""), ApplyOptions())
-        options = ApplyOptions(base=plan.revision)
+            options = ApplyOptions(partial=True)
+            return await self.apply(Sheet((), (refusal,), ""), options)
+        options = ApplyOptions(base=plan.revision, partial=True)
         return await self.apply(Sheet((line,), (), ""), options)
 
     async def history(self) -> tuple[Write, ...]:
@@ -128,15 +149,19 @@
         ------
         PlanWriteError
             Nothing was written, or the outcome is not known.
+        SheetGuardError
+            The sheet may be cut; nothing was written.
         """
         first: list[Revision] = []
 
         def decide(plan: Plan) -> Change:
             first.append(plan.revision)
+            if not options.partial:
+                check_whole(plan, sheet)
             change = _decide(plan, sheet.lines, options, first[0])
             if options.all_or_nothing and _n_refused(sheet, change):
                 return Change(plan, change.results, 0)
-            return change
+            return _recorded(sheet, change) if not options.partial else change
 
         write = Write(
             revision=Revision(0),
@@ -153,6 +178,23 @@
         return _report(sheet, committed.change, committed.others, write_id)
 
 
+def _recorded(sheet: Sheet, change: Change) -> Change:
+    """Let the plan remember the size of a sheet that states it."""
+    if not sheet.is_ended or change.n_changed == 0:
+        return change
+    record = record_of(sheet, change.plan.revision)
+    plan = msgspec.structs.replace(change.plan, sheet=record)
+    return msgspec.structs.replace(change, plan=plan)
+
+
+def _doubt(plan: Plan, sheet: Sheet) -> str:
+    try:
+        check_whole(plan, sheet)
+    except SheetGuardError as error:
+        return str(error)
+    return ""
+
+
 def _is_known(plan: Plan, line: SheetLine) -> bool:
     if not isinstance(line, ServerLine) and line.is_removed:
         # Removing something twice changes nothing; the draft refuses other names.
--- a/packages/sapphirerail-cli/src/sapphirerail_cli/render.py
+++ b/packages/sapphirerail-cli/src/sapphirerail_cli/render.py
@@ -42,6 +42,8 @@
         for refusal in sheet.refusals
     ]
     texts.append(f"{len(sheet.lines)} usable, {len(sheet.refusals)} refused")
+    if not sheet.is_ended:
+        texts.append("no end line: lines missing at the end can't be noticed")
     return "\n".join(texts)
 
 
@@ -50,6 +52,13 @@
     texts = [_line(line) for line in report.lines]
     texts = [text for text in texts if text]
     texts += [f"came first: {_write(write)}" for write in report.others]
+    if report.not_named:
+        texts.append(
+            f"{len(report.not_named)} not named by the sheet, and left as they are: "
+            f"{_names(report.not_named)}"
+        )
+    if report.doubt:
+        texts.append(f"apply would refuse the sheet: {report.doubt}")
     texts.append(
         f"{report.n_changed} changed, {report.n_unchanged} unchanged, "
         f"{report.n_refused} refused; plan at revision {report.revision}"
--- a/packages/sapphirerail-cli/src/sapphirerail_cli/sheet_commands.py
+++ b/packages/sapphirerail-cli/src/sapphirerail_cli/sheet_commands.py
@@ -46,6 +46,10 @@
     bool,
     typer.Option("--all-or-nothing", help="Write nothing if any line is refused."),
 ]
+PartialOption = Annotated[
+    bool,
+    typer.Option("--partial", help="A part of a sheet: don't ask whether it is whole."),
+]
 
 
 @command.command()
@@ -62,14 +66,17 @@
     file: SheetFile,
     platform: PlatformOption = "",
     base: BaseOption = None,
+    partial: PartialOption = False,
     json: JsonOption = False,
 ) -> None:
     """Tell what applying a sheet would change now; writes nothing."""
     sheet = _read_sheet(file)
     found = facades(platform)
-    options = ApplyOptions(base=_revision(base))
+    options = ApplyOptions(base=_revision(base), partial=partial)
     report = run(lambda: found.plan.diff(sheet, options))
     typer.echo(render.as_json(report) if json else render.sheet_report(report))
+    if report.doubt:
+        raise typer.Exit(ExitCode.NOTHING_APPLIED)
     if report.n_refused:
         raise typer.Exit(ExitCode.LINES_REFUSED)
 
@@ -81,13 +88,16 @@
     operator: OperatorOption = "",
     base: BaseOption = None,
     all_or_nothing: AllOption = False,
+    partial: PartialOption = False,
     wait_s: WaitOption = DEFAULT_WAIT_S,
     json: JsonOption = False,
 ) -> None:
     """Write the lines of a sheet into the plan, in one revision."""
     sheet = _read_sheet(file)
     found = facades(platform, operator)
-    options = ApplyOptions(base=_revision(base), all_or_nothing=all_or_nothing)
+    options = ApplyOptions(
+        base=_revision(base), all_or_nothing=all_or_nothing, partial=partial
+    )
 
     async def work() -> SheetReport:
         await check_store_not_behind(found)
--- a/packages/sapphirerail-cli/tests/test_sheet_commands.py
+++ b/packages/sapphirerail-cli/tests/test_sheet_commands.py
@@ -139,3 +139,42 @@
         assert [write.revision for write in (await world.plan()).history] == [1]
 
     play(scenario, n_instances=0)
+
+
+def test_sheet_that_may_be_cut_is_refused_once_one_had_an_end_line(play):
+    async def scenario(world):
+        n_lines = world.sheet.count("\n") - 1
+        whole = world.sheet + f"end,{n_lines},,,,,\n"
+        result = await world.run("sheet", "apply", "FILE", sheet=whole)
+        assert result.exit_code == ExitCode.OK
+        cut = world.header + "server,b1,,,,,draining\n"
+        for arguments, text in (
+            (("sheet", "apply", "FILE"), "sheet.end_missing"),
+            (("sheet", "diff", "FILE"), "apply would refuse the sheet: sheet.end_miss"),
+        ):
+            result = await world.run(*arguments, sheet=cut)
+            assert result.exit_code == ExitCode.NOTHING_APPLIED
+            assert text in result.output
+        assert (await world.plan()).revision == 1
+        # Single commands and parts that are named as such are not compared.
+        assert (await world.run("server", "drain", "b1")).exit_code == ExitCode.OK
+        part = world.header + "server,b1,,,,,active\n"
+        result = await world.run("sheet", "apply", "FILE", "--partial", sheet=part)
+        assert result.exit_code == ExitCode.OK
+        plan = await world.plan()
+        assert (plan.revision, plan.sheet.revision) == (3, 1)
+        result = await world.run("sheet", "apply", "FILE", sheet=whole)
+        assert result.exit_code == ExitCode.OK
+
+    play(scenario)
+
+
+def test_diff_names_the_servers_that_a_sheet_leaves_out(play):
+    async def scenario(world):
+        await world.run("sheet", "apply", "FILE", sheet=world.sheet)
+        sheet = world.header + "data_centre,Osu,,,,,in\n"
+        result = await world.run("sheet", "diff", "FILE", sheet=sheet)
+        assert result.exit_code == ExitCode.OK
+        assert "1 not named by the sheet, and left as they are: b1" in result.stdout
+
+    play(scenario, n_instances=0)
--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/delta.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/delta.py
@@ -19,6 +19,7 @@
     Server,
     Service,
     ServiceLayers,
+    SheetRecord,
     Write,
     in_seat_order,
 )
@@ -57,6 +58,8 @@
         As in `Plan`.
     removed_data_centres, removed_services : tuple
         What was removed and is not in use again.
+    sheet : SheetRecord or None
+        As in `Plan`, if the sheet came after the older end.
     """
 
     since: Revision
@@ -70,6 +73,7 @@
     forgotten_at: Revision = Revision(0)
     removed_data_centres: tuple[RemovedDataCentre, ...] = ()
     removed_services: tuple[RemovedService, ...] = ()
+    sheet: SheetRecord | None = None
 
 
 class FullPlan(msgspec.Struct, frozen=True):
@@ -131,6 +135,7 @@
         forgotten_at=plan.forgotten_at,
         removed_data_centres=_changed(plan.removed_data_centres.values(), since),
         removed_services=_changed(plan.removed_services.values(), since),
+        sheet=_sheet_since(plan.sheet, since),
     )
 
 
@@ -158,6 +163,7 @@
         removed_services=_changed(
             (p for shard in found for p in shard.removed_services), since
         ),
+        sheet=_sheet_since(root.sheet, since),
     )
 
 
@@ -194,6 +200,7 @@
         layers=_merged_layers(plan, delta),
         digest=_merged_digest(plan, delta),
         history=_joined(plan.history, delta.history),
+        sheet=delta.sheet or plan.sheet,
         **_merged_data_centres(plan, delta),
         **_merged_services(plan, delta),
     )
@@ -262,6 +269,10 @@
     return tuple(write for write in history if write.revision > since)
 
 
+def _sheet_since(sheet: SheetRecord | None, since: Revision) -> SheetRecord | None:
+    return sheet if sheet is not None and sheet.revision > since else None
+
+
 def _merged_layers(plan: Plan, delta: PlanDelta) -> dict[ServiceId, tuple[Layer, ...]]:
     """Return the layers: a changed service without layers in the delta has none."""
     changed = {part.service for part in delta.services}
--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/layout.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/layout.py
@@ -19,6 +19,7 @@
     Server,
     Service,
     ServiceLayers,
+    SheetRecord,
     Write,
     WriteId,
 )
@@ -106,6 +107,8 @@
         Shards to delete.
     removed_data_centres : tuple of RemovedDataCentre
         As in `Plan`.
+    sheet : SheetRecord or None
+        As in `Plan`.
     """
 
     revision: Revision
@@ -117,6 +120,7 @@
     garbage: tuple[Garbage, ...] = ()
     format: int = ROOT_FORMAT
     removed_data_centres: tuple[RemovedDataCentre, ...] = ()
+    sheet: SheetRecord | None = None
 
 
 class Shard(msgspec.Struct, frozen=True, array_like=True):
@@ -223,6 +227,7 @@
         removed_services={
             part.service: part for shard in found for part in shard.removed_services
         },
+        sheet=root.sheet,
     )
     if content_digest(plan) != root.digest:
         text = f"the shards of revision {root.revision} don't belong to its root"
@@ -251,6 +256,7 @@
         forgotten_at=plan.forgotten_at,
         garbage=tuple(garbage),
         removed_data_centres=tuple(plan.removed_data_centres.values()),
+        sheet=plan.sheet,
     )
 
 
--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/model.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/model.py
@@ -27,6 +27,7 @@
     "Server",
     "Service",
     "ServiceLayers",
+    "SheetRecord",
     "Write",
     "WriteId",
     "in_seat_order",
@@ -152,6 +153,24 @@
     n_changed: int = 0
 
 
+class SheetRecord(msgspec.Struct, frozen=True, array_like=True):
+    """The last sheet that stated its number of lines.
+
+    Parameters
+    ----------
+    revision : Revision
+        The revision that it made.
+    n_lines : int
+        Its lines without the header and the one that states their number.
+    n_servers : int
+        Servers that it named.
+    """
+
+    revision: Revision
+    n_lines: int
+    n_servers: int
+
+
 class Seat(msgspec.Struct, frozen=True, array_like=True):
     """A hash position of a service and the server that held it."""
 
@@ -211,6 +230,8 @@
     removed_data_centres, removed_services
         What was removed after `forgotten_at`, by id; a name that is in use again is
         not among them.
+    sheet : SheetRecord or None
+        The last sheet that stated its size; the next one is compared with it.
     """
 
     revision: Revision = Revision(0)
@@ -223,6 +244,7 @@
     layers: dict[ServiceId, tuple[Layer, ...]] = {}
     removed_data_centres: dict[DataCentreId, RemovedDataCentre] = {}
     removed_services: dict[ServiceId, RemovedService] = {}
+    sheet: SheetRecord | None = None
 
     @cached_property
     def servers_by_service(self) -> dict[ServiceId, tuple[Server, ...]]:
--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/sheet.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/sheet.py
@@ -20,6 +20,8 @@
 __all__ = ["SHEET_MAX_BYTES", "parse_sheet"]
 
 SHEET_MAX_BYTES = 64 * 1024 * 1024
+END_KIND = "end"
+END_MAX_DIGITS = 9
 
 
 def parse_sheet(payload: bytes) -> Sheet:
@@ -41,8 +43,9 @@
     Raises
     ------
     InputError
-        ``sheet.empty``, ``sheet.too_large``, ``sheet.not_utf8`` or
-        ``sheet.bad_header``: nothing of the file can be used.
+        ``sheet.empty``, ``sheet.too_large``, ``sheet.not_utf8``,
+        ``sheet.bad_header``, ``sheet.bad_end`` or ``sheet.cut``: nothing of the file
+        can be used.
 
     Examples
     --------
@@ -57,8 +60,13 @@
         reader.read(number, row.removesuffix("\r"))
     if rows[-1]:
         reader.refuse_cut(len(rows), rows[-1])
-    digest = hashlib.sha256(payload).hexdigest()
-    return Sheet(reader.lines(), reader.refusals(), digest)
+    return Sheet(
+        lines=reader.lines(),
+        refusals=reader.refusals(),
+        digest=hashlib.sha256(payload).hexdigest(),
+        n_lines=reader.n_lines,
+        is_ended=reader.check_end(),
+    )
 
 
 def _decode(payload: bytes) -> str:
@@ -94,6 +102,8 @@
     """Collects the lines of one sheet."""
 
     def __init__(self, columns: list[str]) -> None:
+        self.n_lines = 0
+        self._n_stated: int | None = None
         self._columns = columns
         self._by_key: dict[tuple[type, str], list[SheetLine]] = {}
         self._refusals: list[Refusal] = []
@@ -102,14 +112,22 @@
         """Take one line of the file."""
         if not row.strip():
             return
+        if self._n_stated is not None:
+            text = f"line {number} follows the end line; export the sheet again"
+            raise InputError("sheet.bad_end", text)
         name = ""
         try:
             fields = self._fields(row)
             name = fields["name"]
+            if fields["kind"] == END_KIND:
+                self._n_stated = _n_stated(number, name)
+                return
             line = parse_line(number, fields)
         except LineError as error:
             self._refusals.append(Refusal(number, name, error.code, error.reason))
+            self.n_lines += 1
             return
+        self.n_lines += 1
         self._by_key.setdefault((type(line), line.name), []).append(line)
 
     def refuse_cut(self, number: int, row: str) -> None:
@@ -117,6 +135,18 @@
         reason = "the file ends inside this line; end it with a line break"
         self._refusals.append(Refusal(number, row[:80], RefusalReason.CUT, reason))
 
+    def check_end(self) -> bool:
+        """Return whether the file states its number of lines, and it is right."""
+        if self._n_stated is None:
+            return False
+        if self._n_stated != self.n_lines:
+            text = (
+                f"the end line states {self._n_stated} lines, the file holds "
+                f"{self.n_lines}; export it again"
+            )
+            raise InputError("sheet.cut", text)
+        return True
+
     def lines(self) -> tuple[SheetLine, ...]:
         """Return the accepted lines; repeated equal lines stay."""
         found: list[SheetLine] = []
@@ -147,6 +177,13 @@
         return dict.fromkeys(COLUMNS, "") | dict(zip(self._columns, texts, strict=True))
 
 
+def _n_stated(number: int, text: str) -> int:
+    if not (text.isascii() and text.isdigit() and len(text) <= END_MAX_DIGITS):
+        reason = f"line {number}: the name of the end line is the number of lines"
+        raise InputError("sheet.bad_end", reason)
+    return int(text)
+
+
 def _all_equal(lines: list[SheetLine]) -> bool:
     first = lines[0]
     return all(
--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/sheet_line.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/sheet_line.py
@@ -141,11 +141,22 @@
         All others, in the order of the file.
     digest : str
         SHA-256 of the file's bytes, in hexadecimal.
+    n_lines : int
+        Lines besides the header, empty ones, and the one that states their number.
+    is_ended : bool
+        Whether the file ends with a line that states their number.
     """
 
     lines: tuple[SheetLine, ...]
     refusals: tuple[Refusal, ...]
     digest: str
+    n_lines: int = 0
+    is_ended: bool = False
+
+    @property
+    def n_servers(self) -> int:
+        """Number of servers that the lines name."""
+        return len({part.name for part in self.lines if isinstance(part, ServerLine)})
 
 
 class LineError(Exception):
--- /dev/null
+++ b/packages/sapphirerail-core/tests/plan/test_sheet_guard.py
@@ -0,0 +1,117 @@
+"""Sheets that lost lines at their end."""
+
+import msgspec
+import pytest
+
+from sapphirerail_core.errors import InputError
+from sapphirerail_core.plan import EMPTY_PLAN
+from sapphirerail_core.plan.delta import delta_since, merge
+from sapphirerail_core.plan.draft import apply_lines
+from sapphirerail_core.plan.layout import assemble, decode_root, encode_root, root_of
+from sapphirerail_core.plan.layout import split as split_plan
+from sapphirerail_core.plan.sheet import parse_sheet
+from sapphirerail_core.plan.sheet_guard import (
+    SheetGuardError,
+    check_whole,
+    not_named,
+    record_of,
+)
+
+HEADER = "kind,name,service,tenant,data_centre,address,state\n"
+BASIS = HEADER + "data_centre,Osu,,,,,in\nservice,s1,,t,,,\n"
+N_SERVERS = 12
+SERVERS = [f"server,b{n},s1,,Osu,10.0.0.{n}:1,active\n" for n in range(N_SERVERS)]
+N_LINES = 2 + N_SERVERS
+
+
+def _payload(servers=SERVERS, end=None):
+    n_lines = 2 + len(servers) if end is None else end
+    return (BASIS + "".join(servers) + f"end,{n_lines},,,,,\n").encode()
+
+
+def _applied(plan, sheet):
+    plan = apply_lines(plan, sheet.lines, plan.revision, 0).plan
+    return msgspec.structs.replace(plan, sheet=record_of(sheet, plan.revision))
+
+
+PLAN = _applied(EMPTY_PLAN, parse_sheet(_payload()))
+
+
+def test_end_line_is_checked_and_is_no_line():
+    sheet = parse_sheet(_payload())
+    assert (sheet.n_lines, sheet.is_ended, len(sheet.lines)) == (N_LINES, True, N_LINES)
+    check_whole(PLAN, sheet)
+
+
+def test_refused_lines_count_and_empty_ones_do_not():
+    payload = _payload([*SERVERS, "rack,r,,,,,\n", "\n", "server\n"], end=N_LINES + 2)
+    sheet = parse_sheet(payload)
+    assert (sheet.is_ended, len(sheet.refusals)) == (True, 2)
+
+
+@pytest.mark.parametrize(
+    ("payload", "code"),
+    [
+        (_payload(end=N_LINES + 1), "sheet.cut"),
+        (_payload(end=N_LINES - 1), "sheet.cut"),
+        (_payload(end=0), "sheet.cut"),
+        (_payload(end="x"), "sheet.bad_end"),
+        (_payload(end=""), "sheet.bad_end"),
+        (_payload(end="9" * 5000), "sheet.bad_end"),
+        (_payload() + SERVERS[0].encode(), "sheet.bad_end"),
+        (_payload() + _payload(), "sheet.bad_end"),
+    ],
+)
+def test_file_whose_end_line_is_wrong_is_refused_whole(payload, code):
+    with pytest.raises(InputError) as refused:
+        parse_sheet(payload)
+    assert refused.value.code == code
+
+
+def test_every_cut_is_noticed_once_sheets_have_an_end_line():
+    payload = _payload()
+    n_noticed = 0
+    for n_bytes in range(len(payload)):
+        with pytest.raises((InputError, SheetGuardError)):
+            check_whole(PLAN, parse_sheet(payload[:n_bytes]))
+        n_noticed += 1
+    assert n_noticed == len(payload)
+
+
+def test_every_line_that_is_missing_is_noticed():
+    rows = _payload().splitlines(keepends=True)
+    for missing in range(1, len(rows)):
+        with pytest.raises((InputError, SheetGuardError)):
+            check_whole(
+                PLAN, parse_sheet(b"".join(rows[:missing] + rows[missing + 1 :]))
+            )
+
+
+def test_sheets_without_end_line_pass_until_one_has_it():
+    plan = msgspec.structs.replace(PLAN, sheet=None)
+    check_whole(plan, parse_sheet(BASIS.encode()))
+    check_whole(plan, parse_sheet(_payload(SERVERS[:1])))
+
+
+def test_sheet_that_names_far_fewer_servers_is_refused():
+    check_whole(PLAN, parse_sheet(_payload(SERVERS[: N_SERVERS // 2])))
+    small = parse_sheet(_payload(SERVERS[: N_SERVERS // 2 - 1]))
+    with pytest.raises(SheetGuardError) as refused:
+        check_whole(PLAN, small)
+    assert refused.value.code == "sheet.too_small"
+    assert "names 5 servers" in refused.value.message
+    left = parse_sheet((HEADER + "server,b11,,,,,left\n").encode())
+    plan = apply_lines(PLAN, left.lines, PLAN.revision, 0).plan
+    assert not_named(plan, small) == ("b10", "b5", "b6", "b7", "b8", "b9")
+
+
+def test_record_travels_with_the_plan():
+    line = parse_sheet((HEADER + "server,b1,,,,,draining\n").encode()).lines
+    newer = apply_lines(PLAN, line, PLAN.revision, 0).plan
+    before = msgspec.structs.replace(PLAN, sheet=None)
+    assert merge(PLAN, delta_since(newer, PLAN.revision)).sheet == PLAN.sheet
+    assert delta_since(newer, PLAN.revision).sheet is None
+    assert merge(EMPTY_PLAN, delta_since(newer, 0)).sheet == PLAN.sheet
+    assert before.digest == PLAN.digest
+    root = decode_root(encode_root(root_of(PLAN, {}, ())))
+    assert assemble(root, split_plan(PLAN).values()).sheet == PLAN.sheet
