Bring a burst of 100 single changes under the bound of a node's bytes

Cause: 100 single changes within a second had not been measured.

Deltas from 1 kB on are compressed for askers that say they can read it. A command reads all shards once and then what changed; a try writes its shard beside all cleaning; pauses after a conflict are random and a writer gives up after 40 conflicts, not 8 (after 8 silences as before). 'server drain' and its kin take several names, in one revision.

--- a/bench/plan.py
+++ b/bench/plan.py
@@ -1,10 +1,13 @@
 """How fast a plan is in force everywhere, and what its spreading costs."""
 
 import asyncio
+import bisect
 import gc
+import random
 import statistics
 import time
 import tracemalloc
+from collections import Counter
 from collections.abc import Iterator
 
 import msgspec
@@ -40,8 +43,9 @@
     ServiceId,
     TenantId,
 )
-from sapphirerail_standins.memory_store import MemoryStore
+from sapphirerail_standins.memory_store import MemoryStore, SlowStore
 from sapphirerail_standins.plan_network import NetworkConfig, PlanNetwork
+from sapphirerail_standins.virtual_loop import run_virtually
 
 from .result import Figure
 
@@ -66,6 +70,8 @@
 BURST_SIZE = 100
 N_BURST = 50
 BURST_PAUSE_MS = 100
+N_STORM = 100
+STORM_PAUSE_MS = 10
 N_MERGES = 5
 MEAN_JITTER = 0.875
 N_WRITES = 50
@@ -85,7 +91,7 @@
     for n_instances in SIZES:
         yield from _at_size(n_instances, USUAL, "")
     yield from _at_size(TARGET, WORST, "_silent_watches")
-    yield from _burst()
+    yield from _bursts()
     yield from _target_plan()
     yield from _removal()
     yield from _sheet()
@@ -176,48 +182,115 @@
         )
 
 
-def _burst() -> Iterator[Figure]:
+def _bursts() -> Iterator[Figure]:
     """Yield what many changes in a row cost, as from a script of operators."""
-    members = {InstanceId(f"i{n}"): DATA_CENTRES[n % 7] for n in range(BURST_SIZE)}
-    network = PlanNetwork(members, 1, USUAL)
-    plan = _applied(EMPTY_PLAN, _lines(1, N_BURST))
-    network.write(plan)
-    network.run(CHANGE_MS)
-    network.n_events.clear()
-    network.n_bytes.clear()
-    written_ms: dict[Revision, int] = {}
-    for n in range(N_BURST):
-        name = ServerId(f"server-{n}")
-        line = ServerLine(number=1, name=name, state=ServerState.DRAINING)
-        plan = _applied(plan, [line])
-        written_ms[plan.revision] = network.now_ms
+    burst = _Burst(BURST_SIZE, N_BURST, BURST_PAUSE_MS)
+    yield from burst.figures(f"burst_{BURST_SIZE}")
+    for n_instances in (TODAY, *SIZES):
+        storm = _Burst(n_instances, N_STORM, STORM_PAUSE_MS)
+        yield from storm.figures(f"storm_{n_instances}")
+    yield from run_virtually(_commands_at_once())
+
+
+class _Burst:
+    """One fleet that takes single changes in quick succession."""
+
+    def __init__(self, n_instances: int, n_changes: int, pause_ms: int) -> None:
+        members = {InstanceId(f"i{n}"): DATA_CENTRES[n % 7] for n in range(n_instances)}
+        network = PlanNetwork(members, 1, USUAL)
+        plan = _applied(EMPTY_PLAN, _lines(1, n_changes))
         network.write(plan)
-        network.run(BURST_PAUSE_MS)
-    burst_s = N_BURST * BURST_PAUSE_MS / 1000
-    per_s = _wire_bytes(network) / BURST_SIZE / burst_s
-    network.run(CHANGE_MS)
-    slowest_ms = max(
-        _first_ms(network, name, revision) - at_ms
-        for name in members
-        for revision, at_ms in written_ms.items()
-    )
-    name = f"burst_{BURST_SIZE}"
-    yield Figure.at_most(
-        f"plan_in_force_max_{name}", slowest_ms / 1000, "s", IN_FORCE_S
-    )
-    yield Figure.at_most(
-        f"plan_control_{name}", round(per_s), "byte/s", CONTROL_BYTES_PER_S
+        network.run(CHANGE_MS)
+        network.n_events.clear()
+        network.n_bytes.clear()
+        written_ms: dict[Revision, int] = {}
+        began_ms = network.now_ms
+        for n in range(n_changes):
+            name = ServerId(f"server-{n}")
+            line = ServerLine(number=1, name=name, state=ServerState.DRAINING)
+            plan = _applied(plan, [line])
+            written_ms[plan.revision] = network.now_ms
+            network.write(plan)
+            network.run(pause_ms)
+        burst_s = (network.now_ms - began_ms) / 1000
+        self._bytes_per_s = _wire_bytes(network) / n_instances / burst_s
+        self._calls_per_s = network.n_events["store"] / burst_s
+        network.run(CHANGE_MS)
+        self._slowest_ms = _slowest_ms(network, written_ms)
+        self._n_lost = sum(sync.plan != plan for sync in network.syncs.values())
+
+    def figures(self, name: str) -> Iterator[Figure]:
+        """Yield how late a change came, and what an instance and the store bore."""
+        yield Figure.at_most(
+            f"plan_in_force_max_{name}", self._slowest_ms / 1000, "s", IN_FORCE_S
+        )
+        yield Figure.at_most(
+            f"plan_control_{name}",
+            round(self._bytes_per_s),
+            "byte/s",
+            CONTROL_BYTES_PER_S,
+        )
+        yield Figure.at_most(
+            f"plan_store_calls_{name}",
+            round(self._calls_per_s),
+            "1/s",
+            STORE_CALLS_PER_S,
+        )
+        yield Figure.at_most(f"plan_changes_lost_{name}", self._n_lost, "1", 0)
+
+
+def _slowest_ms(network: PlanNetwork, written_ms: dict[Revision, int]) -> int:
+    """Return the longest time from a write to its revision or a higher one."""
+    taken: dict[InstanceId, list[tuple[Revision, int]]] = {
+        name: [] for name in network.syncs
+    }
+    for (name, revision), at_ms in network.taken_ms.items():
+        taken[name].append((revision, at_ms))
+    slowest_ms = 0
+    for steps in taken.values():
+        steps.sort()
+        for revision, at_ms in written_ms.items():
+            first = bisect.bisect_left(steps, (revision, 0))
+            in_time = first < len(steps)
+            first_ms = steps[first][1] if in_time else network.now_ms + CHANGE_MS
+            slowest_ms = max(slowest_ms, first_ms - at_ms)
+    return slowest_ms
+
+
+async def _commands_at_once() -> list[Figure]:
+    """Return what separate commands that begin within a second cost the store."""
+    store = SlowStore()
+    await _commit(PlanRepository(store), _lines(N_STORM, N_STORM), "first")
+    store.called_s.clear()
+    loop = asyncio.get_running_loop()
+    began_s = loop.time()
+
+    async def drain(number: int) -> float:
+        await asyncio.sleep(number * STORM_PAUSE_MS / 1000)
+        start_s = loop.time()
+        repository = PlanRepository(store, random_state=random.Random(number))
+        name = ServerId(f"server-{number}")
+        line = ServerLine(number=1, name=name, state=ServerState.DRAINING)
+        await repository.read()
+        await _commit(repository, [line], f"drain-{number}")
+        return loop.time() - start_s
+
+    waits_s = await asyncio.gather(*(drain(number) for number in range(N_STORM)))
+    seconds = Counter(
+        (int(at_s - began_s), "reads" if call == "get" else "writes")
+        for at_s, call in store.called_s
     )
+    return [
+        Figure("plan_commands_at_once_wait_max", max(waits_s), "s"),
+        *(
+            Figure(f"plan_commands_at_once_{kind}", _peak(seconds, kind), "1/s")
+            for kind in ("reads", "writes")
+        ),
+    ]
 
 
-def _first_ms(network: PlanNetwork, name: InstanceId, revision: Revision) -> int:
-    """Return when an instance first had a revision or a higher one."""
-    times = [
-        at_ms
-        for (instance, taken), at_ms in network.taken_ms.items()
-        if instance == name and taken >= revision
-    ]
-    return min(times, default=network.now_ms + CHANGE_MS)
+def _peak(seconds: Counter[tuple[int, str]], kind: str) -> int:
+    return max(count for (_, known), count in seconds.items() if known == kind)
 
 
 def _target_plan() -> Iterator[Figure]:
--- a/packages/sapphirerail-cli/src/sapphirerail_cli/operator.py
+++ b/packages/sapphirerail-cli/src/sapphirerail_cli/operator.py
@@ -119,20 +119,22 @@
             doubt="" if options.partial else _doubt(plan, sheet),
         )
 
-    async def change(self, line: SheetLine) -> SheetReport:
-        """Apply one line about something that the plan has already.
+    async def change(self, lines: Sequence[SheetLine]) -> SheetReport:
+        """Apply lines about things that the plan has already, in one revision.
 
         A sheet may name new things; a name that is mistyped in a single command
         must not make one.
         """
         plan = (await self._repository.read()).plan
-        if not _is_known(plan, line):
-            reason = "the plan has none of this name; a sheet can add it"
-            refusal = Refusal(line.number, line.name, RefusalReason.UNKNOWN, reason)
-            options = ApplyOptions(partial=True)
-            return await self.apply(Sheet((), (refusal,), ""), options)
+        known = tuple(line for line in lines if _is_known(plan, line))
+        reason = "the plan has none of this name; a sheet can add it"
+        refusals = tuple(
+            Refusal(line.number, line.name, RefusalReason.UNKNOWN, reason)
+            for line in lines
+            if not _is_known(plan, line)
+        )
         options = ApplyOptions(base=plan.revision, partial=True)
-        return await self.apply(Sheet((line,), (), ""), options)
+        return await self.apply(Sheet(known, refusals, ""), options)
 
     async def history(self) -> tuple[Write, ...]:
         """Return the newest writes, oldest first."""
--- a/packages/sapphirerail-cli/src/sapphirerail_cli/plan_commands.py
+++ b/packages/sapphirerail-cli/src/sapphirerail_cli/plan_commands.py
@@ -47,6 +47,9 @@
 plan_command = typer.Typer(no_args_is_help=True, help="The plan in the store.")
 
 NameArgument = Annotated[str, typer.Argument(metavar="NAME")]
+NamesArgument = Annotated[
+    list[str], typer.Argument(metavar="NAME...", help="All in one revision.")
+]
 
 
 @data_centre_command.command("out")
@@ -59,7 +62,7 @@
 ) -> None:
     """Send no more packets to a data centre's servers; its flows are given up."""
     line = _data_centre_line(name, DataCentreState.OUT)
-    _change(line, platform, operator, wait_s, json)
+    _change([line], platform, operator, wait_s, json)
 
 
 @data_centre_command.command("back")
@@ -72,7 +75,7 @@
 ) -> None:
     """Let a data centre's servers take work again."""
     line = _data_centre_line(name, DataCentreState.IN)
-    _change(line, platform, operator, wait_s, json)
+    _change([line], platform, operator, wait_s, json)
 
 
 @data_centre_command.command("remove")
@@ -85,7 +88,7 @@
 ) -> None:
     """Remove a data centre that is out and whose servers have all left."""
     line = DataCentreLine(number=LINE_NUMBER, name=DataCentreId(name), is_removed=True)
-    _change(line, platform, operator, wait_s, json)
+    _change([line], platform, operator, wait_s, json)
 
 
 @service_command.command("remove")
@@ -98,55 +101,59 @@
 ) -> None:
     """Remove a service whose servers have all left."""
     line = ServiceLine(number=LINE_NUMBER, name=ServiceId(name), is_removed=True)
-    _change(line, platform, operator, wait_s, json)
+    _change([line], platform, operator, wait_s, json)
 
 
 @server_command.command("enter")
 def enter_server(
-    name: NameArgument,
+    names: NamesArgument,
     platform: PlatformOption = "",
     operator: OperatorOption = "",
     wait_s: WaitOption = DEFAULT_WAIT_S,
     json: JsonOption = False,
 ) -> None:
     """Let a new server take work, one request at a time at first."""
-    _change(_server_line(name, ServerState.ENTERING), platform, operator, wait_s, json)
+    _change(
+        _server_lines(names, ServerState.ENTERING), platform, operator, wait_s, json
+    )
 
 
 @server_command.command("activate")
 def activate_server(
-    name: NameArgument,
+    names: NamesArgument,
     platform: PlatformOption = "",
     operator: OperatorOption = "",
     wait_s: WaitOption = DEFAULT_WAIT_S,
     json: JsonOption = False,
 ) -> None:
     """Let a server take work, or take it again after a drain."""
-    _change(_server_line(name, ServerState.ACTIVE), platform, operator, wait_s, json)
+    _change(_server_lines(names, ServerState.ACTIVE), platform, operator, wait_s, json)
 
 
 @server_command.command("drain")
 def drain_server(
-    name: NameArgument,
+    names: NamesArgument,
     platform: PlatformOption = "",
     operator: OperatorOption = "",
     wait_s: WaitOption = DEFAULT_WAIT_S,
     json: JsonOption = False,
 ) -> None:
     """Give a server no new work; its flows go on."""
-    _change(_server_line(name, ServerState.DRAINING), platform, operator, wait_s, json)
+    _change(
+        _server_lines(names, ServerState.DRAINING), platform, operator, wait_s, json
+    )
 
 
 @server_command.command("leave")
 def leave_server(
-    name: NameArgument,
+    names: NamesArgument,
     platform: PlatformOption = "",
     operator: OperatorOption = "",
     wait_s: WaitOption = DEFAULT_WAIT_S,
     json: JsonOption = False,
 ) -> None:
     """Take a server out of the plan; flows that are left there end."""
-    _change(_server_line(name, ServerState.LEFT), platform, operator, wait_s, json)
+    _change(_server_lines(names, ServerState.LEFT), platform, operator, wait_s, json)
 
 
 @plan_command.command("history")
@@ -172,17 +179,20 @@
     return DataCentreLine(number=LINE_NUMBER, name=DataCentreId(name), state=state)
 
 
-def _server_line(name: str, state: ServerState) -> SheetLine:
-    return ServerLine(number=LINE_NUMBER, name=ServerId(name), state=state)
+def _server_lines(names: list[str], state: ServerState) -> list[SheetLine]:
+    return [
+        ServerLine(number=number, name=ServerId(name), state=state)
+        for number, name in enumerate(names, start=LINE_NUMBER)
+    ]
 
 
 def _change(
-    line: SheetLine, platform: str, operator: str, wait_s: float, json: bool
+    lines: list[SheetLine], platform: str, operator: str, wait_s: float, json: bool
 ) -> None:
     found = facades(platform, operator)
 
     async def work() -> SheetReport:
         await check_store_not_behind(found)
-        return await found.plan.change(line)
+        return await found.plan.change(lines)
 
     finish_change(found, run(work), wait_s, json)
--- a/packages/sapphirerail-cli/tests/test_plan_commands.py
+++ b/packages/sapphirerail-cli/tests/test_plan_commands.py
@@ -28,6 +28,22 @@
     play(scenario, n_instances=0)
 
 
+def test_many_servers_change_in_one_revision(play):
+    async def scenario(world):
+        sheet = world.sheet + "server,b2,,bookings,Osu,10.0.0.2:1,active\n"
+        await world.run("sheet", "apply", "FILE", sheet=sheet)
+        result = await world.run("server", "drain", "b1", "b9", "b2")
+        assert result.exit_code == ExitCode.LINES_REFUSED
+        assert "line 2: b9: refused: sheet.unknown" in result.stdout
+        assert "2 changed, 0 unchanged, 1 refused" in result.stdout
+        plan = await world.plan()
+        assert plan.revision == 2
+        states = {server.state.value for server in plan.servers.values()}
+        assert states == {"draining"}
+
+    play(scenario)
+
+
 def test_service_and_data_centre_are_removed_once_they_are_empty(play):
     async def scenario(world):
         await world.run("sheet", "apply", "FILE", sheet=world.sheet)
--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/delta.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/delta.py
@@ -106,12 +106,16 @@
         What changed, if that can be told.
     full : FullPlan or None
         The whole plan, if it can't; both are None if the giver has nothing newer.
+    packed : str
+        A long delta, compressed, in place of `delta`; see
+        `sapphirerail_core.plan.packed_delta`.
     """
 
     revision: Revision
     contact_age_ms: int
     delta: PlanDelta | None = None
     full: FullPlan | None = None
+    packed: str = ""
 
 
 def delta_since(plan: Plan, since: Revision) -> PlanDelta | None:
--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/layout.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/layout.py
@@ -26,6 +26,7 @@
 from .store import Version
 
 __all__ = [
+    "COMPRESSION_LEVEL",
     "HISTORY_LENGTH",
     "N_GENERATIONS",
     "N_SHARDS",
--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/repository.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/repository.py
@@ -1,5 +1,6 @@
 """Replacing the plan in the store by compare-and-swap."""
 
+import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -9,7 +10,7 @@
 from ..types import Revision
 from . import layout
 from .draft import Change
-from .model import Plan, Write, WriteId
+from .model import EMPTY_PLAN, Plan, Write, WriteId
 from .reader import PlanReader, StoredPlan
 from .retry import Pause, backoff_ms, retried, sleep_ms
 from .shard_writer import ShardWriter
@@ -22,7 +23,10 @@
 
 __all__ = ["Committed", "PlanRepository", "PlanWriteError"]
 
-MAX_WRITES = 8
+MAX_WRITES = 40
+"""Tries against other writers; each try that fails lets another write through."""
+MAX_SILENCES = 8
+"""Tries without an answer of the store, once a write may have taken effect."""
 
 Decision = Callable[[Plan], Change]
 
@@ -53,6 +57,7 @@
     write: Write
     first: Revision | None = None
     unknown: bool = False
+    n_silences: int = 0
     tried: dict[Revision, Change] = field(default_factory=dict)
 
     def others(self, plan: Plan) -> tuple[Write, ...]:
@@ -88,16 +93,33 @@
         The platform's key-value service.
     pause : callable
         Waits for a number of milliseconds between tries.
+    random_state : random.Random or None
+        Spreads the tries of writers that meet.
     """
 
-    def __init__(self, store: Store, pause: Pause = sleep_ms) -> None:
+    def __init__(
+        self,
+        store: Store,
+        pause: Pause = sleep_ms,
+        random_state: random.Random | None = None,
+    ) -> None:
         self._store = store
         self._pause = pause
+        self._random = random_state or random.Random()
         self._reader = PlanReader(store, pause)
+        self._held = EMPTY_PLAN
 
     async def read(self) -> StoredPlan:
-        """Return the plan in the store, as `PlanReader.read` does."""
-        return await self._reader.read()
+        """Return the plan in the store, as `PlanReader.read` does.
+
+        Shards that did not change since the last reading are not fetched again.
+        """
+        found = await self._reader.read_after(self._held)
+        if not _is_whole(found):
+            # The store lost writes: what was read before does not count.
+            found = await self._reader.read()
+        self._held = found.plan
+        return found
 
     async def commit(self, decide: Decision, write: Write) -> Committed:
         """Replace the plan by what a decision makes of it.
@@ -133,12 +155,14 @@
                 committed = None
             except StoreError as error:
                 # Once a root may have been written, only reading it back tells.
-                if not progress.unknown:
+                progress.n_silences += 1
+                if not progress.unknown or progress.n_silences >= MAX_SILENCES:
                     raise progress.failure(error) from error
                 committed = None
             if committed is not None:
                 return committed
-            await self._pause(backoff_ms(number))
+            # Writers that meet once must not meet again in step.
+            await self._pause(self._random.randrange(1, backoff_ms(number)))
         raise progress.failure(None)
 
     async def _step(
@@ -185,5 +209,14 @@
         return msgspec.structs.replace(change, plan=plan)
 
 
+def _is_whole(found: StoredPlan) -> bool:
+    """Return whether a reading that went on from a held plan found all there is."""
+    root = found.root
+    if root is None:
+        return True
+    known = (found.plan.revision, found.plan.digest)
+    return known == (root.revision, root.digest)
+
+
 def _own_write(plan: Plan, write_id: WriteId) -> Write | None:
     return next((w for w in plan.history if w.write_id == write_id), None)
--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/shard_writer.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/shard_writer.py
@@ -1,5 +1,6 @@
 """Writing the shards of one attempt, and collecting those that it replaces."""
 
+import asyncio
 from collections.abc import Iterator
 
 from ..types import Revision
@@ -52,8 +53,22 @@
         self._garbage: dict[str, Garbage] = {}
 
     async def write(self, plan: Plan) -> dict[int, ShardRef]:
-        """Write the shards that differ from the base and return where all lie."""
-        await self._clear()
+        """Write the shards that differ from the base and return where all lie.
+
+        Whatever else there is to do goes beside it: the shorter a try, the fewer
+        other writers come first.
+        """
+        refs, _, _ = await asyncio.gather(
+            self._write_changed(plan), self._clear(), self._probe()
+        )
+        for index, ref in self._base.shards.items():
+            if refs.get(index) != ref:
+                self._list(_garbage(index, ref))
+        for index, ref in refs.items():
+            self._garbage.pop(layout.shard_key(index, ref.generation), None)
+        return refs
+
+    async def _write_changed(self, plan: Plan) -> dict[int, ShardRef]:
         old = layout.split(self._base.plan)
         refs: dict[int, ShardRef] = {}
         for index, shard in layout.split(plan).items():
@@ -62,10 +77,6 @@
                 refs[index] = known
             else:
                 refs[index] = await self._write_shard(index, shard)
-        for index, ref in self._base.shards.items():
-            if refs.get(index) != ref:
-                self._list(_garbage(index, ref))
-        await self._probe(refs)
         return refs
 
     def garbage(self) -> tuple[Garbage, ...]:
@@ -117,18 +128,14 @@
         self._list(Garbage(key, found.version))
         return None
 
-    async def _probe(self, refs: dict[int, ShardRef]) -> None:
-        """Look for a shard that nobody names at one key, another one each time.
+    async def _probe(self) -> None:
+        """Look for a shard that no root names at one key, another one each time.
 
         A writer whose base is this one or an older one may still be about to name
         it. Its root and this write's can't both take effect, and only a root that
         took effect has its garbage deleted.
         """
-        index, generation = _probed(self._write.revision)
-        named = (refs.get(index), self._base.shards.get(index))
-        if any(ref is not None and ref.generation == generation for ref in named):
-            return
-        key = layout.shard_key(index, generation)
+        key = layout.shard_key(*_probed(self._write.revision))
         try:
             found = await self._store.get(key)
         except StoreError:
--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/sync.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/sync.py
@@ -11,6 +11,7 @@
 from .delta import PlanAnswer, merge
 from .messages import UNKNOWN_AGE, PlanNews
 from .model import EMPTY_PLAN, Plan
+from .packed_delta import delta_of
 from .store_polls import StorePolls
 from .sync_config import SyncConfig
 
@@ -242,9 +243,8 @@
     def _answered(self, answer: PlanAnswer) -> Plan:
         if answer.full is not None:
             return answer.full.plan()
-        if answer.delta is not None:
-            return merge(self.plan, answer.delta)
-        return self.plan
+        delta = delta_of(answer)
+        return self.plan if delta is None else merge(self.plan, delta)
 
     def _ask(self, now_ms: int) -> list[SyncAction]:
         """Ask the peer with the highest revision, unless one is being asked."""
--- a/packages/sapphirerail-core/tests/plan/test_repository.py
+++ b/packages/sapphirerail-core/tests/plan/test_repository.py
@@ -1,4 +1,5 @@
 import asyncio
+import random
 
 import pytest
 
@@ -11,7 +12,8 @@
 from sapphirerail_core.plan.sheet import parse_sheet
 from sapphirerail_core.plan.sheet_line import COLUMNS
 from sapphirerail_core.plan.store import StoredValue, StoreUnknownError
-from sapphirerail_standins.memory_store import MemoryStore
+from sapphirerail_standins.memory_store import MemoryStore, SlowStore
+from sapphirerail_standins.virtual_loop import run_virtually
 
 NOW_MS = 1_700_000_000_000
 SERVICES = [f"service,s{n},adwinsa,,,,,,," for n in range(8)]
@@ -112,6 +114,70 @@
     _run(scenario())
 
 
+def test_next_reading_fetches_only_what_changed():
+    async def scenario():
+        store = MemoryStore()
+        operator = _Operator(store)
+        await operator.commit("data_centre,Osu,,,,,in,,,", *SERVICES)
+        repository = PlanRepository(store, _no_pause)
+        await repository.read()
+        await operator.commit("server,b1,,s1,Osu,10.0.0.1:1,active,,,")
+        before = store.n_calls.copy()
+        assert (await repository.read()).plan == await _plan(store)
+        n_shards = len(_live_keys(store)) - 1
+        # The root and a shard here, the root and all shards in the other reading.
+        assert store.n_calls["get"] - before["get"] == 2 + 1 + n_shards
+
+    _run(scenario())
+
+
+@pytest.mark.parametrize("is_rewritten", [False, True])
+def test_reading_after_the_store_lost_writes_starts_anew(is_rewritten):
+    async def scenario():
+        store = MemoryStore()
+        operator = _Operator(store)
+        await operator.commit("data_centre,Osu,,,,,in,,,", *SERVICES)
+        saved = dict(store.values)
+        await operator.commit("service,t1,c,,,,,,,")
+        repository = PlanRepository(store, _no_pause)
+        await repository.read()
+        store.values = saved
+        if is_rewritten:
+            # Another line at the revision that was lost.
+            await _Operator(store, "kofi").commit("service,t9,c,,,,,,,")
+        found = await repository.read()
+        assert found.plan == await _plan(store)
+        assert "t1" not in found.plan.services
+
+    _run(scenario())
+
+
+def test_fifty_writers_at_once_all_come_through():
+    async def scenario():
+        store = SlowStore()
+        count = 50
+        servers = [
+            f"server,b{n},,s{n % 8},Osu,10.0.0.{n}:1,active,,," for n in range(count)
+        ]
+        await _Operator(store).commit("data_centre,Osu,,,,,in,,,", *SERVICES, *servers)
+
+        async def drain(number):
+            repository = PlanRepository(store, random_state=random.Random(number))
+            await asyncio.sleep(number / count)
+            lines = _lines(f"server,b{number},,,,,draining,,,")
+            write = Write(revision=0, write_id=f"w{number}")
+            await repository.commit(
+                lambda plan: apply_lines(plan, lines, plan.revision, NOW_MS), write
+            )
+
+        await asyncio.gather(*(drain(number) for number in range(count)))
+        plan = await _plan(store)
+        assert plan.revision == 1 + count
+        assert {server.state.value for server in plan.servers.values()} == {"draining"}
+
+    run_virtually(scenario())
+
+
 def test_replaced_shards_are_collected():
     async def scenario():
         store = MemoryStore()
--- a/packages/sapphirerail-node/src/sapphirerail_node/plan_answers.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/plan_answers.py
@@ -2,9 +2,12 @@
 
 import asyncio
 
+import msgspec
+
 from sapphirerail_core.plan import Plan, layout
-from sapphirerail_core.plan.delta import FullPlan, PlanAnswer, PlanDelta, delta_since
+from sapphirerail_core.plan.delta import FullPlan, PlanAnswer, delta_since
 from sapphirerail_core.plan.layout import Shard
+from sapphirerail_core.plan.packed_delta import delta_answer
 from sapphirerail_core.types import Revision
 
 __all__ = ["PlanAnswers"]
@@ -17,11 +20,13 @@
 
     def __init__(self) -> None:
         self._revision = Revision(0)
-        self._deltas: dict[Revision, PlanDelta | None] = {}
+        self._deltas: dict[tuple[Revision, bool], PlanAnswer | None] = {}
         self._whole: FullPlan | None = None
         self._packed: dict[int, tuple[Shard, str]] = {}
 
-    async def answer(self, plan: Plan, since: Revision, age_ms: int) -> PlanAnswer:
+    async def answer(
+        self, plan: Plan, since: Revision, age_ms: int, *, may_pack: bool = False
+    ) -> PlanAnswer:
         """Return the answer for a peer that holds a revision.
 
         Parameters
@@ -32,6 +37,8 @@
             Revision of the peer; 0 asks for the whole plan.
         age_ms : int
             Age of the news from the store.
+        may_pack : bool
+            Whether the peer can read a compressed delta.
 
         Returns
         -------
@@ -40,21 +47,27 @@
         """
         if since >= plan.revision:
             return PlanAnswer(plan.revision, age_ms)
-        delta = self._delta(plan, since) if since > 0 else None
-        if delta is not None:
-            return PlanAnswer(plan.revision, age_ms, delta=delta)
+        known = self._delta_answer(plan, since, may_pack) if since > 0 else None
+        if known is not None:
+            return msgspec.structs.replace(known, contact_age_ms=age_ms)
         full = await self._full(plan)
         return PlanAnswer(plan.revision, age_ms, full=full)
 
-    def _delta(self, plan: Plan, since: Revision) -> PlanDelta | None:
+    def _delta_answer(
+        self, plan: Plan, since: Revision, may_pack: bool
+    ) -> PlanAnswer | None:
         if self._revision != plan.revision:
             self._revision = plan.revision
             self._deltas.clear()
-        if since not in self._deltas:
+        key = (since, may_pack)
+        if key not in self._deltas:
             if len(self._deltas) >= N_DELTAS_MAX:
                 self._deltas.clear()
-            self._deltas[since] = delta_since(plan, since)
-        return self._deltas[since]
+            delta = delta_since(plan, since)
+            self._deltas[key] = (
+                None if delta is None else delta_answer(delta, 0, may_pack=may_pack)
+            )
+        return self._deltas[key]
 
     async def _full(self, plan: Plan) -> FullPlan:
         """Pack the shards that changed, one at a time between other work."""
--- a/packages/sapphirerail-node/src/sapphirerail_node/plan_service.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/plan_service.py
@@ -193,7 +193,9 @@
         except ValueError as error:
             raise InputError("plan.bad_since", "since must be a number") from error
         age_ms = self._sync.contact_age_ms(monotonic_ms())
-        return HttpResponse(await self._answers.answer(self.plan, since, age_ms))
+        may_pack = request.query.get("packed") == "1"
+        answer = await self._answers.answer(self.plan, since, age_ms, may_pack=may_pack)
+        return HttpResponse(answer)
 
     def status(self) -> PlanStatus:
         """Return what operators may want to know."""
@@ -267,7 +269,7 @@
         if address is None:
             raise InputError("plan.no_address", f"{request.instance} has no address")
         client = HttpClient(parse_address(address), self._signer)
-        target = f"/plan?since={request.since}"
+        target = f"/plan?since={request.since}&packed=1"
         body = await client.call("GET", target, timeout_ms=FETCH_TIMEOUT_MS)
         try:
             return msgspec.json.decode(body, type=PlanAnswer)
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/memory_store.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/memory_store.py
@@ -16,7 +16,7 @@
     Version,
 )
 
-__all__ = ["MemoryStore"]
+__all__ = ["MemoryStore", "SlowStore"]
 
 
 @dataclass
@@ -139,3 +139,40 @@
         changed = self._changed
         self._changed = asyncio.Event()
         changed.set()
+
+
+@dataclass
+class SlowStore(MemoryStore):
+    """A store whose calls each take a while on the loop's clock, and are timed.
+
+    Parameters
+    ----------
+    call_ms : int
+        Time of each call.
+    called_s : list of (float, str)
+        When each call began, and its kind.
+    """
+
+    call_ms: int = 5
+    called_s: list[tuple[float, str]] = field(default_factory=list)
+
+    async def get(self, key: str) -> StoredValue | None:
+        """Return a value."""
+        await self._take_time("get")
+        return await super().get(key)
+
+    async def compare_and_swap(
+        self, key: str, version: Version, value: str, lease: LeaseId | None = None
+    ) -> Version:
+        """Replace a value."""
+        await self._take_time("put")
+        return await super().compare_and_swap(key, version, value, lease)
+
+    async def delete(self, key: str, version: Version) -> None:
+        """Delete a key."""
+        await self._take_time("delete")
+        await super().delete(key, version)
+
+    async def _take_time(self, call: str) -> None:
+        self.called_s.append((asyncio.get_running_loop().time(), call))
+        await asyncio.sleep(self.call_ms / 1000)
