--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/draft.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/draft.py
@@ -12,19 +12,10 @@
     ServerState,
     ServiceId,
 )
-from .digest import part_digest
+from .draft_parts import DraftParts, Statement
 from .layers import next_layers
-from .model import (
-    DataCentre,
-    Layer,
-    Plan,
-    RemovedDataCentre,
-    RemovedService,
-    Server,
-    Service,
-    ServiceLayers,
-)
-from .places import Places, changed_server, new_server
+from .model import DataCentre, Layer, Plan, ServiceLayers
+from .places import changed_server, new_server
 from .removal import added_service, removed_data_centre, removed_service
 from .retention import forget_gone, forgotten_at
 from .sheet_line import (
@@ -39,8 +30,6 @@
 
 __all__ = ["Change", "LineResult", "Outcome", "apply_lines", "refused_result"]
 
-Statement = DataCentre | Service | Server | RemovedDataCentre | RemovedService
-
 
 class Outcome(Enum):
     """What became of a sheet line."""
@@ -146,6 +135,13 @@
     return (2 if leaves else 3), line.number
 
 
+def _layers_of(
+    name: ServiceId, layers: dict[ServiceId, tuple[Layer, ...]]
+) -> ServiceLayers | None:
+    found = layers.get(name)
+    return None if found is None else ServiceLayers(name, found)
+
+
 class _Draft:
     """A plan that is being changed."""
 
@@ -154,13 +150,7 @@
         self._plan = plan
         self._base = base
         self._revision = Revision(plan.revision + 1)
-        self._digest = plan.digest
-        self._data_centres = dict(plan.data_centres)
-        self._services = dict(plan.services)
-        self._servers = dict(plan.servers)
-        self._removed_data_centres = dict(plan.removed_data_centres)
-        self._removed_services = dict(plan.removed_services)
-        self._places = Places(plan.servers.values())
+        self._parts = DraftParts(plan)
 
     def apply(self, line: SheetLine) -> LineResult:
         """Apply one line, or refuse it and leave the draft as it is."""
@@ -177,18 +167,19 @@
 
     def finish(self, now_ms: int) -> Plan:
         """Return the changed plan; its history is written by who commits it."""
+        parts = self._parts
         changed = msgspec.structs.replace(
             self._plan,
             revision=self._revision,
-            data_centres=self._data_centres,
-            services=self._services,
-            servers=self._servers,
-            removed_data_centres=self._removed_data_centres,
-            removed_services=self._removed_services,
+            data_centres=parts.data_centres,
+            services=parts.services,
+            servers=parts.servers,
+            removed_data_centres=parts.removed_data_centres,
+            removed_services=parts.removed_services,
         )
         layers = next_layers(self._plan, changed, now_ms)
         self._stamp_layers(layers)
-        changed = msgspec.structs.replace(changed, digest=self._digest, layers=layers)
+        changed = msgspec.structs.replace(changed, digest=parts.digest, layers=layers)
         return forget_gone(changed, forgotten_at(changed))
 
     def _stamp_layers(self, layers: dict[ServiceId, tuple[Layer, ...]]) -> None:
@@ -197,15 +188,8 @@
         for name in old.keys() | layers.keys():
             if old.get(name) == layers.get(name):
                 continue
-            for found in (old.get(name), layers.get(name)):
-                if found is not None:
-                    self._digest ^= part_digest(ServiceLayers(name, found))
-            known = self._services.get(name)
-            if known is None:
-                continue
-            stamped = msgspec.structs.replace(known, changed_at=self._revision)
-            self._digest ^= part_digest(known) ^ part_digest(stamped)
-            self._services[name] = stamped
+            self._parts.exchange(_layers_of(name, old), _layers_of(name, layers))
+            self._parts.stamp(name, self._revision)
 
     def _result(
         self, line: SheetLine, outcome: Outcome, revision: Revision
@@ -243,21 +227,23 @@
 
     @_wanted.register
     def _(self, line: DataCentreLine) -> tuple[Statement | None, Statement]:
-        known = self._data_centres.get(line.name)
-        removed = self._removed_data_centres.get(line.name)
+        known = self._parts.data_centres.get(line.name)
+        removed = self._parts.removed_data_centres.get(line.name)
         if line.is_removed:
-            return known or removed, removed_data_centre(known or removed, self._places)
+            return known or removed, removed_data_centre(
+                known or removed, self._parts.places
+            )
         if known is None:
             return removed, DataCentre(line.name, line.state or DataCentreState.IN)
         return known, msgspec.structs.replace(known, state=line.state or known.state)
 
     @_wanted.register
     def _(self, line: ServiceLine) -> tuple[Statement | None, Statement]:
-        known = self._services.get(line.name)
-        removed = self._removed_services.get(line.name)
+        known = self._parts.services.get(line.name)
+        removed = self._parts.removed_services.get(line.name)
         if line.is_removed:
             found = known or removed
-            return found, removed_service(found, line, self._places)
+            return found, removed_service(found, line, self._parts.places)
         if known is None:
             return removed, added_service(removed, line)
         if known.tenant != line.tenant:
@@ -267,22 +253,22 @@
 
     @_wanted.register
     def _(self, line: ServerLine) -> tuple[Statement | None, Statement]:
-        known = self._servers.get(line.name)
+        known = self._parts.servers.get(line.name)
         wanted = new_server(line) if known is None else changed_server(known, line)
         if known == wanted and wanted.state is ServerState.LEFT:
             # Its service or data centre may have been removed since.
             return known, wanted
-        if wanted.service not in self._services:
+        if wanted.service not in self._parts.services:
             reason = f"service {wanted.service!r} is in neither the sheet nor the plan"
             raise LineError(RefusalReason.UNKNOWN_SERVICE, reason)
-        if wanted.data_centre not in self._data_centres:
+        if wanted.data_centre not in self._parts.data_centres:
             reason = (
                 f"data centre {wanted.data_centre!r} is in neither the sheet "
                 "nor the plan"
             )
             raise LineError(RefusalReason.UNKNOWN_DATA_CENTRE, reason)
         if wanted.state is not ServerState.LEFT:
-            wanted = self._places.placed(known, line.seat, wanted)
+            wanted = self._parts.places.placed(known, line.seat, wanted)
         return known, wanted
 
     def _replace(self, known: Statement | None, wanted: Statement) -> None:
@@ -290,57 +276,4 @@
         # A part that two equal lines of one sheet name counts once.
         if known is None or known.changed_at != self._revision:
             self.n_changed += 1
-        if known is not None:
-            self._digest ^= part_digest(known)
-            self._take_out(known)
-        self._digest ^= part_digest(wanted)
-        self._put_in(wanted)
-
-    @singledispatchmethod
-    def _take_out(self, known: Statement) -> None:
-        raise NotImplementedError(type(known).__name__)
-
-    @_take_out.register
-    def _(self, known: DataCentre) -> None:
-        del self._data_centres[known.data_centre]
-
-    @_take_out.register
-    def _(self, known: RemovedDataCentre) -> None:
-        del self._removed_data_centres[known.data_centre]
-
-    @_take_out.register
-    def _(self, known: Service) -> None:
-        del self._services[known.service]
-
-    @_take_out.register
-    def _(self, known: RemovedService) -> None:
-        del self._removed_services[known.service]
-
-    @_take_out.register
-    def _(self, known: Server) -> None:
-        self._places.remove(known)
-
-    @singledispatchmethod
-    def _put_in(self, wanted: Statement) -> None:
-        raise NotImplementedError(type(wanted).__name__)
-
-    @_put_in.register
-    def _(self, wanted: DataCentre) -> None:
-        self._data_centres[wanted.data_centre] = wanted
-
-    @_put_in.register
-    def _(self, wanted: RemovedDataCentre) -> None:
-        self._removed_data_centres[wanted.data_centre] = wanted
-
-    @_put_in.register
-    def _(self, wanted: Service) -> None:
-        self._services[wanted.service] = wanted
-
-    @_put_in.register
-    def _(self, wanted: RemovedService) -> None:
-        self._removed_services[wanted.service] = wanted
-
-    @_put_in.register
-    def _(self, wanted: Server) -> None:
-        self._servers[wanted.server] = wanted
-        self._places.add(wanted)
+        self._parts.replace(known, wanted)
