Let an owner know of a feed's new holder at once, so that no crash leaves it mute

A server answers through the instance that it last heard from for a flow, and the flow's owners learned of that instance 2.1 to 2.7 s later: 2 s of waiting, a tick and a batch of 500 ms. When it crashed before, the owners had no record, or one of an older holder that lives, so nobody told the server, and the feed was mute until its caller's next keepalive. Besides, where the holder was the first owner too, the second owner waited one more second for a first one that has no record.

Now a feed is claimed at its first owner with its opening, or with the server's answer to a caller's packet that came through another instance than before; the second owner follows after 2 s if the feed lives on. A budget of 45 a second bounds the cost. The second owner acts at once for what the first one held.

Beyond 45 new feeds a second the old 2.7 s hold.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -17,6 +17,7 @@
     "plan",
     "placement",
     "flow_state",
+    "way_back",
     "service",
     "data_path",
     "requests",
--- /dev/null
+++ b/bench/way_back.py
@@ -0,0 +1,188 @@
+"""How long a feed is mute after its instance's crash, on virtual time."""
+
+import heapq
+import random
+from collections import deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+from sapphirerail_core.datagram import Kind
+from sapphirerail_core.flow import FlowConfig
+from sapphirerail_core.types import FlowId, InstanceId, InstanceState, ServerId
+from sapphirerail_standins.flow_fleet import FlowFleet
+from sapphirerail_standins.flow_plans import BOOKINGS, PLACES, first_plan
+
+from .result import Baseline, Figure
+
+__all__ = ["figures"]
+
+N_INSTANCES = 14
+N_FEEDS = 1_400
+OPENED_WITHIN_MS = 20_000  # five new feeds a second and instance
+KEEPALIVE_PERIODS_MS = (10_000, 30_000, 120_000)
+DETECTION_MS = 1_400  # docs/design/membership.md: 1.2 to 1.4 s
+STEP_MS = 100
+WATCHED_MS = 130_000
+SEEDS = range(6)
+GAP_BOUND_MS = 2_000  # the detection, one tick, and a caller's and a server's way
+LOSS_SHARE = 0.05
+CONTROL_BYTES_BOUND = 28_000  # a second and an instance, at the target
+NEW_FEEDS_PER_S = 41  # of a node, at the target
+NEW_SHORT_FEEDS_PER_S = 2_000
+SHORT_MS = 1_000
+COUNTED_MS = 6_000
+
+
+@dataclass
+class _Run:
+    """One crash at a random moment among feeds that open and send keepalives."""
+
+    seed: int
+    config: FlowConfig
+    loss_share: float = 0.0
+    gaps_ms: list[int] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        places = {InstanceId(f"i{n}"): PLACES[n % 4] for n in range(N_INSTANCES)}
+        self.random = random.Random(self.seed)
+        losses = random.Random(self.seed)
+        self.fleet = FlowFleet(places, self.seed, self.config)
+        self.fleet.loses = lambda sender, receiver: losses.random() < self.loss_share
+        self.fleet.set_plan(first_plan())
+        self.fleet.run(15_000)
+        self.began_ms = self.fleet.now_ms
+        self.servers: dict[FlowId, ServerId] = {}
+        self._events: list[tuple[int, int, Callable[[], None]]] = []
+        for _ in range(N_FEEDS):
+            self._at(self.random.randrange(OPENED_WITHIN_MS), self._open)
+
+    def run(self) -> list[int]:
+        """Return how long each feed of the crashed instance was mute."""
+        crash_ms = self.random.randrange(OPENED_WITHIN_MS // 2, OPENED_WITHIN_MS)
+        self._run_until(crash_ms)
+        victim = self._instance()
+        mute = {
+            flow
+            for flow, server in self.servers.items()
+            if self.fleet.servers[server].flows[flow][0] == victim
+        }
+        self.fleet.kill(victim)
+        for passed_ms in range(STEP_MS, WATCHED_MS, STEP_MS):
+            self._run_until(crash_ms + passed_ms)
+            if passed_ms == DETECTION_MS:
+                self.fleet.tell_all(victim, InstanceState.DEAD)
+            heard = {flow for flow in mute if self._holder(flow) in self.fleet.nodes}
+            self.gaps_ms += [passed_ms] * len(heard)
+            mute -= heard
+            if not mute:
+                break
+        return self.gaps_ms + [WATCHED_MS] * len(mute)
+
+    def _holder(self, flow: FlowId) -> InstanceId:
+        return self.fleet.servers[self.servers[flow]].flows[flow][0]
+
+    def _open(self) -> None:
+        flow = FlowId(self.random.getrandbits(64))
+        server = self.fleet.open(self._instance(), BOOKINGS, flow)
+        if server is None:
+            return
+        self.fleet.run(3)
+        self.servers[flow] = server
+        period_ms = KEEPALIVE_PERIODS_MS[len(self.servers) % len(KEEPALIVE_PERIODS_MS)]
+        self._after(period_ms, lambda: self._keep_alive(flow, period_ms))
+
+    def _keep_alive(self, flow: FlowId, period_ms: int) -> None:
+        datagram = self.fleet.datagram(Kind.KEEPALIVE, BOOKINGS, flow)
+        self.fleet.send(self._instance(), datagram)
+        self._after(period_ms, lambda: self._keep_alive(flow, period_ms))
+
+    def _instance(self) -> InstanceId:
+        return self.random.choice(sorted(self.fleet.nodes))
+
+    def _after(self, wait_ms: int, action: Callable[[], None]) -> None:
+        self._at(self.fleet.now_ms - self.began_ms + wait_ms, action)
+
+    def _at(self, at_ms: int, action: Callable[[], None]) -> None:
+        key = (at_ms, self.random.getrandbits(32), action)
+        heapq.heappush(self._events, key)
+
+    def _run_until(self, end_ms: int) -> None:
+        while self._events and self._events[0][0] <= end_ms:
+            at_ms, _, action = heapq.heappop(self._events)
+            self._pass_time(at_ms)
+            action()
+        self._pass_time(end_ms)
+
+    def _pass_time(self, until_ms: int) -> None:
+        rest_ms = self.began_ms + until_ms - self.fleet.now_ms
+        if rest_ms > 0:
+            self.fleet.run(rest_ms)
+
+
+def figures() -> Iterator[Figure]:
+    """Yield the gaps after crashes at random moments, and what the claims cost."""
+    ours = _gaps_ms()
+    yield Figure("mute_after_crash_feeds", len(ours), "flows")
+    yield Figure("mute_after_crash_median", _quantile(ours, 0.5), "ms")
+    yield Figure.at_most("mute_after_crash_max", ours[-1], "ms", GAP_BOUND_MS)
+    yield Figure.at_most("mute_after_crash_late", _n_late(ours), "flows", 0)
+    lossy = _gaps_ms(LOSS_SHARE)
+    yield Figure("mute_after_crash_late_lossy", _n_late(lossy), "flows")
+    yield Figure("mute_after_crash_p99_lossy", _quantile(lossy, 0.99), "ms")
+    yield Figure.at_most(
+        "claim_bytes_per_s_41_feeds",
+        _claim_bytes_per_s(NEW_FEEDS_PER_S),
+        "B/s",
+        CONTROL_BYTES_BOUND,
+        Baseline("later_only", _claim_bytes_per_s(NEW_FEEDS_PER_S, n_early_per_s=0)),
+    )
+    yield Figure.at_most(
+        "claim_bytes_per_s_2000_short_feeds",
+        _claim_bytes_per_s(NEW_SHORT_FEEDS_PER_S, SHORT_MS),
+        "B/s",
+        CONTROL_BYTES_BOUND,
+    )
+
+
+def _gaps_ms(loss_share: float = 0.0) -> list[int]:
+    runs = (_Run(seed, FlowConfig(), loss_share) for seed in SEEDS)
+    return sorted(gap for run in runs for gap in run.run())
+
+
+def _quantile(values: list[int], share: float) -> int:
+    return values[int(share * (len(values) - 1))]
+
+
+def _n_late(gaps_ms: list[int]) -> int:
+    return sum(gap > GAP_BOUND_MS for gap in gaps_ms)
+
+
+def _claim_bytes_per_s(
+    n_new_per_s: int, life_ms: int | None = None, n_early_per_s: int | None = None
+) -> float:
+    """Return the control bytes of all instances for one that opens feeds.
+
+    It is what one instance sends when all open as many.
+    """
+    config = FlowConfig()
+    if n_early_per_s is not None:
+        config = FlowConfig(n_early_per_s=n_early_per_s)
+    places = {InstanceId(f"i{n}"): PLACES[n % 4] for n in range(N_INSTANCES)}
+    fleet = FlowFleet(places, config=config)
+    fleet.set_plan(first_plan())
+    fleet.run(15_000)
+    opener = next(iter(places))
+    living: deque[tuple[int, FlowId]] = deque()
+    n_opened = 0
+    for passed_ms in range(1, COUNTED_MS + 1):
+        while n_opened * 1_000 < n_new_per_s * passed_ms:
+            flow = FlowId(fleet.random.getrandbits(64))
+            fleet.open(opener, BOOKINGS, flow)
+            living.append((fleet.now_ms, flow))
+            n_opened += 1
+        fleet.run(1)
+        while life_ms and living and living[0][0] + life_ms <= fleet.now_ms:
+            _, flow = living.popleft()
+            fleet.send(opener, fleet.datagram(Kind.CLOSE, BOOKINGS, flow))
+    n_bytes = sum(node.n_control_bytes for node in fleet.nodes.values())
+    return n_bytes * 1_000 / COUNTED_MS
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/config.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/config.py
@@ -23,6 +23,9 @@
         instance.
     n_immediate_per_s : int
         Exceptions a second that are sent at once; more wait for the next batch.
+    n_early_per_s : int
+        Feeds a second that are registered at an owner as soon as the server answers
+        through this instance; the others after `way_back_after_ms`.
     batch_ms : int
         Time that records other than exceptions wait for a fuller batch.
     ack_timeout_ms : int
@@ -66,6 +69,7 @@
     refresh_period_ms: int = 600_000
     way_back_after_ms: int = 2_000
     n_immediate_per_s: int = 20
+    n_early_per_s: int = 45
     batch_ms: int = 500
     ack_timeout_ms: int = 300
     n_attempts_max: int = 6
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/director.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/director.py
@@ -15,6 +15,7 @@
     ServerId,
     ServerState,
     ServiceId,
+    TrafficClass,
 )
 from .config import FlowConfig
 from .context import FlowContext
@@ -175,9 +176,11 @@
             now_ms, Reason.FLOW_OPENED, flow=datagram.flow, server=server
         )
         self._silence.watch(row, now_ms)
-        if not context.needs_record(datagram.service, datagram.flow, server):
-            return []
-        return self._registrar.register(row, now_ms, at_once=True)
+        if context.needs_record(datagram.service, datagram.flow, server):
+            return self._registrar.register(row, now_ms, at_once=True)
+        if datagram.traffic_class is TrafficClass.FEED:
+            return self._registrar.claim_early(row, now_ms)
+        return []
 
     def refused(self, datagram: Datagram, server: ServerId, now_ms: int) -> None:
         """Note that a server refused to open a flow.
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/owners.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/owners.py
@@ -180,6 +180,11 @@
         self._previous.appendleft((now_ms, change))
         return change
 
+    @property
+    def last_change(self) -> OwnerChange | None:
+        """The latest change of the membership."""
+        return self._previous[0][1] if self._previous else None
+
     def is_cut_off(self, plan: Plan, now_ms: int) -> bool:
         """Return whether a data centre that is in was lost from sight lately.
 
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/registrar.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/registrar.py
@@ -8,6 +8,7 @@
 
 from ..effects import Effect, Message, SendToPeer
 from ..types import InstanceId, InstanceState
+from .budget import Budget
 from .context import FlowContext
 from .messages import Forget, Register, Registered, RegisterMode, Release
 from .record_codec import FlowRecord, pack_records
@@ -53,6 +54,7 @@
         self._batches: dict[int, _Batch] = {}
         self._due: deque[int] = deque()
         self._serial = 0
+        self._early = Budget(context.config.n_early_per_s)
         self._n_immediate = 0
         self._second = 0
         self._batched_ms = 0
@@ -79,6 +81,7 @@
         """
         context = self._context
         context.table.mark(row, FlowMark.REGISTERED | FlowMark.HOLDING)
+        context.table.unmark(row, FlowMark.SECOND_DUE)
         age_ms = context.table.idle_ms(row, now_ms)
         record = context.record(row)._replace(age_ms=age_ms)
         immediate = at_once and self._may_send_at_once(now_ms)
@@ -93,6 +96,40 @@
                 batch.setdefault((owner, RegisterMode.HOLD), []).append(record)
         return effects
 
+    def claim_early(self, row: int, now_ms: int) -> list[Effect]:
+        """Record a feed at one other owner at once, if the budget allows.
+
+        The owner then knows what to do should this instance die. `claim_second` is
+        to follow if the flow lives on.
+        """
+        context = self._context
+        if context.is_draining or not self._early.take(now_ms):
+            return []
+        context.table.mark(row, FlowMark.REGISTERED | FlowMark.HOLDING)
+        record = context.record(row)
+        owners = context.owners_of(row)
+        if context.self_id in owners:
+            self._store.keep(record, context.self_id, now_ms)
+        else:
+            context.table.mark(row, FlowMark.SECOND_DUE)
+        others = [owner for owner in owners if owner != context.self_id]
+        return [
+            self._send(owner, RegisterMode.HOLD, [record], now_ms)
+            for owner in others[:1]
+        ]
+
+    def claim_second(self, row: int, now_ms: int) -> None:
+        """Record a feed with the next batch at the owner that lacks it still."""
+        context = self._context
+        context.table.unmark(row, FlowMark.SECOND_DUE)
+        age_ms = context.table.idle_ms(row, now_ms)
+        record = context.record(row)._replace(age_ms=age_ms)
+        for owner in context.owners_of(row)[1:]:
+            if owner == context.self_id:
+                self._store.keep(record, owner, now_ms, age_ms=age_ms)
+            else:
+                self._wait(owner, RegisterMode.HOLD, record)
+
     def refresh(self, row: int, owners: Iterable[InstanceId], now_ms: int) -> None:
         """Record a flow of the table without a claim to be its way back."""
         context = self._context
@@ -102,8 +139,7 @@
             if owner == context.self_id:
                 self._store.keep(record, owner, now_ms, claims=False)
             else:
-                batch = (owner, RegisterMode.REFRESH)
-                self._waiting.setdefault(batch, []).append(record)
+                self._wait(owner, RegisterMode.REFRESH, record)
 
     def hand_over(
         self,
@@ -128,8 +164,13 @@
     def forget(self, row: int, now_ms: int) -> None:
         """Drop the records of a flow of the table at its owners."""
         context = self._context
-        context.table.unmark(row, FlowMark.REGISTERED | FlowMark.HOLDING)
-        self.forget_record(context.record(row), context.owners_of(row), now_ms)
+        owners = context.owners_of(row)
+        table = context.table
+        if table.has(row, FlowMark.SECOND_DUE) and table.has(row, FlowMark.NEW):
+            owners = owners[:1]
+        marks = FlowMark.REGISTERED | FlowMark.HOLDING | FlowMark.SECOND_DUE
+        table.unmark(row, marks)
+        self.forget_record(context.record(row), owners, now_ms)
 
     def forget_record(
         self, record: FlowRecord, owners: tuple[InstanceId, ...], now_ms: int
@@ -194,6 +235,9 @@
         new = [owner for owner in self._context.owners_of(row) if owner not in previous]
         self.refresh(row, new, now_ms)
 
+    def _wait(self, owner: InstanceId, mode: RegisterMode, record: FlowRecord) -> None:
+        self._waiting.setdefault((owner, mode), []).append(record)
+
     def _may_send_at_once(self, now_ms: int) -> bool:
         second = now_ms // 1000
         if second != self._second:
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/returning.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/returning.py
@@ -73,9 +73,7 @@
         row = self._learn(server, datagram, now_ms)
         is_own_probe = self._is_own_probe(row, datagram, server)
         if context.table.server(row) == server:
-            self._silence.on_server_heard(row, now_ms)
-            context.table.mark(row, FlowMark.ANSWERING)
-            self._silence.watch(row, now_ms)
+            effects += self._silence.on_server_heard(row, now_ms)
             if self._ends(datagram):
                 self._delivery.end(row, now_ms)
         if is_own_probe:
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/silence.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/silence.py
@@ -7,6 +7,7 @@
 from ..effects import Effect
 from ..journal import Reason
 from ..types import FlowId, InstanceId, InstanceState, ServiceId, TrafficClass
+from .budget import Budget
 from .context import FlowContext
 from .messages import RegisterMode
 from .registrar import Registrar
@@ -62,8 +63,7 @@
         self._watched: deque[_Timer] = deque()
         self._probed: deque[_Timer] = deque()
         self._detours: OrderedDict[tuple[ServiceId, FlowId], InstanceId] = OrderedDict()
-        self._n_tokens = 0.0
-        self._filled_ms: int | None = None
+        self._probes = Budget(context.config.n_probes_per_s)
         self.n_probes = 0
         self.n_handed_over = 0
 
@@ -83,13 +83,20 @@
         if _is_middle_part(datagram):
             table.mark(row, FlowMark.HOLDING)
         else:
-            # The server answers this instance from now on; another one may have
-            # registered itself since.
-            table.unmark(row, FlowMark.HOLDING)
+            self._expect_way_back(row)
         if datagram.kind in _ANSWERED_KINDS:
             table.mark(row, FlowMark.AWAITING)
         self.watch(row, now_ms)
 
+    def _expect_way_back(self, row: int) -> None:
+        """Note that the server answers this instance from now on."""
+        table = self._context.table
+        is_feed = table.traffic_class(row) is TrafficClass.FEED
+        if is_feed and not table.has(row, FlowMark.HOLDING):
+            table.mark(row, FlowMark.CLAIM_DUE)
+        # Another instance may have registered itself since.
+        table.unmark(row, FlowMark.HOLDING)
+
     def watch(self, row: int, now_ms: int) -> None:
         """Look at a flow again after a while."""
         table = self._context.table
@@ -101,16 +108,23 @@
         due_ms = now_ms + wait_ms
         self._watched.append(_Timer(due_ms, table.service(row), table.flow(row)))
 
-    def on_server_heard(self, row: int, now_ms: int) -> None:
-        """Note that the server answered."""
+    def on_server_heard(self, row: int, now_ms: int) -> list[Effect]:
+        """Note that the server answered; claim a feed that came from elsewhere."""
         table = self._context.table
         table.unmark(row, FlowMark.AWAITING | FlowMark.PROBED | FlowMark.SECOND_PATH)
-        table.mark(row, FlowMark.HEARD)
+        table.mark(row, FlowMark.HEARD | FlowMark.ANSWERING)
         table.hear_server(row, now_ms)
+        self.watch(row, now_ms)
+        if not table.has(row, FlowMark.CLAIM_DUE):
+            return []
+        table.unmark(row, FlowMark.CLAIM_DUE)
+        if table.has(row, FlowMark.ENDED):
+            return []
+        return self._registrar.claim_early(row, now_ms)
 
     def probe(self, row: int, now_ms: int) -> list[Effect]:
         """Send a keepalive of a flow to its server, budget permitting."""
-        if not self._take_token(now_ms):
+        if not self._probes.take(now_ms):
             self.watch(row, now_ms)
             return []
         self.n_probes += 1
@@ -151,6 +165,8 @@
             return []
         if table.has(row, FlowMark.AWAITING):
             return self.probe(row, now_ms)
+        if table.has(row, FlowMark.SECOND_DUE):
+            self._registrar.claim_second(row, now_ms)
         if not self._is_to_register(row):
             return []
         if table.caller_idle_ms(row, now_ms) < self._context.config.way_back_after_ms:
@@ -206,16 +222,3 @@
     def _is_lost(self, instance: InstanceId) -> bool:
         state = self._context.fleet.state(instance)
         return state in (InstanceState.DEAD, InstanceState.LEFT)
-
-    def _take_token(self, now_ms: int) -> bool:
-        rate = self._context.config.n_probes_per_s
-        if self._filled_ms is None:
-            self._n_tokens = float(rate)
-        else:
-            self._n_tokens += rate * (now_ms - self._filled_ms) / 1000
-        self._n_tokens = min(self._n_tokens, float(rate))
-        self._filled_ms = now_ms
-        if self._n_tokens < 1.0:
-            return False
-        self._n_tokens -= 1.0
-        return True
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/table.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/table.py
@@ -27,6 +27,8 @@
     HOLDING = 256  # no claim to be the way back is due
     HEARD = 512  # the server sent something of the flow to this instance
     NEW = 1024  # opened here just now; nobody else can have registered it
+    CLAIM_DUE = 2048  # to be claimed once the server's answer shows that it is there
+    SECOND_DUE = 4096  # claimed at the first owner only
 
 
 class FlowTable:
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/way_back.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/way_back.py
@@ -8,6 +8,7 @@
 from ..types import InstanceId, InstanceState
 from .context import FlowContext, keepalive_of
 from .messages import Forget, Register, Registered, RegisterMode, Release
+from .owners import OwnerChange
 from .placement import flow_key
 from .record_codec import FlowRecord
 from .record_store import RecordStore
@@ -19,7 +20,13 @@
 
 _SECOND_OWNER_DELAY_MS = 1_000
 _N_TAKEN_OVER_PER_TICK = 200
-_HOLDER_MARKS = FlowMark.REGISTERED | FlowMark.HOLDING | FlowMark.ANSWERING
+_HOLDER_MARKS = (
+    FlowMark.REGISTERED
+    | FlowMark.HOLDING
+    | FlowMark.ANSWERING
+    | FlowMark.CLAIM_DUE
+    | FlowMark.SECOND_DUE
+)
 
 
 class _Loss(NamedTuple):
@@ -29,6 +36,8 @@
     instance: InstanceId
     by_first: bool
     """Whether the first owners act; else the second ones, on what is left."""
+    change: OwnerChange | None
+    """What the loss changed in the owners."""
 
 
 class WayBack:
@@ -108,8 +117,9 @@
     def on_instance_lost(self, instance: InstanceId, now_ms: int) -> None:
         """Plan to become the way back of the flows of a lost instance."""
         later_ms = now_ms + _SECOND_OWNER_DELAY_MS
-        self._losses.append(_Loss(now_ms, instance, by_first=True))
-        self._losses.append(_Loss(later_ms, instance, by_first=False))
+        change = self._context.owners.last_change
+        self._losses.append(_Loss(now_ms, instance, True, change))
+        self._losses.append(_Loss(later_ms, instance, False, change))
 
     def tick(self, now_ms: int) -> list[Effect]:
         """Take over some of the flows that lost their answering instance."""
@@ -208,6 +218,19 @@
         owners = self._context.owners.now.of(flow_key(service, record.flow))
         return bool(owners) and owners[0] == self._context.self_id
 
+    def _is_next(self, record: FlowRecord, loss: _Loss) -> bool:
+        """Return whether this is the first owner that has the record.
+
+        Where the lost instance was the first owner too, its successor has none.
+        """
+        if self._is_first(record):
+            return True
+        if loss.change is None:
+            return False
+        service = self._context.plan.servers[record.server].service
+        before = loss.change.of(flow_key(service, record.flow))
+        return before == (loss.instance, self._context.self_id)
+
     def _collect(self, loss: _Loss, now_ms: int) -> None:
         """Queue the flows that a lost instance answered for."""
         context = self._context
@@ -215,7 +238,7 @@
         for row in context.records.rows_held_by(loss.instance):
             record = self._store.read(row)
             known = record.server in context.plan.servers
-            if known and (not loss.by_first or self._is_first(record)):
+            if known and (not loss.by_first or self._is_next(record, loss)):
                 self._orphans.append(record)
         n_found = len(self._orphans) - n_before
         if n_found:
--- a/packages/sapphirerail-core/tests/flow/test_registrar.py
+++ b/packages/sapphirerail-core/tests/flow/test_registrar.py
@@ -153,3 +153,46 @@
         RegisterMode.TAKE_OVER,
     ]
     assert not context.table.has(row, FlowMark.ANSWERING)
+
+
+def test_an_early_claim_goes_to_one_owner_and_to_the_other_if_the_flow_lives_on(
+    context: FlowContext, registrar: Registrar
+) -> None:
+    row = add(context, 1)
+    first, second = context.owners_of(row)
+    assert [owner for owner, _ in registers(registrar.claim_early(row, 0))] == [first]
+    assert context.table.has(row, FlowMark.HOLDING)
+    registrar.claim_second(row, 200)
+    sent = registers(registrar.flush(200, everything=True))
+    assert [owner for owner, _ in sent] == [second]
+
+
+def test_a_new_flow_that_ends_early_is_forgotten_where_it_was_claimed(
+    context: FlowContext, registrar: Registrar
+) -> None:
+    row = add(context, 1)
+    context.table.mark(row, FlowMark.NEW)
+    registrar.claim_early(row, 0)
+    registrar.forget(row, 100)
+    effects = registrar.flush(100, everything=True)
+    told = [e.instance for e in effects if isinstance(e.message, Forget)]
+    assert told == [context.owners_of(row)[0]]
+
+
+def test_without_budget_nothing_is_claimed_early(
+    context: FlowContext, registrar: Registrar
+) -> None:
+    n_claims = context.config.n_early_per_s
+    for number in range(n_claims):
+        assert registrar.claim_early(add(context, number), 0)
+    row = add(context, n_claims)
+    assert registrar.claim_early(row, 0) == []
+    assert not context.table.has(row, FlowMark.HOLDING)
+    assert registrar.claim_early(row, 1_000)
+
+
+def test_an_instance_that_stops_claims_nothing(
+    context: FlowContext, registrar: Registrar
+) -> None:
+    context.is_draining = True
+    assert registrar.claim_early(add(context, 1), 0) == []
--- a/packages/sapphirerail-core/tests/flow/test_way_back.py
+++ b/packages/sapphirerail-core/tests/flow/test_way_back.py
@@ -176,3 +176,80 @@
     owner.director.on_message(I1, Forget(payload), 10_500)
     owner.director.on_message(I4, Register(2, pack_records([moved])), 11_000)
     assert owner.director.lookup(BOOKINGS, RECORD.flow) == "bookings-3"
+
+
+DETECTION_MS = 1_400
+MENDED_WITHIN_MS = 200  # two ticks
+FLOWS = [FlowId(number) for number in range(40, 60)]
+
+
+def crash_and_wait(fleet: FlowFleet, victim: InstanceId) -> None:
+    fleet.kill(victim)
+    fleet.run(DETECTION_MS)
+    fleet.tell_all(victim, InstanceState.DEAD)
+    fleet.run(MENDED_WITHIN_MS)
+
+
+def holder_of(fleet: FlowFleet, flow: FlowId) -> InstanceId:
+    (holder,) = (
+        server.flows[flow][0]
+        for server in fleet.servers.values()
+        if flow in server.flows
+    )
+    return holder
+
+
+@pytest.mark.parametrize("age_ms", [5, 100, 700, 1_500, 2_400])
+def test_a_feed_is_not_mute_for_long_after_its_opener_crashed(
+    fleet: FlowFleet, age_ms: int
+) -> None:
+    fleet.run(12_000)
+    for flow in FLOWS:
+        fleet.open(I1, BOOKINGS, flow)
+    fleet.run(age_ms)
+    crash_and_wait(fleet, I1)
+    assert all(holder_of(fleet, flow) in fleet.nodes for flow in FLOWS)
+    assert not fleet.resets
+
+
+@pytest.mark.parametrize("age_ms", [5, 100, 700, 1_500, 2_400])
+def test_nor_after_the_crash_of_the_instance_of_its_last_keepalive(
+    fleet: FlowFleet, age_ms: int
+) -> None:
+    fleet.run(12_000)
+    for flow in FLOWS:
+        fleet.open(I1, BOOKINGS, flow)
+    fleet.run(10_000)
+    for flow in FLOWS:
+        fleet.send(I4, fleet.datagram(Kind.KEEPALIVE, BOOKINGS, flow))
+    fleet.run(age_ms)
+    assert {holder_of(fleet, flow) for flow in FLOWS} == {I4}
+    crash_and_wait(fleet, I4)
+    assert all(holder_of(fleet, flow) in fleet.nodes for flow in FLOWS)
+    assert not fleet.resets
+
+
+def test_the_second_owner_does_not_wait_for_a_first_one_without_the_record(
+    fleet: FlowFleet,
+) -> None:
+    fleet.run(12_000)
+    first, second = owners(fleet)
+    fleet.open(first, BOOKINGS, RECORD.flow)
+    fleet.run(5)
+    crash_and_wait(fleet, first)
+    assert holder_of(fleet, RECORD.flow) == second
+
+
+def test_feeds_beyond_the_budget_are_registered_later(fleet: FlowFleet) -> None:
+    fleet.run(12_000)
+    n_flows = 3 * fleet.config.n_early_per_s
+    for number in range(n_flows):
+        fleet.open(I1, BOOKINGS, FlowId(number))
+    fleet.run(1_000)
+    names = [(BOOKINGS, FlowId(number)) for number in range(n_flows)]
+    others = [node for name, node in fleet.nodes.items() if name != I1]
+    n_known = sum(any(n.director._store.server(*f) for n in others) for f in names)
+    assert n_known == fleet.config.n_early_per_s
+    fleet.run(2_000)
+    n_records = sum(n.director.status().n_records for n in fleet.nodes.values())
+    assert n_records == 2 * n_flows
