Let a planned stop wait until other instances have taken its flows over

A stop ended when no packet had come for the linger time. An idle feed whose hand-over was lost is quiet as well: the process ended, and the feed was mute until its caller's next packet.

Now the shutdown waits for records that no owner has acknowledged too, within its time limit. While an instance stops batches go each 300 ms without back-off; an owner that has died or does not answer six times is passed over for the other one. A stop that runs out of time, or is ended by a second signal, logs n_in_flight and n_unacknowledged.

test_shutdown asked is_complete with a bare count; it now asks with OpenWork and keeps each assertion.

--- a/bench/way_back.py
+++ b/bench/way_back.py
@@ -1,4 +1,4 @@
-"""How long a feed is mute after its instance's crash, on virtual time."""
+"""How long feeds are mute after a crash or a stop of an instance, on virtual time."""
 
 import heapq
 import random
@@ -9,6 +9,7 @@
 from sapphirerail_core.datagram import Kind
 from sapphirerail_core.flow import FlowConfig
 from sapphirerail_core.types import FlowId, InstanceId, InstanceState, ServerId
+from sapphirerail_node.shutdown import OpenWork, Shutdown
 from sapphirerail_standins.flow_fleet import FlowFleet
 from sapphirerail_standins.flow_plans import BOOKINGS, PLACES, first_plan
 
@@ -31,6 +32,11 @@
 NEW_SHORT_FEEDS_PER_S = 2_000
 SHORT_MS = 1_000
 COUNTED_MS = 6_000
+N_STOPPED_FEEDS = 300
+STOP_LOSS_SHARES = (0.0, 0.2, 0.5)
+STOP_LINGER_MS = 2_000  # the settings' defaults
+STOP_TIMEOUT_MS = 60_000
+SHUTDOWN_INTERVAL_MS = 50
 
 
 @dataclass
@@ -129,6 +135,7 @@
     lossy = _gaps_ms(LOSS_SHARE)
     yield Figure("mute_after_crash_late_lossy", _n_late(lossy), "flows")
     yield Figure("mute_after_crash_p99_lossy", _quantile(lossy, 0.99), "ms")
+    yield from _stop_figures()
     yield Figure.at_most(
         "claim_bytes_per_s_41_feeds",
         _claim_bytes_per_s(NEW_FEEDS_PER_S),
@@ -144,6 +151,41 @@
     )
 
 
+def _stop_figures() -> Iterator[Figure]:
+    """Yield what planned stops leave behind when messages are lost."""
+    for loss_share in STOP_LOSS_SHARES:
+        name = f"stop_at_{loss_share:.0%}_loss".replace("%", "_percent")
+        results = [_stop(seed, loss_share) for seed in SEEDS]
+        n_mute = sum(n_left for n_left, _ in results)
+        yield Figure.at_most(f"{name}_mute", n_mute, "flows", 0)
+        longest_ms = max(took_ms for _, took_ms in results)
+        yield Figure.at_most(f"{name}_longest", longest_ms, "ms", STOP_TIMEOUT_MS)
+
+
+def _stop(seed: int, loss_share: float) -> tuple[int, int]:
+    """Return the mute feeds after a planned stop, and how long it took."""
+    run = _Run(seed, FlowConfig(), loss_share)
+    fleet = run.fleet
+    leaving = InstanceId("i0")
+    for number in range(N_STOPPED_FEEDS):
+        fleet.open(leaving, BOOKINGS, FlowId(number))
+    fleet.run(4_000)
+    shutdown = Shutdown(STOP_LINGER_MS, STOP_TIMEOUT_MS)
+    began_ms = fleet.now_ms
+    shutdown.begin(began_ms)
+    fleet.drain(leaving)
+    flows = fleet.nodes[leaving].director
+    is_complete = False
+    while not is_complete and not shutdown.is_overdue(fleet.now_ms):
+        fleet.run(SHUTDOWN_INTERVAL_MS)
+        open_work = OpenWork(n_unacknowledged=flows.n_unacknowledged)
+        is_complete = shutdown.is_complete(fleet.now_ms, open_work)
+    fleet.kill(leaving)
+    holders = [h for s in fleet.servers.values() for h, _ in s.flows.values()]
+    n_mute = sum(holder not in fleet.nodes for holder in holders)
+    return n_mute, fleet.now_ms - began_ms
+
+
 def _gaps_ms(loss_share: float = 0.0) -> list[int]:
     runs = (_Run(seed, FlowConfig(), loss_share) for seed in SEEDS)
     return sorted(gap for run in runs for gap in run.run())
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/director.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/director.py
@@ -104,6 +104,11 @@
         """Number of flows in the local table."""
         return len(self._context.table)
 
+    @property
+    def n_unacknowledged(self) -> int:
+        """Records that no owner has acknowledged; a stop waits for them."""
+        return self._registrar.n_unacknowledged
+
     def status(self) -> FlowStatus:
         """Return what operators may ask of this instance's flows."""
         context = self._context
@@ -111,7 +116,7 @@
             revision=context.plan.revision,
             n_flows=self.n_flows,
             n_records=len(context.records),
-            n_unacknowledged=self._registrar.n_unacknowledged,
+            n_unacknowledged=self.n_unacknowledged,
             n_orphans=self._way_back.n_orphans,
             n_evicted=context.table.n_evicted,
             n_searches=self._search.n_started,
@@ -284,7 +289,7 @@
         """Hand over all flows and records before a planned stop.
 
         The instance goes on to work, and hands over at once what reaches it
-        still. It may end once `status` shows nothing that is unacknowledged.
+        still. It may end once `n_unacknowledged` is 0.
         """
         self._context.is_draining = True
         self._update_owners(now_ms)
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/registrar.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/registrar.py
@@ -11,6 +11,7 @@
 from .budget import Budget
 from .context import FlowContext
 from .messages import Forget, Register, Registered, RegisterMode, Release
+from .placement import flow_key
 from .record_codec import FlowRecord, pack_records
 from .record_store import RecordStore
 from .table import FlowMark
@@ -270,16 +271,39 @@
             if now_ms >= batch.due_ms:
                 if self._is_hopeless(batch):
                     del self._batches[serial]
+                    self._hand_over_elsewhere(batch, now_ms)
                     continue
                 batch.n_attempts += 1
-                wait_ms = self._context.config.ack_timeout_ms << batch.n_attempts
-                batch.due_ms = now_ms + wait_ms
+                batch.due_ms = now_ms + self._wait_ms(batch)
                 age_ms = now_ms - batch.made_ms
                 message = msgspec.structs.replace(batch.message, age_ms=age_ms)
                 effects.append(SendToPeer(batch.owner, message))
             self._due.append(serial)
         return effects
 
+    def _wait_ms(self, batch: _Batch) -> int:
+        """Return the time until the next transmission; a stop does not back off."""
+        timeout_ms = self._context.config.ack_timeout_ms
+        return (
+            timeout_ms if self._context.is_draining else timeout_ms << batch.n_attempts
+        )
+
+    def _hand_over_elsewhere(self, batch: _Batch, now_ms: int) -> None:
+        """Ask another owner to take over what the owner of a batch did not."""
+        if batch.message.mode is not RegisterMode.TAKE_OVER:
+            return
+        context = self._context
+        passed_ms = now_ms - batch.made_ms
+        for record in context.codes.unpack(batch.message.records):
+            if not isinstance(record, FlowRecord):
+                continue
+            service = context.plan.servers[record.server].service
+            owners = context.owners.now.of(flow_key(service, record.flow))
+            others = [owner for owner in owners if owner != batch.owner]
+            if others:
+                older = record._replace(age_ms=record.age_ms + passed_ms)
+                self.hand_over(others[0], older)
+
     def _is_hopeless(self, batch: _Batch) -> bool:
         state = self._context.fleet.state(batch.owner)
         gone = state in (InstanceState.DEAD, InstanceState.LEFT)
--- a/packages/sapphirerail-node/src/sapphirerail_node/application.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/application.py
@@ -37,7 +37,7 @@
 from .plan_service import PlanService
 from .router import Outlets, Router
 from .settings import Settings
-from .shutdown import Shutdown
+from .shutdown import OpenWork, Shutdown
 from .sockets import Sockets
 from .status import InstanceStatus
 from .ticker import Ticker
@@ -168,6 +168,7 @@
     def stop(self) -> None:
         """Begin a graceful shutdown; a second call ends the process at once."""
         if self.shutdown.has_begun:
+            _log.warning("second signal", extra=self._open_work()._asdict())
             self._end(ExitCode.FORCED)
             return
         now_ms = monotonic_ms()
@@ -234,12 +235,21 @@
             loop.add_signal_handler(number, self.stop)
 
     def _check_shutdown(self, now_ms: int) -> None:
-        if self.shutdown.is_complete(now_ms, self.decisions.dispatcher.n_in_flight):
+        open_work = self._open_work()
+        if self.shutdown.is_complete(now_ms, open_work):
             self._end(ExitCode.OK)
         elif self.shutdown.is_overdue(now_ms):
-            _log.error("shutdown took too long; work in flight is cut")
+            _log.error(
+                "shutdown took too long; open work is cut", extra=open_work._asdict()
+            )
             self._end(ExitCode.FORCED)
 
+    def _open_work(self) -> OpenWork:
+        return OpenWork(
+            n_in_flight=self.decisions.dispatcher.n_in_flight,
+            n_unacknowledged=self.decisions.flows.n_unacknowledged,
+        )
+
     def _end(self, code: ExitCode) -> None:
         if not self._stopped.is_set():
             self._exit_code = code
--- a/packages/sapphirerail-node/src/sapphirerail_node/shutdown.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/shutdown.py
@@ -1,10 +1,24 @@
 """Decides when a graceful shutdown is complete."""
 
-__all__ = ["Shutdown"]
+from typing import NamedTuple
+
+__all__ = ["OpenWork", "Shutdown"]
+
+
+class OpenWork(NamedTuple):
+    """What a shutdown waits for."""
+
+    n_in_flight: int = 0
+    """Requests and openings without an outcome."""
+    n_unacknowledged: int = 0
+    """Records of flows that no other instance has acknowledged."""
 
 
 class Shutdown:
-    """Waits for work in flight, then for quiet on the callers' side.
+    """Waits for open work, then for quiet on the callers' side.
+
+    Each flow needs another instance that has taken it over, or it would be mute until
+    its caller's next packet; an acknowledgement may be lost, so this takes a while.
 
     The fabric goes on spraying at a leaving instance until its own list has caught
     up, and a backend server goes on answering through it until another instance has
@@ -22,9 +36,9 @@
     --------
     >>> shutdown = Shutdown(linger_ms=100, timeout_ms=1000)
     >>> shutdown.begin(now_ms=0)
-    >>> shutdown.is_complete(now_ms=100, n_in_flight=1)
+    >>> shutdown.is_complete(now_ms=100, open_work=OpenWork(n_in_flight=1))
     False
-    >>> shutdown.is_complete(now_ms=100, n_in_flight=0)
+    >>> shutdown.is_complete(now_ms=100, open_work=OpenWork())
     True
     """
 
@@ -48,9 +62,9 @@
         """Note a packet of a caller, or of a flow from its server."""
         self._heard_ms = now_ms
 
-    def is_complete(self, now_ms: int, n_in_flight: int) -> bool:
+    def is_complete(self, now_ms: int, open_work: OpenWork) -> bool:
         """Return whether the process may end without cutting anything."""
-        if n_in_flight > 0 or self._began_ms is None:
+        if any(open_work) or self._began_ms is None:
             return False
         return now_ms - self._heard_ms >= self._linger_ms
 
--- a/packages/sapphirerail-node/tests/test_shutdown.py
+++ b/packages/sapphirerail-node/tests/test_shutdown.py
@@ -1,13 +1,94 @@
-from sapphirerail_node.shutdown import Shutdown
+import random
+
+import pytest
+
+from sapphirerail_core.types import FlowId, InstanceId
+from sapphirerail_node.shutdown import OpenWork, Shutdown
+from sapphirerail_standins.flow_fleet import FlowFleet
+from sapphirerail_standins.flow_plans import BOOKINGS, PLACES, first_plan
+
+LEAVING = InstanceId("i0")
+FLOWS = [FlowId(number) for number in range(100)]
+LINGER_MS = 100
+TIMEOUT_MS = 60_000
 
 
 def test_shutdown_waits_for_quiet_and_for_work():
     shutdown = Shutdown(linger_ms=100, timeout_ms=1000)
-    assert not shutdown.is_complete(5000, 0)
+    assert not shutdown.is_complete(5000, OpenWork())
     shutdown.begin(0)
     shutdown.on_traffic(80)
-    assert not shutdown.is_complete(150, 0)
-    assert not shutdown.is_complete(500, 3)
-    assert shutdown.is_complete(180, 0)
+    assert not shutdown.is_complete(150, OpenWork())
+    assert not shutdown.is_complete(500, OpenWork(n_in_flight=3))
+    assert not shutdown.is_complete(500, OpenWork(n_unacknowledged=1))
+    assert shutdown.is_complete(180, OpenWork())
     assert not shutdown.is_overdue(999)
     assert shutdown.is_overdue(1000)
+
+
+@pytest.fixture
+def fleet():
+    """Return instances of which one answers for feeds that nobody sends over."""
+    places = {InstanceId(f"i{n}"): PLACES[n % 4] for n in range(14)}
+    fleet = FlowFleet(places)
+    fleet.set_plan(first_plan())
+    fleet.run(12_000)
+    for flow in FLOWS:
+        fleet.open(LEAVING, BOOKINGS, flow)
+    fleet.run(4_000)
+    return fleet
+
+
+def shut_down(fleet):
+    """Stop an instance as the process does; return whether it was in time."""
+    shutdown = Shutdown(LINGER_MS, TIMEOUT_MS)
+    shutdown.begin(fleet.now_ms)
+    fleet.drain(LEAVING)
+    flows = fleet.nodes[LEAVING].director
+    while not shutdown.is_overdue(fleet.now_ms):
+        fleet.run(50)
+        open_work = OpenWork(n_unacknowledged=flows.n_unacknowledged)
+        if shutdown.is_complete(fleet.now_ms, open_work):
+            fleet.kill(LEAVING)
+            return True
+    return False
+
+
+def n_mute(fleet):
+    return sum(
+        holder not in fleet.nodes
+        for server in fleet.servers.values()
+        for holder, _ in server.flows.values()
+    )
+
+
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("lost_share", [0.0, 0.2, 0.5])
+def test_no_flow_is_left_behind_when_messages_are_lost(fleet, seed, lost_share):
+    losses = random.Random(seed)
+    fleet.loses = lambda sender, receiver: losses.random() < lost_share
+    assert shut_down(fleet)
+    assert n_mute(fleet) == 0
+
+
+def test_lost_acknowledgements_alone_keep_it_waiting_until_one_comes(fleet):
+    began_ms = fleet.now_ms
+    fleet.loses = lambda sender, receiver: (
+        receiver == LEAVING and fleet.now_ms < began_ms + 5_000
+    )
+    assert shut_down(fleet)
+    assert fleet.now_ms >= began_ms + 5_000
+    assert n_mute(fleet) == 0
+
+
+def test_an_owner_that_hears_nothing_is_passed_over(fleet):
+    deaf = InstanceId("i1")
+    fleet.loses = lambda sender, receiver: receiver == deaf
+    assert shut_down(fleet)
+    assert n_mute(fleet) == 0
+
+
+def test_a_shutdown_that_reaches_nobody_ends_with_its_time(fleet):
+    fleet.loses = lambda sender, receiver: sender == LEAVING
+    assert not shut_down(fleet)
+    assert fleet.nodes[LEAVING].director.n_unacknowledged > 0
