Show three faults of admission around drains, stale plans and crashes

Cause and what was seen, each first with real processes:

The server's owner had the newer plan and admitted it: `_place` asks limits and queues, not the plan. On a virtual clock 8 of 20 requests ran on the draining server. `tried` also holds servers that had no room for a moment, and keeps them out for good.

Ruled out: placement (it names the free servers), roles (the successor holds them), leases (held by all), the plan's spread (in force at the owner in each case).

Conclusion: all three have one place, `AdmissionController`, and one test each.

--- /dev/null
+++ b/packages/sapphirerail-core/tests/request/test_admission.py
@@ -0,0 +1,69 @@
+import msgspec
+from bench.request_plan import small_plan
+from bench.request_world import RequestWorld
+
+from sapphirerail_core.datagram import Kind, RefusalCode
+from sapphirerail_core.types import InstanceId, Revision, ServerId, ServerState
+
+N_FLOWS = 20
+
+
+def _drained(plan, server):
+    """Return the next plan, in which a server drains."""
+    draining = msgspec.structs.replace(
+        plan.servers[ServerId(server)], state=ServerState.DRAINING
+    )
+    return msgspec.structs.replace(
+        plan,
+        revision=Revision(plan.revision + 1),
+        servers=plan.servers | {draining.server: draining},
+    )
+
+
+def test_owner_admits_nothing_to_a_server_that_drains_by_its_plan_alone():
+    # An instance that was cut off sent new work to a draining server once it was
+    # joined again: the server's owner knew better and took it all the same.
+    world = RequestWorld(small_plan(2, 2), n_instances=2)
+    world.run(1_000)
+    plan = _drained(world.plan, "s0")
+    for name in ("dc0-0", "dc0-1"):
+        node = world.nodes[InstanceId(name)]
+        node.flows.plan = plan
+        node.dispatcher.on_plan(plan, world.now_ms)
+    for flow in range(1, N_FLOWS + 1):
+        world.request(flow, name=InstanceId("dc1-0"))
+        world.run(200)
+    world.run(2_000)
+    assert len(world.answers) == N_FLOWS
+    assert world.servers["s0"].n_answered == 0
+
+
+def test_openings_that_wait_for_a_server_that_begins_to_drain_go_elsewhere():
+    # They were refused if the other server had had no room a moment before.
+    world = RequestWorld(small_plan(1, 2), n_instances=2)
+    world.run(1_000)
+    world.servers["s0"].is_stuck = True
+    for flow in range(1, N_FLOWS + 1):
+        world.request(flow, 0, kind=Kind.OPEN, deadline_ms=5_000)
+    world.run(300)
+    world.set_plan(_drained(world.plan, "s0"))
+    world.run(6_000)
+    codes = {refusal.code for parts in world.refusals.values() for refusal in parts}
+    assert RefusalCode.NO_SERVER not in codes
+
+
+def test_openings_do_not_wait_for_the_requests_of_a_lost_owner():
+    # Those for a cold server of a crashed owner waited for up to 10 s, and were
+    # refused at their deadline, though other servers had room.
+    world = RequestWorld(small_plan(1, 6), n_instances=3)
+    world.run(1_000)
+    for flow in range(1, N_FLOWS + 1):
+        world.request(flow, 0, kind=Kind.OPEN, deadline_ms=5_000)
+    world.run(500)
+    world.kill(InstanceId("dc0-0"))
+    for flow in range(101, 101 + 5 * N_FLOWS):
+        world.request(flow, 0, kind=Kind.OPEN, deadline_ms=5_000)
+        world.run(50)
+    world.run(10_000)
+    codes = [r.code for parts in world.refusals.values() for r in parts]
+    assert RefusalCode.DEADLINE_EXCEEDED not in codes
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -1,7 +1,10 @@
 """Connections that go silent for good while new ones work."""
 
-from sapphirerail_standins.history import FlowEnded, FlowEnding
+from sapphirerail_core.datagram import Kind
+from sapphirerail_standins.history import Arrived, FlowEnded, FlowEnding
+from sapphirerail_standins.link_faults import Direction, LinkFaults
 from sapphirerail_standins.scenario import feeds_go_on, run_scenario
+from sapphirerail_standins.sheets import server_row
 from sapphirerail_standins.topology import small_system
 from sapphirerail_standins.waiting import wait_until
 
@@ -44,3 +47,26 @@
         assert answered.count(True) >= 18
 
     run_scenario(SPEC, scenario)
+
+
+def test_opening_that_goes_silent_while_its_server_drains_is_opened_elsewhere():
+    async def scenario(system, workload):
+        server = system.servers.running["bookings-1"]
+        relay = "server/osu/bookings-1"
+        await system.links.inject(relay, LinkFaults(cut=True), direction=Direction.BACK)
+        feeds = workload.open_feeds(10)
+
+        async def has_openings():
+            events = (await server.record()).events
+            return any(e.kind is Kind.OPEN for e in events if isinstance(e, Arrived))
+
+        await wait_until("openings wait at the server", has_openings)
+        await system.links.silence(relay)
+        result = await system.operators.apply([server_row(server, "draining")])
+        assert result.is_accepted, result
+        await system.links.mend()
+        await system.in_force(result.revision)
+        await feeds_go_on(feeds)
+        assert not any(feed.is_done for feed in feeds)
+
+    run_scenario(SPEC, scenario)
