--- a/tests/test_plan_under_faults.py
+++ b/tests/test_plan_under_faults.py
@@ -168,3 +168,26 @@
 
     events = run_scenario(SPEC, scenario)
     assert any(isinstance(event, RevisionSeen) for event in events)
+
+
+def test_race_while_the_store_is_slow_and_loses_answers_writes_each_line_once():
+    async def scenario(system, workload):
+        before = max((await system.instances.revisions()).values())
+        names = [f"bookings-{number}" for number in (1, 2, 3)]
+        await system.break_platform(Faults(delay_ms=200, lose_answers=2))
+        one, two = await asyncio.gather(
+            system.operators.apply(_rows(system, names[:2], "draining"), operator="a"),
+            system.operators.apply(_rows(system, names[1:], "draining"), operator="b"),
+        )
+        for sheet in (one, two):
+            assert sheet.is_accepted, sheet
+            outcomes = {line["outcome"] for line in sheet.report["lines"]}
+            assert outcomes <= {"changed", "unchanged", "refused"}
+        last = max(one.revision, two.revision)
+        assert last == before + 2
+        await system.break_platform(Faults())
+        await system.in_force(last)
+        again = await system.operators.apply(_rows(system, names, "draining"))
+        assert (again.is_accepted, again.revision) == (True, last)
+
+    run_scenario(SPEC, scenario)
