Test crashes while a data centre is taken out and while it comes back

Cause: "a server's crash during the take-out of its data centre" stood in docs/FAILURES.md as not brought about with real processes, and nothing crashed while a data centre came back.

- A server inside and one outside are killed while the sheet that takes the data centre out is applied; feeds opened then and after the return must all live on.
- An instance inside is killed while the sheet that brings it back is applied; all its servers must get work again and new feeds must open.

Before: no test.

--- /dev/null
+++ b/tests/test_take_out.py
@@ -0,0 +1,84 @@
+"""Crashes while operators take a data centre out and bring it back."""
+
+import asyncio
+
+from sapphirerail_standins.history import Answered
+from sapphirerail_standins.scenario import feeds_go_on, run_scenario
+from sapphirerail_standins.sheets import data_centre_row
+from sapphirerail_standins.topology import small_system
+from sapphirerail_standins.waiting import wait_until
+
+SPEC = small_system(
+    n_bookings=6, n_sketches=0, data_centres=("osu", "madina"), n_instances=3, seed=81
+)
+N_FEEDS = 24
+
+
+async def _opened_after(workload, n_feeds):
+    """Open feeds that all must live from now on."""
+    opened = workload.open_feeds(n_feeds)
+    await feeds_go_on(opened)
+    assert not any(feed.is_done for feed in opened)
+    return opened
+
+
+async def _n_packets(servers):
+    return [len((await server.record()).events) for server in servers]
+
+
+def test_crashes_of_servers_during_the_take_out_of_a_data_centre():
+    async def scenario(system, workload):
+        feeds = workload.open_feeds(N_FEEDS)
+        await feeds_go_on(feeds)
+        async with workload:
+            # One that is on its way out, and one that takes over what it had.
+            result, *_ = await asyncio.gather(
+                system.operators.apply([data_centre_row("osu", "out")]),
+                system.servers.kill("bookings-1"),
+                system.servers.kill("bookings-2"),
+            )
+            assert result.is_accepted, result
+            await system.in_force(result.revision)
+            await feeds_go_on(feeds)
+            later = await _opened_after(workload, 8)
+            result = await system.operators.apply([data_centre_row("osu", "in")])
+            assert result.is_accepted, result
+            await system.in_force(result.revision)
+            later += await _opened_after(workload, 8)
+            await feeds_go_on(later)
+            assert not any(feed.is_done for feed in later)
+
+    events = run_scenario(SPEC, scenario)
+    assert sum(isinstance(event, Answered) for event in events) > 20
+
+
+def test_crash_of_an_instance_while_its_data_centre_comes_back():
+    async def scenario(system, workload):
+        feeds = workload.open_feeds(N_FEEDS)
+        await feeds_go_on(feeds)
+        result = await system.operators.apply([data_centre_row("osu", "out")])
+        assert result.is_accepted, result
+        await system.in_force(result.revision)
+        back = [s for s in system.servers.running.values() if _is_in(s, "osu")]
+        async with workload:
+            before = await _n_packets(back)
+            result, _ = await asyncio.gather(
+                system.operators.apply([data_centre_row("osu", "in")]),
+                system.instances.kill("osu-a"),
+            )
+            assert result.is_accepted, result
+            await system.in_force(result.revision)
+
+            async def all_have_work():
+                packets = await _n_packets(back)
+                return all(n > was for n, was in zip(packets, before, strict=True))
+
+            await wait_until("work returns", all_have_work)
+            await feeds_go_on(feeds)
+            await _opened_after(workload, 8)
+
+    run_scenario(SPEC, scenario)
+
+
+def _is_in(server, data_centre):
+    return server.spec.data_centre == data_centre
