--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/director.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/director.py
@@ -15,6 +15,7 @@
     ServerId,
     ServerState,
     ServiceId,
+    TrafficClass,
 )
 from .config import FlowConfig
 from .context import FlowContext
@@ -103,6 +104,11 @@
         """Number of flows in the local table."""
         return len(self._context.table)
 
+    @property
+    def n_unacknowledged(self) -> int:
+        """Records that no owner has acknowledged; a stop waits for them."""
+        return self._registrar.n_unacknowledged
+
     def status(self) -> FlowStatus:
         """Return what operators may ask of this instance's flows."""
         context = self._context
@@ -110,7 +116,7 @@
             revision=context.plan.revision,
             n_flows=self.n_flows,
             n_records=len(context.records),
-            n_unacknowledged=self._registrar.n_unacknowledged,
+            n_unacknowledged=self.n_unacknowledged,
             n_orphans=self._way_back.n_orphans,
             n_evicted=context.table.n_evicted,
             n_searches=self._search.n_started,
@@ -175,9 +181,11 @@
             now_ms, Reason.FLOW_OPENED, flow=datagram.flow, server=server
         )
         self._silence.watch(row, now_ms)
-        if not context.needs_record(datagram.service, datagram.flow, server):
-            return []
-        return self._registrar.register(row, now_ms, at_once=True)
+        if context.needs_record(datagram.service, datagram.flow, server):
+            return self._registrar.register(row, now_ms, at_once=True)
+        if datagram.traffic_class is TrafficClass.FEED:
+            return self._registrar.claim_early(row, now_ms)
+        return []
 
     def refused(self, datagram: Datagram, server: ServerId, now_ms: int) -> None:
         """Note that a server refused to open a flow.
@@ -281,7 +289,7 @@
         """Hand over all flows and records before a planned stop.
 
         The instance goes on to work, and hands over at once what reaches it
-        still. It may end once `status` shows nothing that is unacknowledged.
+        still. It may end once `n_unacknowledged` is 0.
         """
         self._context.is_draining = True
         self._update_owners(now_ms)
