Admit by the own plan, and leave servers that lost owners or silence block

- An owner admitted what an instance with an older plan forwarded to a draining server (8 of 20 requests ran there).
The owner's own plan now decides; the opening of a flow that the server has already is no new work.
- `tried` kept servers that had had no room for a moment out for good, so that openings waiting at a server that began to drain were refused with NO_SERVER (6 of 10).
They may now return to such servers; hops stay bounded.
- Openings waited up to 10 s for the requests of a crashed owner (1 of 5 runs of test_take_out).
What waits at a server that only a lost owner's requests fill now goes elsewhere if it can.
- A retry that found no other server spent the budget all the same, each tick, and left "was sent" unset; an opening at an unreachable server then waited until its deadline.
- An unreachable server still got its whole queue, one request after the other, between the third unanswered probe and the fourth; a former owner sent no probes at all for what it still had in flight.

--- a/bench/fake_server.py
+++ b/bench/fake_server.py
@@ -52,6 +52,7 @@
         self.cold_until_ms = 0
         self.silent_until_ms = 0
         self.is_stuck = False
+        self.is_unreachable = False
         self.stops_at_deadline = False
         self.n_parts = 1
         self.n_queue_max = 2
@@ -67,6 +68,8 @@
 
     def on_datagram(self, datagram: Datagram, now_ms: int) -> list[Datagram]:
         """Take a datagram in; return what is answered at once."""
+        if self.is_unreachable:
+            return []
         if datagram.kind is Kind.PROBE:
             return [self._health(datagram)]
         if self.is_stuck or now_ms < self.silent_until_ms:
--- a/packages/sapphirerail-core/src/sapphirerail_core/load/gate.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/load/gate.py
@@ -24,10 +24,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Inherited:
-    """Requests of a previous owner, and when the last of them has ended."""
+    """Requests of a previous owner, and when the last of them has ended.
+
+    Of a lost owner's requests nobody tells how they end.
+    """
 
     n_in_flight: int
     until_ms: int
+    is_lost: bool = False
 
 
 class ServerGate:
@@ -93,10 +97,14 @@
 
     def has_room(self, now_ms: int) -> bool:
         """Return whether one more request may be sent."""
+        if self.is_unreachable():
+            return False
         return self.n_in_flight(now_ms) < self.limit.allowed(now_ms)
 
     def is_closed(self, now_ms: int) -> bool:
         """Return whether the server is ejected and gets no request now."""
+        if self.is_unreachable():
+            return True
         if self.limit.state is not LimitState.EJECTED:
             return False
         return not self.has_room(now_ms)
@@ -105,6 +113,15 @@
         """Return whether one more connection may be opened."""
         return self.n_flows < self.n_flows_max
 
+    def is_blocked(self, now_ms: int) -> bool:
+        """Return whether the requests of lost owners may take all the room."""
+        n_lost = sum(
+            part.n_in_flight
+            for part in self._inherited.values()
+            if part.is_lost and part.until_ms > now_ms
+        )
+        return n_lost > 0 and n_lost >= self.limit.allowed(now_ms)
+
     def wait_ms(self, item: QueueItem) -> float:
         """Return the expected time to the answer of an item queued now.
 
@@ -136,9 +153,11 @@
         """Return whether a request has been unanswered for suspiciously long."""
         return now_ms - sent_at_ms > self.limit.stall_age_ms()
 
-    def inherit(self, holder: str, n_in_flight: int, until_ms: int) -> None:
+    def inherit(
+        self, holder: str, n_in_flight: int, until_ms: int, *, is_lost: bool = False
+    ) -> None:
         """Count the requests that another owner has in flight at the server."""
-        self._inherited[holder] = Inherited(n_in_flight, until_ms)
+        self._inherited[holder] = Inherited(n_in_flight, until_ms, is_lost)
 
     def on_sent(self, key: int, deadline_at_ms: int, now_ms: int) -> None:
         """Count a request as in flight."""
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/admission.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/admission.py
@@ -177,6 +177,8 @@
             if gate.is_unreachable():
                 effects += self._leave_unreachable(gate, now_ms)
             effects += self._leave_closed(gate, now_ms)
+            if gate.is_blocked(now_ms):
+                effects += self._leave_blocked(gate, now_ms)
             effects += self.pump(gate, now_ms)
         self.ledger.tick(now_ms)
         return effects
@@ -190,20 +192,38 @@
                 effects += self._hand_over(work, now_ms)
         return effects
 
-    def retry(self, work: Work, now_ms: int) -> list[Effect] | None:
-        """Send a request that was surely not run to another server.
+    def retry(
+        self, work: Work, now_ms: int, *, may_return: bool = False
+    ) -> list[Effect] | None:
+        """Send a request that was surely not run, or may run twice, elsewhere.
+
+        Parameters
+        ----------
+        work : Work
+            The request.
+        now_ms : int
+            The time.
+        may_return : bool
+            Whether a server that had no room before may be asked again.
 
         Returns
         -------
         list of Effect or None
             None if there is no other server, no time or no budget.
         """
-        if work.deadline_at_ms <= now_ms or not self._retries.try_spend():
+        if work.deadline_at_ms <= now_ms or not self._retries.has_one():
             return None
         work.was_sent = False
-        return self._move(work, now_ms)
+        moved = self._move(work, now_ms, may_return=may_return)
+        if moved is None:
+            work.was_sent = True
+        else:
+            self._retries.spend()
+        return moved
 
     def _place(self, work: Work, now_ms: int) -> list[Effect]:
+        if not self._may_take(work):
+            return self._leave_drained(work, now_ms)
         gate = self._gates.gate(work.server, now_ms)
         if self._is_crowded(gate, work, now_ms):
             moved = self._move(work, now_ms)
@@ -216,11 +236,27 @@
             return self._claim(work, now_ms)
         return self._enqueue(work, gate, now_ms)
 
+    def _may_take(self, work: Work) -> bool:
+        """Return whether the plan lets a server have a request.
+
+        Who forwarded it may know an older plan. The opening of a flow that the
+        server has already is no new work.
+        """
+        if self._routes.takes_new_work(work.server):
+            return True
+        datagram = work.datagram
+        if datagram.kind is not Kind.OPEN:
+            return False
+        known = self._context.flows.lookup(datagram.service, datagram.flow)
+        return known == work.server
+
     def _is_crowded(self, gate: ServerGate, work: Work, now_ms: int) -> bool:
         if self._lack_of_room(gate, work, now_ms) is not None:
             return True
         if work.hop >= _N_HOPS_FOR_LOAD:
             return False
+        if gate.is_blocked(now_ms):
+            return True
         n_ahead = gate.queue.n_ahead(work.datagram.traffic_class)
         return n_ahead >= gate.limit.limit
 
@@ -263,6 +299,8 @@
             return self.refuse(work, work.refusal, now_ms)
         if self._roles.holder_of(work.server, now_ms) != self._context.fleet.self_id:
             return self._hand_over(work, now_ms)
+        if not self._may_take(work):
+            return self._leave_drained(work, now_ms)
         return self._enqueue(work, self._gates.gate(work.server, now_ms), now_ms)
 
     def _enqueue(self, work: Work, gate: ServerGate, now_ms: int) -> list[Effect]:
@@ -294,23 +332,39 @@
             effects += self._context.flows.opened(sent, work.server, now_ms)
         return [*effects, SendToServer(work.server, sent)]
 
-    def _move(self, work: Work, now_ms: int) -> list[Effect] | None:
+    def _move(
+        self, work: Work, now_ms: int, *, may_return: bool = False
+    ) -> list[Effect] | None:
         if work.hop >= self._context.config.n_hops_max:
             return None
         tried = (*work.tried, work.server)
         servers = self._routes.servers_for(work.datagram, tried)
+        if not servers and may_return:
+            # Those that had no room a while ago may have it now.
+            tried = (work.server,)
+            servers = self._routes.servers_for(work.datagram, tried)
         return self._move_to(work, servers[0], tried, now_ms) if servers else None
 
     def _hand_over(self, work: Work, now_ms: int) -> list[Effect]:
         target = self._roles.holder_of(work.server, now_ms)
         if target is not None and target != self._context.fleet.self_id:
             return self._move_to(work, work.server, work.tried, now_ms)
-        return self._move_or_refuse(work, RefusalCode.NO_SERVER, now_ms)
+        return self._leave_drained(work, now_ms)
+
+    def _leave_drained(self, work: Work, now_ms: int) -> list[Effect]:
+        """Send a request elsewhere, also to servers that had no room before."""
+        code = RefusalCode.NO_SERVER
+        return self._move_or_refuse(work, code, now_ms, may_return=True)
 
     def _move_or_refuse(
-        self, work: Work, code: RefusalCode, now_ms: int
+        self,
+        work: Work,
+        code: RefusalCode,
+        now_ms: int,
+        *,
+        may_return: bool = False,
     ) -> list[Effect]:
-        moved = self._move(work, now_ms)
+        moved = self._move(work, now_ms, may_return=may_return)
         if moved is not None:
             return moved
         return self.refuse(work, code, now_ms)
@@ -375,6 +429,20 @@
             return self.leave(gate, now_ms)
         return []
 
+    def _leave_blocked(self, gate: ServerGate, now_ms: int) -> list[Effect]:
+        """Move what waits for the end of a lost owner's requests, if it can go."""
+        effects: list[Effect] = []
+        for item in gate.queue.take_all():
+            work = self.ledger.get(item.key)
+            if work is None:
+                continue
+            moved = self._move(work, now_ms)
+            if moved is None:
+                gate.queue.push(item)
+            else:
+                effects += moved
+        return effects
+
     def _leave_unreachable(self, gate: ServerGate, now_ms: int) -> list[Effect]:
         """Send elsewhere what an unreachable server has got and may run twice."""
         effects: list[Effect] = []
@@ -386,9 +454,8 @@
                 continue
             work.is_uncertain = True
             self.forget_opening(work, now_ms)
-            moved = self.retry(work, now_ms)
+            moved = self.retry(work, now_ms, may_return=True)
             if moved is None:
-                work.was_sent = True
                 continue
             gate.give_up(key)
             effects += moved
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/dispatcher.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/dispatcher.py
@@ -9,7 +9,7 @@
 from ..fleet.view import FleetView
 from ..journal import Journal
 from ..plan.model import Plan
-from ..types import InstanceId, InstanceState, ServerId, ServerState
+from ..types import InstanceId, InstanceState, ServerId
 from .admission import AdmissionController
 from .answers import AnswerHandler
 from .claimant import Claimant
@@ -42,7 +42,6 @@
 __all__ = ["Dispatcher"]
 
 _PAUSE_MS = 500
-_NEW_WORK_STATES = frozenset({ServerState.ENTERING, ServerState.ACTIVE})
 
 
 class Dispatcher:
@@ -121,7 +120,7 @@
             self._claimant.on_data_centres(former_in, now_ms)
         effects: list[Effect] = []
         for gate in self._gates.all():
-            if not self._takes_new_work(gate.server):
+            if not self._routes.takes_new_work(gate.server):
                 effects += self._admission.leave(gate, now_ms)
             if gate.server not in plan.servers and not gate.in_flight:
                 self._gates.drop(gate.server)
@@ -226,12 +225,6 @@
                 effects += self._admission.pump(gate, now_ms)
         return effects
 
-    def _takes_new_work(self, server: ServerId) -> bool:
-        planned = self._context.plan.servers.get(server)
-        if planned is None or self._context.plan.is_out(planned.data_centre):
-            return False
-        return planned.state in _NEW_WORK_STATES
-
     @singledispatchmethod
     def _on_message(
         self, message: Message, sender: InstanceId, now_ms: int
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/gates.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/gates.py
@@ -104,15 +104,22 @@
         effects += self._tell_again(now_ms)
         for server in self._roles.servers(RoleState.ACTIVE):
             gate = self._gates.get(server)
-            if gate is None:
-                continue
-            effects += self._roles.notice(server, gate.limit.limit)
-            probe = self._probe(server)
-            if probe:
-                gate.on_probe_sent(now_ms)
-            effects += probe
+            if gate is not None:
+                effects += self._roles.notice(server, gate.limit.limit)
+                effects += self._send_probe(gate, now_ms)
+        for server in self._roles.servers(RoleState.RELEASED):
+            gate = self._gates.get(server)
+            if gate is not None and gate.n_own():
+                # What it still has in flight has to leave an unreachable server.
+                effects += self._send_probe(gate, now_ms)
         return effects
 
+    def _send_probe(self, gate: ServerGate, now_ms: int) -> list[Effect]:
+        probe = self._probe(gate.server)
+        if probe:
+            gate.on_probe_sent(now_ms)
+        return probe
+
     def n_untold(self) -> int:
         """Return how many new holders do not know yet what has ended."""
         pairs = (
@@ -156,7 +163,8 @@
             return
         config = self._context.config
         longest_ms = config.deadline_max_ms + config.limit.silence_grace_ms
-        gate.inherit(lost, gate.limit.n_slots, now_ms + longest_ms)
+        until_ms = now_ms + longest_ms
+        gate.inherit(lost, gate.limit.n_slots, until_ms, is_lost=True)
 
     def _tell_holder(self, server: ServerId, now_ms: int) -> list[Effect]:
         role = self._roles.role(server)
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/retry.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/retry.py
@@ -16,11 +16,13 @@
     Examples
     --------
     >>> budget = RetryBudget(0.5)
-    >>> [budget.try_spend() for _ in range(11)].count(True)
-    10
+    >>> for _ in range(10):
+    ...     budget.spend()
+    >>> budget.has_one()
+    False
     >>> budget.on_request()
     >>> budget.on_request()
-    >>> budget.try_spend()
+    >>> budget.has_one()
     True
     """
 
@@ -32,9 +34,10 @@
         """Add the share of one request."""
         self._tokens = min(_TOKENS_MAX, self._tokens + self._share)
 
-    def try_spend(self) -> bool:
-        """Take one retry from the budget; return whether there was one."""
-        if self._tokens < 1.0:
-            return False
+    def has_one(self) -> bool:
+        """Return whether the budget allows a retry."""
+        return self._tokens >= 1.0
+
+    def spend(self) -> None:
+        """Take one retry from the budget."""
         self._tokens -= 1.0
-        return True
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/routes.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/routes.py
@@ -2,13 +2,14 @@
 
 from .. import rendezvous
 from ..datagram import Datagram, Kind
-from ..types import FlowId, InstanceId, InstanceState, ServerId
+from ..types import FlowId, InstanceId, InstanceState, ServerId, ServerState
 from .context import Context
 from .keys import request_key
 
 __all__ = ["Routes"]
 
 _CACHE_MS = 1_000
+_NEW_WORK_STATES = frozenset({ServerState.ENTERING, ServerState.ACTIVE})
 
 
 class Routes:
@@ -57,6 +58,13 @@
         in_line = self.in_line(server)
         return in_line[0] if in_line else None
 
+    def takes_new_work(self, server: ServerId) -> bool:
+        """Return whether a server may get new work by the plan of this instance."""
+        planned = self._context.plan.servers.get(server)
+        if planned is None or self._context.plan.is_out(planned.data_centre):
+            return False
+        return planned.state in _NEW_WORK_STATES
+
     def servers_for(
         self, datagram: Datagram, tried: tuple[ServerId, ...]
     ) -> list[ServerId]:
