Measure the bytes that requests cost between instances, by message type

Cause: docs/CAPACITY.md gave 34 kB/s a node for claims at the target, worked out from message bodies without signature, sender and UDP header.

Now measured with the real dispatcher and message codec, UDP/IP header included, warm servers, requests one by one.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -20,6 +20,7 @@
     "service",
     "data_path",
     "requests",
+    "peer_traffic",
     "limits",
 )
 KNOWN_RED_PATH = Path(__file__).parent.parent / "KNOWN-RED.txt"
--- a/bench/capacity_paths.py
+++ b/bench/capacity_paths.py
@@ -22,8 +22,9 @@
 from sapphirerail_core.types import DataCentreId, FlowId, InstanceId, ServerId
 from sapphirerail_transport.udp import Address, UdpSocket
 
+from .peer_traffic import CONTROL_BYTES_PER_S_MAX, traffic_of
 from .request_plan import SERVICE, small_plan
-from .slope import Slope
+from .slope import Growth, Slope
 
 __all__ = ["slopes"]
 
@@ -47,6 +48,9 @@
 PATH_SIZES = (1_000, 4_000, 16_000, 64_000)
 CLAIM_SIZES = (1_000, 2_000, 4_000, 8_000)
 GATE_SIZES = (10, 50, 250, 1_000)
+PEER_SIZES = (4, 16, 64)
+N_PEER_DATA_CENTRES = 3
+N_IN_DATA_CENTRE = 557
 N_PATH_CALLS = 4_000
 SOCKET_SIZES = (2_000, 4_000, 8_000)
 SOCKET_LIMIT_S = 30
@@ -60,6 +64,7 @@
     yield _memory("flow_record_memory", "flow owner", _table_bytes, copies=2)
     yield from _claims()
     yield _gates()
+    yield from _peer_traffic()
 
 
 def _director(n_flows: int) -> tuple[FlowDirector, list[FlowId]]:
@@ -289,3 +294,37 @@
         limit=CONTROL_MEMORY_BYTES,
         mechanism="one owner a server, in the server's data centre: 7.2 a node",
     )
+
+
+def _peer_traffic() -> Iterator[Slope]:
+    measured = [
+        traffic_of(size, N_PEER_DATA_CENTRES, N_PEER_DATA_CENTRES * size)
+        for size in PEER_SIZES
+    ]
+    for name, values, mechanism in (
+        (
+            "claim_sent_bytes",
+            [traffic.claim_bytes() for traffic in measured],
+            "claims and grants: three of four keepers are asked, found by the "
+            "request's key; all requests taken as not idempotent",
+        ),
+        (
+            "request_control_bytes",
+            [traffic.control_bytes() for traffic in measured],
+            "the line above, receipts, and the wrapping of forwards; without the "
+            "caller's datagram",
+        ),
+    ):
+        yield Slope(
+            name=name,
+            role="admission owner and claim keeper",
+            unit="B/s",
+            sizes=PEER_SIZES,
+            values=values,
+            size_of="instances of a data centre; bytes a request",
+            target_size=N_IN_DATA_CENTRE,
+            growth=Growth.LOGARITHMIC,
+            factor=REQUESTS_PER_NODE_S,
+            limit=CONTROL_BYTES_PER_S_MAX,
+            mechanism=mechanism,
+        )
--- /dev/null
+++ b/bench/peer_traffic.py
@@ -0,0 +1,175 @@
+"""What requests cost between instances: datagrams and bytes, by message type."""
+
+import random
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from sapphirerail_core.effects import Effect, Message, SendToPeer
+from sapphirerail_core.request.messages import Forward
+from sapphirerail_core.types import InstanceId
+from sapphirerail_transport.datagram_codec import encode_datagram
+from sapphirerail_transport.message_codec import MessageCodec
+from sapphirerail_transport.signature import Signer
+
+from .request_plan import small_plan
+from .request_world import RequestWorld
+from .result import Figure
+
+__all__ = [
+    "CONTROL_BYTES_PER_S_MAX",
+    "PeerTraffic",
+    "figures",
+    "traffic_of",
+]
+
+UDP_HEADER_BYTES = 28
+CONTROL_BYTES_PER_S_MAX = 28_000
+N_DATA_CENTRES = 4
+N_INSTANCES_TODAY = 4
+N_SERVERS_TODAY = 11
+N_REQUESTS_PER_SERVER_S = 40
+"""Two slots of about 50 ms."""
+N_REQUESTS = 400
+N_WARM_UP = 300
+INTERVAL_MS = 20
+WORK_MS = 50
+SETTLE_MS = 1_000
+END_MS = 3_000
+SEED = 7
+CLAIM_TYPES = ("Claim", "Grant", "Withdraw")
+ROLE_TYPES = ("LoadNotice", "RoleClaim", "RoleRelease")
+
+
+@dataclass
+class PeerTraffic:
+    """Datagrams and bytes between the instances of a fleet, headers included.
+
+    Parameters
+    ----------
+    n_messages, n_bytes : Counter
+        By message type.
+    n_datagrams : int
+        Datagrams that carried them.
+    n_forwarded_bytes : int
+        Part of the bytes that is the callers' datagrams inside of forwards.
+    """
+
+    n_messages: Counter[str] = field(default_factory=Counter)
+    n_bytes: Counter[str] = field(default_factory=Counter)
+    n_datagrams: int = 0
+    n_forwarded_bytes: int = 0
+
+    def claim_bytes(self) -> float:
+        """Return the bytes of claims and their answers, a request."""
+        return sum(self.n_bytes[name] for name in CLAIM_TYPES) / N_REQUESTS
+
+    def control_bytes(self) -> float:
+        """Return the bytes a request, without the caller's datagram in the forward.
+
+        Headers and wrapping of the forward count. What is sent without any request,
+        such as the notices of limits, does not.
+        """
+        names = (*CLAIM_TYPES, "Forward", "Taken")
+        n_bytes = sum(self.n_bytes[name] for name in names)
+        return (n_bytes - self.n_forwarded_bytes) / N_REQUESTS
+
+    def role_bytes(self) -> float:
+        """Return the bytes a second that the roles of all servers cost."""
+        n_bytes = sum(self.n_bytes[name] for name in ROLE_TYPES)
+        return n_bytes / (N_REQUESTS * INTERVAL_MS + END_MS) * 1000
+
+
+class _Meter:
+    """Puts the messages of each turn into their wire form, and counts them."""
+
+    def __init__(self) -> None:
+        self.traffic = PeerTraffic()
+        self._codec = MessageCodec(Signer("a key for the bench"))
+
+    def on_turn(self, sender: InstanceId, effects: list[Effect]) -> None:
+        """Count what one turn of an instance sends to others."""
+        for effect in effects:
+            if isinstance(effect, SendToPeer):
+                self._count(sender, effect.message)
+
+    def _count(self, sender: InstanceId, message: Message) -> None:
+        name = type(message).__name__
+        payload = self._codec.encode(sender, message)
+        self.traffic.n_datagrams += 1
+        self.traffic.n_messages[name] += 1
+        self.traffic.n_bytes[name] += len(payload) + UDP_HEADER_BYTES
+        if isinstance(message, Forward):
+            self.traffic.n_forwarded_bytes += len(encode_datagram(message.datagram))
+
+
+def traffic_of(
+    n_instances: int, n_data_centres: int, n_servers: int, *, idempotent: bool = False
+) -> PeerTraffic:
+    """Return what `N_REQUESTS` requests cost that many instances a data centre.
+
+    The requests come one by one to warm servers, so that none waits or is refused.
+    """
+    plan = small_plan(n_data_centres, n_servers)
+    world = RequestWorld(plan, n_instances, SEED)
+    world.faults.delay_max_ms = 1
+    for server in world.servers.values():
+        server.work_ms = WORK_MS
+    world.run(SETTLE_MS)
+    for number in range(N_WARM_UP):
+        world.at(INTERVAL_MS * number, lambda n=number: world.request(-1 - n))
+    world.run(INTERVAL_MS * N_WARM_UP + END_MS)
+    return _measured(world, idempotent)
+
+
+def _measured(world: RequestWorld, idempotent: bool) -> PeerTraffic:
+    meter = _Meter()
+    world.on_turn = meter.on_turn
+    world.answers.clear()
+    draws = random.Random(SEED)
+    for _ in range(N_REQUESTS):
+        # Random flows are as long on the wire as those of real callers.
+        flow = draws.getrandbits(64)
+        world.request(flow, idempotent=idempotent)
+        world.run(INTERVAL_MS)
+    world.run(END_MS)
+    assert len(world.answers) == N_REQUESTS
+    return meter.traffic
+
+
+def figures() -> Iterator[Figure]:
+    """Yield the cost of requests at today's size."""
+    for name, idempotent in (("idempotent", True), ("claimed", False)):
+        traffic = traffic_of(
+            N_INSTANCES_TODAY,
+            N_DATA_CENTRES,
+            N_SERVERS_TODAY,
+            idempotent=idempotent,
+        )
+        yield from _figures_of(name, traffic)
+        if not idempotent:
+            yield from _bounded(traffic)
+
+
+def _figures_of(name: str, traffic: PeerTraffic) -> Iterator[Figure]:
+    yield Figure(f"peer_{name}_datagrams", traffic.n_datagrams / N_REQUESTS, "1")
+    for kind, n_bytes in sorted(traffic.n_bytes.items()):
+        if kind not in ROLE_TYPES:
+            yield Figure(f"peer_{name}_{kind}_bytes", n_bytes / N_REQUESTS, "B")
+    forwarded_bytes = traffic.n_forwarded_bytes / N_REQUESTS
+    yield Figure(f"peer_{name}_forwarded_datagram_bytes", forwarded_bytes, "B")
+    yield Figure(f"peer_{name}_control_bytes", traffic.control_bytes(), "B")
+
+
+def _bounded(traffic: PeerTraffic) -> Iterator[Figure]:
+    """Yield what an instance sends at today's full load, all of it claimed."""
+    n_instances = N_DATA_CENTRES * N_INSTANCES_TODAY
+    n_requests_s = N_SERVERS_TODAY * N_REQUESTS_PER_SERVER_S / n_instances
+    role_bytes = traffic.role_bytes() / n_instances
+    yield Figure("peer_role_bytes_today", role_bytes, "B/s")
+    yield Figure.at_most(
+        "peer_control_full_load_today",
+        traffic.control_bytes() * n_requests_s + role_bytes,
+        "B/s",
+        CONTROL_BYTES_PER_S_MAX,
+    )
--- a/bench/request_world.py
+++ b/bench/request_world.py
@@ -85,6 +85,7 @@
         self.latencies_ms: dict[RunKey, int] = {}
         self.n_messages: Counter[str] = Counter()
         self.n_message_bytes = 0
+        self.on_turn: Callable[[InstanceId, list[Effect]], None] | None = None
         self._heap: list[tuple[int, int, Callable[[], None]]] = []
         self._n_events = 0
         self._replies_to: dict[tuple[ServerId, RunKey], InstanceId] = {}
@@ -312,7 +313,10 @@
         if node.is_paused:
             node.inbox.append(handler)
             return
-        for effect in handler(self.now_ms):
+        effects = handler(self.now_ms)
+        if self.on_turn is not None:
+            self.on_turn(name, effects)
+        for effect in effects:
             self._carry_out(name, effect)
 
     def _carry_out(self, name: InstanceId, effect: Effect) -> None:
