Refuse deeply nested datagrams with a code

Cause: msgspec raises RecursionError, which is not one of its own errors, when it skips elements behind the last field that are nested beyond Python's limit. A datagram of 5 kB from any caller raised it through the edge instead of being counted and dropped.

Before: the new test ends in RecursionError. After: `datagram.malformed`, counted like any other bad datagram.

--- a/packages/sapphirerail-transport/src/sapphirerail_transport/datagram_codec.py
+++ b/packages/sapphirerail-transport/src/sapphirerail_transport/datagram_codec.py
@@ -55,7 +55,7 @@
         )
     try:
         datagram = _decoder.decode(payload)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise InputError("datagram.malformed", str(error)) from error
     if datagram.version != DATAGRAM_VERSION:
         raise InputError(
--- a/packages/sapphirerail-transport/tests/test_datagram_codec.py
+++ b/packages/sapphirerail-transport/tests/test_datagram_codec.py
@@ -58,3 +58,12 @@
         with pytest.raises(InputError) as refused:
             decode_datagram(encode_datagram(Datagram(**fields)))
         assert refused.value.code == code
+
+
+def test_deep_nesting_behind_the_last_field_is_malformed():
+    fields = encode_datagram(_SAMPLE)
+    # The array's length is in its first byte; one element more follows the fields.
+    payload = bytes([0xDC, 0, (fields[0] & 15) + 1]) + fields[1:] + b"\x91" * 5_000
+    with pytest.raises(InputError) as refused:
+        decode_datagram(payload)
+    assert refused.value.code == "datagram.malformed"
