Send the messages of one turn to an instance in one datagram, with a shorter tag

Cause: each message between instances left alone, with 28 bytes of headers, a tag of 16 bytes and its sender; in a turn of the event loop several go to the same instance, most often a claim's answer or receipt together with another message.

A new wire form, the bundle, holds one or more messages of one sender under a tag of 8 bytes from a key of its own use. It goes only to instances whose own payloads said that they read it; the single form, with one more field that older versions skip, is read as before. Heartbeats don't wait for the end of the turn. The decoder refuses any bytes with a code, deep nesting too, and an unknown message in a bundle doesn't cost the others.

--- a/packages/sapphirerail-node/src/sapphirerail_node/application.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/application.py
@@ -281,7 +281,7 @@
         if address is None:
             self.metrics.count("peer.no_address")
             return
-        self.peers.send(message, address)
+        self.peers.send(instance, message, address)
 
     async def _poll_listing(self) -> None:
         while True:
--- a/packages/sapphirerail-node/tests/test_peers.py
+++ b/packages/sapphirerail-node/tests/test_peers.py
@@ -1,6 +1,8 @@
 import asyncio
 import socket
 
+import msgspec
+
 from sapphirerail_core.request.messages import Claim, Grant
 from sapphirerail_node import peers
 from sapphirerail_node.metrics import Metrics
@@ -43,7 +45,8 @@
         bound = _bound_socket()
         await receiver.socket.open(bound)
         await sender.socket.open(_bound_socket())
-        sender.socket.send(Claim(1, 2, 3), format_address(bound.getsockname()))
+        address = format_address(bound.getsockname())
+        sender.socket.send("osu-1", Claim(1, 2, 3), address)
         while not receiver.handled:
             await asyncio.sleep(0)
         receiver.socket.close()
@@ -110,3 +113,90 @@
         return handled
 
     assert asyncio.run(scenario()) == [1, 2]
+
+
+async def _two_peers(**fields):
+    """Return a sender that knows that the receiver reads bundles, and both sockets."""
+    receiver, sender = _Peer(**fields), _Peer(**fields)
+    bound = _bound_socket()
+    await receiver.socket.open(bound)
+    await sender.socket.open(_bound_socket())
+    sender.socket._on_payload(_payload(Claim(0, 0, 0)), _SENDER)
+    return sender, receiver, format_address(bound.getsockname())
+
+
+def _close(*peers):
+    for peer in peers:
+        peer.socket.close()
+
+
+def test_messages_of_one_turn_share_a_datagram():
+    async def scenario():
+        sender, receiver, address = await _two_peers()
+        for key in range(5):
+            sender.socket.send("tema-1", Claim(key, 0, 0), address)
+        while len(receiver.handled) < 5:
+            await asyncio.sleep(0)
+        _close(sender, receiver)
+        return sender.metrics.counters, receiver
+
+    counters, receiver = asyncio.run(scenario())
+    assert [message.key for message in receiver.handled] == list(range(5))
+    assert counters["peer.sent"] == 5
+    assert counters["peer.sent_datagrams"] == 1
+    assert receiver.metrics.counters["peer.received_datagrams"] == 1
+    assert receiver.metrics.counters["peer.received"] == 5
+
+
+def test_urgent_message_leaves_at_once_with_those_that_wait():
+    async def scenario():
+        sender, receiver, address = await _two_peers(urgent=(Grant,))
+        sender.socket.send("tema-1", Claim(1, 0, 0), address)
+        before = sender.metrics.counters["peer.sent_datagrams"]
+        sender.socket.send("tema-1", Grant(2, 0, "a"), address)
+        after = sender.metrics.counters["peer.sent_datagrams"]
+        while len(receiver.handled) < 2:
+            await asyncio.sleep(0)
+        _close(sender, receiver)
+        return before, after
+
+    assert asyncio.run(scenario()) == (0, 1)
+
+
+def test_closing_sends_what_waits():
+    async def scenario():
+        sender, receiver, address = await _two_peers()
+        sender.socket.send("tema-1", Claim(1, 0, 0), address)
+        sender.socket.close()
+        while not receiver.handled:
+            await asyncio.sleep(0)
+        _close(receiver)
+
+    asyncio.run(scenario())
+
+
+def _old_payload(message):
+    """Return the single form of a version that knows no other."""
+    content = msgspec.msgpack.encode(["tema-1", message])
+    return Signer("a key of tests").tag(content) + content
+
+
+def test_peer_that_was_replaced_by_an_older_version_gets_the_single_form():
+    async def scenario():
+        sender, receiver, address = await _two_peers()
+        sender.socket._on_payload(_old_payload(Claim(0, 0, 0)), _SENDER)
+        for key in range(3):
+            sender.socket.send("tema-1", Claim(key, 0, 0), address)
+        counters = dict(sender.metrics.counters)
+        _close(sender, receiver)
+        return counters["peer.sent_datagrams"]
+
+    assert asyncio.run(scenario()) == 3
+
+
+def test_readers_of_bundles_are_bounded(monkeypatch):
+    monkeypatch.setattr(peers, "N_BUNDLE_READERS_MAX", 2)
+    peer = _Peer(urgent=(Claim,))
+    for name in ("a", "b", "c"):
+        peer.socket._on_payload(_CODEC.encode(name, Claim(1, 2, 3)), _SENDER)
+    assert list(peer.socket._bundle_readers) == ["b", "c"]
--- a/packages/sapphirerail-transport/src/sapphirerail_transport/message_codec.py
+++ b/packages/sapphirerail-transport/src/sapphirerail_transport/message_codec.py
@@ -1,5 +1,12 @@
-"""Signed wire form of the messages between instances."""
+"""Signed wire forms of the messages between instances.
 
+There are two. The *single* form is one message with its sender, read by all versions.
+The *bundle* is one or more messages of a sender, under a shorter tag; it goes only to
+those who said in a payload of their own that they read it.
+"""
+
+from collections.abc import Iterable
+from enum import IntEnum
 from typing import Union
 
 import msgspec
@@ -9,16 +16,64 @@
 from sapphirerail_core.messages import message_types
 from sapphirerail_core.types import InstanceId
 
-from .signature import TAG_BYTES, Signer
+from .signature import Signer
+
+__all__ = ["BUNDLE_TAG_BYTES", "Envelope", "Form", "MessageCodec", "Received"]
+
+# A forger cannot test a guess but by sending it: 2**64 datagrams for one hit.
+BUNDLE_TAG_BYTES = 8
+# Neither a single form, which begins with a msgpack array, nor a signed HTTP call,
+# which begins with its method, begins so.
+BUNDLE_PURPOSE = b"sapphirerail bundle\0"
+# Deeply nested arrays are refused by Python's own limit on recursion.
+DECODING_ERRORS = (msgspec.MsgspecError, RecursionError)
 
-__all__ = ["Envelope", "MessageCodec"]
+
+class Form(IntEnum):
+    """Wire forms, in the order of their invention."""
+
+    SINGLE = 1
+    BUNDLE = 2
 
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
-    """A message with its sender."""
+    """A message in the single form.
+
+    Parameters
+    ----------
+    sender : InstanceId
+        Who sent it.
+    message : msgspec.Raw
+        The message.
+    reads : int
+        Newest form that the sender reads; older versions neither send nor read this
+        field.
+    """
 
     sender: InstanceId
     message: msgspec.Raw
+    reads: int = Form.SINGLE
+
+
+class Received(msgspec.Struct, frozen=True):
+    """What a payload held.
+
+    Parameters
+    ----------
+    sender : InstanceId
+        Who sent it.
+    messages : tuple of Message
+        The messages, in their order.
+    reads_bundles : bool
+        Whether the sender reads bundles.
+    n_refused : int
+        Messages of a bundle that this version does not know.
+    """
+
+    sender: InstanceId
+    messages: tuple[Message, ...]
+    reads_bundles: bool
+    n_refused: int = 0
 
 
 class MessageCodec:
@@ -32,8 +87,11 @@
 
     def __init__(self, signer: Signer) -> None:
         self._signer = signer
+        self._bundle_signer = signer.derived(BUNDLE_PURPOSE, BUNDLE_TAG_BYTES)
         self._encoder = msgspec.msgpack.Encoder()
         self._envelopes = msgspec.msgpack.Decoder(Envelope)
+        self._bundles = msgspec.msgpack.Decoder(list[msgspec.Raw])
+        self._senders = msgspec.msgpack.Decoder(InstanceId)
         types = message_types()
         union = Union[types] if types else Message  # noqa: UP007
         self._messages: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(
@@ -41,24 +99,57 @@
         )
 
     def encode(self, sender: InstanceId, message: Message) -> bytes:
-        """Return the signed wire form of a message."""
+        """Return the signed single form of a message."""
         raw = msgspec.Raw(self._encoder.encode(message))
-        payload = self._encoder.encode(Envelope(sender, raw))
+        payload = self._encoder.encode(Envelope(sender, raw, Form.BUNDLE))
         return self._signer.tag(payload) + payload
 
-    def decode(self, payload: bytes) -> tuple[InstanceId, Message]:
-        """Return the sender and the message of a received payload.
+    def encode_part(self, message: Message) -> bytes:
+        """Return the form that a message has inside of a bundle."""
+        return self._encoder.encode(message)
+
+    def encode_bundle(self, sender: InstanceId, parts: Iterable[bytes]) -> bytes:
+        """Return the signed bundle of some parts."""
+        payload = self._encoder.encode([sender, *map(msgspec.Raw, parts)])
+        return self._bundle_signer.tag(payload) + payload
+
+    def decode(self, payload: bytes) -> Received:
+        """Return what a received payload holds, in either form.
 
         Raises
         ------
         InputError
             ``message.forged`` or ``message.malformed``.
         """
-        tag, signed = payload[:TAG_BYTES], payload[TAG_BYTES:]
-        if not self._signer.matches(signed, tag):
-            raise InputError("message.forged", "the signature does not match")
+        bundle = self._bundle_signer.opened(payload)
+        single = None if bundle is not None else self._signer.opened(payload)
         try:
-            envelope = self._envelopes.decode(signed)
-            return envelope.sender, self._messages.decode(envelope.message)
-        except msgspec.MsgspecError as error:
+            if bundle is not None:
+                return self._decode_bundle(bundle)
+            if single is not None:
+                return self._decode_single(single)
+        except DECODING_ERRORS as error:
             raise InputError("message.malformed", str(error)) from error
+        raise InputError("message.forged", "the signature does not match")
+
+    def _decode_single(self, signed: bytes) -> Received:
+        envelope = self._envelopes.decode(signed)
+        message = self._messages.decode(envelope.message)
+        return Received(envelope.sender, (message,), envelope.reads >= Form.BUNDLE)
+
+    def _decode_bundle(self, signed: bytes) -> Received:
+        """Read each message by itself: a new type must not cost the known ones."""
+        parts = self._bundles.decode(signed)
+        if len(parts) <= 1:
+            raise msgspec.DecodeError("a bundle without messages")
+        sender = self._senders.decode(parts[0])
+        messages: list[Message] = []
+        for part in parts[1:]:
+            try:
+                messages.append(self._messages.decode(part))
+            except DECODING_ERRORS:
+                continue
+        if not messages:
+            raise msgspec.DecodeError("no message of a known form")
+        n_refused = len(parts) - 1 - len(messages)
+        return Received(sender, tuple(messages), True, n_refused)
--- a/packages/sapphirerail-transport/tests/test_message_codec.py
+++ b/packages/sapphirerail-transport/tests/test_message_codec.py
@@ -1,9 +1,17 @@
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from sapphirerail_core.errors import InputError
-from sapphirerail_transport.message_codec import MessageCodec
+from sapphirerail_core.request.messages import Claim, Grant
+from sapphirerail_core.types import InstanceId
+from sapphirerail_transport.message_codec import (
+    BUNDLE_PURPOSE,
+    BUNDLE_TAG_BYTES,
+    Form,
+    MessageCodec,
+)
 from sapphirerail_transport.signature import Signer
 
 
@@ -22,3 +30,105 @@
     with pytest.raises(InputError) as refused:
         MessageCodec(signer).decode(signer.tag(payload) + payload)
     assert refused.value.code == "message.malformed"
+
+
+SIGNER = Signer("shared key")
+CODEC = MessageCodec(SIGNER)
+BUNDLE_SIGNER = SIGNER.derived(BUNDLE_PURPOSE, BUNDLE_TAG_BYTES)
+NESTED = b"\x91" * 5_000
+
+
+def _bundle(content):
+    return BUNDLE_SIGNER.tag(content) + content
+
+
+def _refusal(payload):
+    with pytest.raises(InputError) as refused:
+        CODEC.decode(payload)
+    return refused.value.code
+
+
+@settings(derandomize=True)
+@given(st.binary(max_size=300))
+def test_nonsense_in_a_bundle_is_malformed(content):
+    assert _refusal(_bundle(content)) == "message.malformed"
+
+
+_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers(-(2**63), 2**64 - 1) | st.text(max_size=9),
+    lambda inner: st.lists(inner, max_size=5),
+    max_leaves=20,
+)
+
+
+@settings(derandomize=True)
+@given(st.lists(_VALUES, max_size=5), st.booleans())
+def test_any_signed_msgpack_is_read_or_refused_with_a_code(content, is_bundle):
+    signer = BUNDLE_SIGNER if is_bundle else SIGNER
+    payload = msgspec.msgpack.encode(content)
+    try:
+        CODEC.decode(signer.tag(payload) + payload)
+    except InputError as error:
+        assert error.code == "message.malformed"
+
+
+@pytest.mark.parametrize("start", [b"", b"\x92\xa1a", b"\x93\xa1a\x93\x20\x01\x02"])
+@pytest.mark.parametrize("signer", [SIGNER, BUNDLE_SIGNER])
+def test_deep_nesting_is_malformed(start, signer):
+    content = start + NESTED
+    assert _refusal(signer.tag(content) + content) == "message.malformed"
+
+
+@settings(derandomize=True)
+@given(st.data())
+def test_changed_bundle_is_forged(data):
+    payload = bytearray(
+        CODEC.encode_bundle("osu-1", [CODEC.encode_part(Claim(1, 2, 3))])
+    )
+    place = data.draw(st.integers(0, len(payload) - 1))
+    payload[place] ^= data.draw(st.integers(1, 255))
+    assert _refusal(bytes(payload)) == "message.forged"
+
+
+def test_tag_of_one_form_does_not_open_the_other():
+    single = CODEC.encode("osu-1", Claim(1, 2, 3))
+    content = single[SIGNER.tag_bytes :]
+    assert _refusal(single[:BUNDLE_TAG_BYTES] + content) == "message.forged"
+    bundle = CODEC.encode_bundle("osu-1", [CODEC.encode_part(Claim(1, 2, 3))])
+    content = bundle[BUNDLE_TAG_BYTES:]
+    assert _refusal(BUNDLE_SIGNER.tag(content) * 2 + content) == "message.forged"
+
+
+def test_both_forms_say_that_the_sender_reads_bundles():
+    single = CODEC.decode(CODEC.encode("osu-1", Claim(1, 2, 3)))
+    parts = [CODEC.encode_part(Claim(1, 2, 3)), CODEC.encode_part(Grant(1, 3, "osu-2"))]
+    bundle = CODEC.decode(CODEC.encode_bundle("osu-1", parts))
+    assert single.messages == (Claim(1, 2, 3),)
+    assert bundle.messages == (Claim(1, 2, 3), Grant(1, 3, "osu-2"))
+    assert single.reads_bundles and bundle.reads_bundles
+    assert single.sender == bundle.sender == "osu-1"
+
+
+def test_unknown_message_does_not_cost_the_known_ones():
+    parts = [msgspec.msgpack.encode([49, "newer"]), CODEC.encode_part(Claim(1, 2, 3))]
+    received = CODEC.decode(CODEC.encode_bundle("osu-1", parts))
+    assert received.messages == (Claim(1, 2, 3),)
+    assert received.n_refused == 1
+
+
+class _OldEnvelope(msgspec.Struct, frozen=True, array_like=True):
+    """The single form before there were bundles."""
+
+    sender: InstanceId
+    message: msgspec.Raw
+
+
+def test_single_form_passes_between_old_and_new_versions():
+    content = CODEC.encode("osu-1", Claim(1, 2, 3))[SIGNER.tag_bytes :]
+    old = msgspec.msgpack.decode(content, type=_OldEnvelope)
+    assert msgspec.msgpack.decode(old.message, type=Claim) == Claim(1, 2, 3)
+    content = msgspec.msgpack.encode(old)
+    received = CODEC.decode(SIGNER.tag(content) + content)
+    assert received.messages == (Claim(1, 2, 3),)
+    assert not received.reads_bundles
+    assert Form.SINGLE < Form.BUNDLE
