Leave the holder's name out of a grant that goes to the holder

Cause: a keeper that grants a claim repeated the asker's name in its answer.

In a bundle such a grant is a `Granted` with key and epoch; the receiver's socket turns it back, so that the decisions see grants as before. An answer that names another holder or nobody stays a `Grant`.

Longer names gain as many bytes a grant as they are longer.

--- a/bench/peer_traffic.py
+++ b/bench/peer_traffic.py
@@ -7,6 +7,7 @@
 
 from sapphirerail_core.effects import Effect, Message, SendToPeer
 from sapphirerail_core.request.messages import Forward
+from sapphirerail_core.request.short_forms import shortened
 from sapphirerail_core.types import InstanceId
 from sapphirerail_node.outbox import Outbox
 from sapphirerail_transport.datagram_codec import encode_datagram
@@ -38,7 +39,7 @@
 SETTLE_MS = 1_000
 END_MS = 3_000
 SEED = 7
-CLAIM_TYPES = ("Claim", "Grant", "Withdraw")
+CLAIM_TYPES = ("Claim", "Grant", "Granted", "Withdraw")
 ROLE_TYPES = ("LoadNotice", "RoleClaim", "RoleRelease")
 
 
@@ -105,8 +106,9 @@
         sent: defaultdict[str, list[Message]] = defaultdict(list)
         for effect in effects:
             if isinstance(effect, SendToPeer):
-                outbox.add(effect.instance, effect.message)
-                sent[effect.instance].append(effect.message)
+                outbox.add(effect.instance, effect.message, effect.instance)
+                message = shortened(effect.message, effect.instance)
+                sent[effect.instance].append(message)
         for address, payload in outbox.take_all():
             self._count(sent[address], len(payload) + UDP_HEADER_BYTES)
 
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/messages.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/messages.py
@@ -11,6 +11,7 @@
     "ClaimHandover",
     "Forward",
     "Grant",
+    "Granted",
     "LoadNotice",
     "MESSAGES",
     "RoleClaim",
@@ -82,6 +83,13 @@
     holder: InstanceId
 
 
+class Granted(Message, frozen=True, array_like=True, tag=41):
+    """A `Grant` whose holder is its receiver, as it stands on the wire."""
+
+    key: RequestKey
+    epoch: int
+
+
 class Withdraw(Message, frozen=True, array_like=True, tag=34):
     """A claimant without a majority gives its grants back; it will not run it."""
 
@@ -147,6 +155,7 @@
     Taken,
     Claim,
     Grant,
+    Granted,
     Withdraw,
     ClaimHandover,
     RoleClaim,
--- a/packages/sapphirerail-node/src/sapphirerail_node/outbox.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/outbox.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from sapphirerail_core.effects import Message
+from sapphirerail_core.request.short_forms import shortened
 from sapphirerail_core.types import InstanceId
 from sapphirerail_transport.message_codec import MessageCodec
 
@@ -37,22 +38,24 @@
     def __len__(self) -> int:
         return len(self._waiting)
 
-    def add(self, address: str, message: Message) -> bytes | None:
+    def add(self, receiver: InstanceId, message: Message, address: str) -> bytes | None:
         """Add a message, and return the bundle that it found no room in.
 
         Parameters
         ----------
-        address : str
-            Where it goes.
+        receiver : InstanceId
+            Whom it is for.
         message : Message
             What goes there.
+        address : str
+            Where the receiver is reached.
 
         Returns
         -------
         bytes or None
             A full bundle to the same address that must leave now.
         """
-        part = self._codec.encode_part(message)
+        part = self._codec.encode_part(shortened(message, receiver))
         waiting = self._waiting.get(address)
         full = None
         if waiting is not None and waiting.n_bytes + len(part) > BUNDLE_MAX_BYTES:
--- a/packages/sapphirerail-node/src/sapphirerail_node/peers.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/peers.py
@@ -7,6 +7,7 @@
 
 from sapphirerail_core.effects import Message
 from sapphirerail_core.errors import InputError
+from sapphirerail_core.request.short_forms import expanded
 from sapphirerail_core.types import InstanceId
 from sapphirerail_transport.message_codec import MessageCodec, Received
 from sapphirerail_transport.udp import Address, UdpSocket, parse_address
@@ -86,7 +87,7 @@
             return
         if not self._outbox:
             asyncio.get_running_loop().call_soon(self._flush)
-        full = self._outbox.add(address, message)
+        full = self._outbox.add(receiver, message, address)
         if full is not None:
             self._send_payload(full, address)
         if isinstance(message, self._urgent):
@@ -115,7 +116,7 @@
             self._metrics.count("peer.dropped.message.malformed", received.n_refused)
         self._learn_form(received)
         for message in received.messages:
-            self._on_message(received.sender, message)
+            self._on_message(received.sender, expanded(message, self._self_id))
 
     def _learn_form(self, received: Received) -> None:
         """Follow the sender's newest payload, as it may have been replaced."""
--- a/packages/sapphirerail-node/tests/test_outbox.py
+++ b/packages/sapphirerail-node/tests/test_outbox.py
@@ -9,8 +9,8 @@
 def test_messages_to_one_address_share_a_bundle():
     outbox = Outbox("osu-1", _CODEC)
     for key in range(3):
-        outbox.add("10.0.0.1:1", Claim(key, 0, 0))
-    outbox.add("10.0.0.2:1", Claim(7, 0, 0))
+        outbox.add("tema-1", Claim(key, 0, 0), "10.0.0.1:1")
+    outbox.add("tema-2", Claim(7, 0, 0), "10.0.0.2:1")
     sent = {address: _CODEC.decode(payload) for address, payload in outbox.take_all()}
     assert sent["10.0.0.1:1"].messages == tuple(Claim(key, 0, 0) for key in range(3))
     assert sent["10.0.0.2:1"].messages == (Claim(7, 0, 0),)
@@ -22,7 +22,7 @@
     payloads = []
     n_claims = 200
     for key in range(n_claims):
-        full = outbox.add("10.0.0.1:1", Claim(1 << 63 | key, 10_000, 1 << 30))
+        full = outbox.add("tema-1", Claim(1 << 63 | key, 10_000, 1 << 30), "10.0.0.1:1")
         payloads += [full] if full is not None else []
     payloads += [payload for _, payload in outbox.take_all()]
     assert len(payloads) > 1
--- a/packages/sapphirerail-node/tests/test_peers.py
+++ b/packages/sapphirerail-node/tests/test_peers.py
@@ -200,3 +200,21 @@
     for name in ("a", "b", "c"):
         peer.socket._on_payload(_CODEC.encode(name, Claim(1, 2, 3)), _SENDER)
     assert list(peer.socket._bundle_readers) == ["b", "c"]
+
+
+def test_grants_arrive_whole_whoever_holds_them():
+    grants = [Grant(1, 2, "osu-1"), Grant(3, 4, "tema-1"), Grant(5, 6, "")]
+
+    async def scenario():
+        sender, receiver, address = await _two_peers()
+        sender.socket._on_payload(_CODEC.encode("osu-1", Claim(0, 0, 0)), _SENDER)
+        for grant in grants:
+            sender.socket.send("osu-1", grant, address)
+        while len(receiver.handled) < len(grants):
+            await asyncio.sleep(0)
+        _close(sender, receiver)
+        return receiver.handled, sender.metrics.counters
+
+    handled, counters = asyncio.run(scenario())
+    assert handled == grants
+    assert counters["peer.sent_datagrams"] == 1
