Send each message by itself again, in the shorter form

The shorter form stays and holds one message of this version, so that sending is paced as before; it is read with several, so that a later version may try again. The virtual fleet counts the shorter tag.

--- a/packages/sapphirerail-node/src/sapphirerail_node/peers.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/peers.py
@@ -7,13 +7,12 @@
 
 from sapphirerail_core.effects import Message
 from sapphirerail_core.errors import InputError
-from sapphirerail_core.request.short_forms import expanded
+from sapphirerail_core.request.short_forms import expanded, shortened
 from sapphirerail_core.types import InstanceId
 from sapphirerail_transport.message_codec import MessageCodec, Received
 from sapphirerail_transport.udp import Address, UdpSocket, parse_address
 
 from .metrics import Metrics
-from .outbox import Outbox
 
 __all__ = ["PeerSocket"]
 
@@ -21,15 +20,14 @@
 N_WAITING_MAX = 1_000
 BATCH_SIZE = 32
 # Twice the instances of the largest fleet; those who are forgotten are learned anew.
-N_BUNDLE_READERS_MAX = 8_192
+N_SHORT_READERS_MAX = 8_192
 MessageHandler = Callable[[InstanceId, Message], None]
 
 
 class PeerSocket:
     """Receives, checks and sends messages between instances.
 
-    Messages that one turn of the event loop sends to one instance leave in one
-    datagram, if the instance is known to read bundles.
+    An instance gets the short form once a payload of its own said that it reads it.
 
     Parameters
     ----------
@@ -42,9 +40,9 @@
     metrics : Metrics
         Counts messages and their bytes.
     urgent : tuple of type
-        Messages that are sent at once, and handled as soon as they are read. All
-        others wait in a bounded queue, so that under overload heartbeats do not wait
-        behind them; when it is full, the oldest goes.
+        Messages that are handled as soon as they are read. All others wait in a
+        bounded queue, so that under overload heartbeats do not wait behind them;
+        when it is full, the oldest goes.
     """
 
     def __init__(
@@ -62,8 +60,7 @@
         self._urgent = urgent
         self._waiting: deque[tuple[InstanceId, Message]] = deque()
         self._is_handling = False
-        self._outbox = Outbox(self_id, codec)
-        self._bundle_readers: dict[InstanceId, None] = {}
+        self._short_readers: dict[InstanceId, None] = {}
         self._socket: UdpSocket | None = None
 
     async def open(self, bound: socket.socket) -> None:
@@ -71,45 +68,32 @@
         self._socket = UdpSocket(bound, self._on_payload)
 
     def close(self) -> None:
-        """Send what waits, and close the socket."""
+        """Close the socket."""
         if self._socket is not None:
-            self._flush()
             self._socket.close()
 
     def send(self, receiver: InstanceId, message: Message, address: str) -> None:
         """Send a message to an instance at ``address:port``."""
         if self._socket is None:
             return
+        payload = self._encoded(receiver, message)
+        self._socket.send(payload, parse_address(address))
         self._metrics.count("peer.sent")
         self._metrics.count(f"peer.sent.{type(message).__name__}")
-        if receiver not in self._bundle_readers:
-            self._send_payload(self._codec.encode(self._self_id, message), address)
-            return
-        if not self._outbox:
-            asyncio.get_running_loop().call_soon(self._flush)
-        full = self._outbox.add(receiver, message, address)
-        if full is not None:
-            self._send_payload(full, address)
-        if isinstance(message, self._urgent):
-            self._send_payload(self._outbox.take(address), address)
-
-    def _flush(self) -> None:
-        for address, payload in self._outbox.take_all():
-            self._send_payload(payload, address)
-
-    def _send_payload(self, payload: bytes, address: str) -> None:
-        if self._socket is not None:
-            self._socket.send(payload, parse_address(address))
-        self._metrics.count("peer.sent_datagrams")
         self._metrics.count("peer.sent_bytes", len(payload))
 
+    def _encoded(self, receiver: InstanceId, message: Message) -> bytes:
+        if receiver not in self._short_readers:
+            self._metrics.count("peer.sent_single")
+            return self._codec.encode(self._self_id, message)
+        return self._codec.encode_short(self._self_id, shortened(message, receiver))
+
     def _on_payload(self, payload: bytes, sender: Address) -> None:
         try:
             received = self._codec.decode(payload)
         except InputError as error:
             self._metrics.count(f"peer.dropped.{error.code}")
             return
-        self._metrics.count("peer.received_datagrams")
         self._metrics.count("peer.received", len(received.messages))
         self._metrics.count("peer.received_bytes", len(payload))
         if received.n_refused:
@@ -120,12 +104,12 @@
 
     def _learn_form(self, received: Received) -> None:
         """Follow the sender's newest payload, as it may have been replaced."""
-        if not received.reads_bundles:
-            self._bundle_readers.pop(received.sender, None)
+        if not received.reads_short:
+            self._short_readers.pop(received.sender, None)
             return
-        self._bundle_readers[received.sender] = None
-        if len(self._bundle_readers) > N_BUNDLE_READERS_MAX:
-            del self._bundle_readers[next(iter(self._bundle_readers))]
+        self._short_readers[received.sender] = None
+        if len(self._short_readers) > N_SHORT_READERS_MAX:
+            del self._short_readers[next(iter(self._short_readers))]
 
     def _on_message(self, instance: InstanceId, message: Message) -> None:
         if isinstance(message, self._urgent):
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/virtual_fleet.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/virtual_fleet.py
@@ -12,11 +12,11 @@
 from sapphirerail_core.fleet.messages import Alive, MemberRecord, MembersPage
 from sapphirerail_core.journal import Journal
 from sapphirerail_core.types import DataCentreId, InstanceId
+from sapphirerail_transport.message_codec import SHORT_TAG_BYTES
 
 __all__ = ["Link", "Traffic", "VirtualFleet", "names_of"]
 
 TICK_MS = 100
-TAG_BYTES = 16
 UDP_HEADER_BYTES = 28
 
 
@@ -284,4 +284,4 @@
 
     def _wire_bytes(self, sender: InstanceId, message: Message) -> int:
         raw = self._encoder.encode(message)
-        return len(raw) + len(sender) + 2 + TAG_BYTES + UDP_HEADER_BYTES
+        return len(raw) + len(sender) + 2 + SHORT_TAG_BYTES + UDP_HEADER_BYTES
--- a/packages/sapphirerail-transport/src/sapphirerail_transport/message_codec.py
+++ b/packages/sapphirerail-transport/src/sapphirerail_transport/message_codec.py
@@ -1,11 +1,10 @@
 """Signed wire forms of the messages between instances.
 
 There are two. The *single* form is one message with its sender, read by all versions.
-The *bundle* is one or more messages of a sender, under a shorter tag; it goes only to
-those who said in a payload of their own that they read it.
+The *short* form has a shorter tag; it goes only to those who said in a payload of their
+own that they read it. It may hold several messages, of which this version sends one.
 """
 
-from collections.abc import Iterable
 from enum import IntEnum
 from typing import Union
 
@@ -18,13 +17,13 @@
 
 from .signature import Signer
 
-__all__ = ["BUNDLE_TAG_BYTES", "Envelope", "Form", "MessageCodec", "Received"]
+__all__ = ["SHORT_TAG_BYTES", "Envelope", "Form", "MessageCodec", "Received"]
 
 # A forger cannot test a guess but by sending it: 2**64 datagrams for one hit.
-BUNDLE_TAG_BYTES = 8
+SHORT_TAG_BYTES = 8
 # Neither a single form, which begins with a msgpack array, nor a signed HTTP call,
 # which begins with its method, begins so.
-BUNDLE_PURPOSE = b"sapphirerail bundle\0"
+SHORT_PURPOSE = b"sapphirerail short form\0"
 # Deeply nested arrays are refused by Python's own limit on recursion.
 DECODING_ERRORS = (msgspec.MsgspecError, RecursionError)
 
@@ -33,7 +32,7 @@
     """Wire forms, in the order of their invention."""
 
     SINGLE = 1
-    BUNDLE = 2
+    SHORT = 2
 
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
@@ -64,15 +63,15 @@
         Who sent it.
     messages : tuple of Message
         The messages, in their order.
-    reads_bundles : bool
-        Whether the sender reads bundles.
+    reads_short : bool
+        Whether the sender reads the short form.
     n_refused : int
-        Messages of a bundle that this version does not know.
+        Messages beside them that this version does not know.
     """
 
     sender: InstanceId
     messages: tuple[Message, ...]
-    reads_bundles: bool
+    reads_short: bool
     n_refused: int = 0
 
 
@@ -87,10 +86,10 @@
 
     def __init__(self, signer: Signer) -> None:
         self._signer = signer
-        self._bundle_signer = signer.derived(BUNDLE_PURPOSE, BUNDLE_TAG_BYTES)
+        self._short_signer = signer.derived(SHORT_PURPOSE, SHORT_TAG_BYTES)
         self._encoder = msgspec.msgpack.Encoder()
         self._envelopes = msgspec.msgpack.Decoder(Envelope)
-        self._bundles = msgspec.msgpack.Decoder(list[msgspec.Raw])
+        self._short_forms = msgspec.msgpack.Decoder(list[msgspec.Raw])
         self._senders = msgspec.msgpack.Decoder(InstanceId)
         types = message_types()
         union = Union[types] if types else Message  # noqa: UP007
@@ -101,17 +100,13 @@
     def encode(self, sender: InstanceId, message: Message) -> bytes:
         """Return the signed single form of a message."""
         raw = msgspec.Raw(self._encoder.encode(message))
-        payload = self._encoder.encode(Envelope(sender, raw, Form.BUNDLE))
+        payload = self._encoder.encode(Envelope(sender, raw, Form.SHORT))
         return self._signer.tag(payload) + payload
 
-    def encode_part(self, message: Message) -> bytes:
-        """Return the form that a message has inside of a bundle."""
-        return self._encoder.encode(message)
-
-    def encode_bundle(self, sender: InstanceId, parts: Iterable[bytes]) -> bytes:
-        """Return the signed bundle of some parts."""
-        payload = self._encoder.encode([sender, *map(msgspec.Raw, parts)])
-        return self._bundle_signer.tag(payload) + payload
+    def encode_short(self, sender: InstanceId, *messages: Message) -> bytes:
+        """Return the signed short form of some messages."""
+        payload = self._encoder.encode([sender, *messages])
+        return self._short_signer.tag(payload) + payload
 
     def decode(self, payload: bytes) -> Received:
         """Return what a received payload holds, in either form.
@@ -121,11 +116,11 @@
         InputError
             ``message.forged`` or ``message.malformed``.
         """
-        bundle = self._bundle_signer.opened(payload)
-        single = None if bundle is not None else self._signer.opened(payload)
         try:
-            if bundle is not None:
-                return self._decode_bundle(bundle)
+            short = self._short_signer.opened(payload)
+            if short is not None:
+                return self._decode_short(short)
+            single = self._signer.opened(payload)
             if single is not None:
                 return self._decode_single(single)
         except DECODING_ERRORS as error:
@@ -135,13 +130,13 @@
     def _decode_single(self, signed: bytes) -> Received:
         envelope = self._envelopes.decode(signed)
         message = self._messages.decode(envelope.message)
-        return Received(envelope.sender, (message,), envelope.reads >= Form.BUNDLE)
+        return Received(envelope.sender, (message,), envelope.reads >= Form.SHORT)
 
-    def _decode_bundle(self, signed: bytes) -> Received:
+    def _decode_short(self, signed: bytes) -> Received:
         """Read each message by itself: a new type must not cost the known ones."""
-        parts = self._bundles.decode(signed)
+        parts = self._short_forms.decode(signed)
         if len(parts) <= 1:
-            raise msgspec.DecodeError("a bundle without messages")
+            raise msgspec.DecodeError("no message")
         sender = self._senders.decode(parts[0])
         messages: list[Message] = []
         for part in parts[1:]:
