Decode a short form with one message in one pass

Cause: the short form was read as a list of raw elements first, each decoded by itself, which is needed only where there are several.

A single form costs 6.4 µs to decode, as its tag is tried second; only first contacts and older versions send it.

--- a/packages/sapphirerail-transport/src/sapphirerail_transport/message_codec.py
+++ b/packages/sapphirerail-transport/src/sapphirerail_transport/message_codec.py
@@ -6,7 +6,7 @@
 """
 
 from enum import IntEnum
-from typing import Union
+from typing import Generic, TypeVar, Union
 
 import msgspec
 
@@ -24,9 +24,13 @@
 # Neither a single form, which begins with a msgpack array, nor a signed HTTP call,
 # which begins with its method, begins so.
 SHORT_PURPOSE = b"sapphirerail short form\0"
+# First byte of a msgpack array of a sender and one message.
+PAIR_START = b"\x92"
 # Deeply nested arrays are refused by Python's own limit on recursion.
 DECODING_ERRORS = (msgspec.MsgspecError, RecursionError)
 
+MessageT = TypeVar("MessageT", bound=Message)
+
 
 class Form(IntEnum):
     """Wire forms, in the order of their invention."""
@@ -54,6 +58,13 @@
     reads: int = Form.SINGLE
 
 
+class _Pair(msgspec.Struct, Generic[MessageT], frozen=True, array_like=True):
+    """A sender with its only message."""
+
+    sender: InstanceId
+    message: MessageT
+
+
 class Received(msgspec.Struct, frozen=True):
     """What a payload held.
 
@@ -96,6 +107,7 @@
         self._messages: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(
             union
         )
+        self._pairs = msgspec.msgpack.Decoder(_Pair[union])  # type: ignore[valid-type]
 
     def encode(self, sender: InstanceId, message: Message) -> bytes:
         """Return the signed single form of a message."""
@@ -133,6 +145,12 @@
         return Received(envelope.sender, (message,), envelope.reads >= Form.SHORT)
 
     def _decode_short(self, signed: bytes) -> Received:
+        if signed.startswith(PAIR_START):
+            pair = self._pairs.decode(signed)
+            return Received(pair.sender, (pair.message,), True)
+        return self._decode_several(signed)
+
+    def _decode_several(self, signed: bytes) -> Received:
         """Read each message by itself: a new type must not cost the known ones."""
         parts = self._short_forms.decode(signed)
         if len(parts) <= 1:
