Bound the work of an instance that starts among thousands

A newcomer at the target learns of 3,900 instances in pages of 12, and gets packets of 14,100 older flows. Each instance that came was compared in all 16,384 slots of its data centre's owner table, after a new list of all members: 163% of a core while the pages came. Two seconds after the packets all records were due in one tick, each with two rankings of 557 instances: the loop stood still for 5.9 s, longer than others wait for heartbeats.

Now the instances of a page are taken in together, with the next packet, message or tick; a table whose slots were hardly used is made anew instead of updated; and the registrations of one tick end after 110,000 comparisons.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -18,6 +18,7 @@
     "placement",
     "flow_state",
     "way_back",
+    "newcomer",
     "service",
     "data_path",
     "requests",
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/director.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/director.py
@@ -60,6 +60,7 @@
 
     def __init__(self, context: FlowContext) -> None:
         self._context = context
+        self._owners_are_stale = False
         store = RecordStore(context)
         registrar = Registrar(context, store)
         silence = Silence(context, registrar)
@@ -173,6 +174,7 @@
         list of Effect
             The records of an exception.
         """
+        self._refresh_owners(now_ms)
         context = self._context
         marks = FlowMark.CONFIRMED | FlowMark.ANSWERING | FlowMark.NEW
         row = context.add(datagram, server, now_ms, marks)
@@ -199,6 +201,7 @@
         now_ms : int
             The time.
         """
+        self._refresh_owners(now_ms)
         row = self._context.table.find(datagram.service, datagram.flow)
         if row is not None and self._context.table.server(row) == server:
             self._registrar.forget(row, now_ms)
@@ -206,12 +209,14 @@
 
     def on_caller_datagram(self, datagram: Datagram, now_ms: int) -> list[Effect]:
         """Forward a caller's DATA, KEEPALIVE, ACK or CLOSE."""
+        self._refresh_owners(now_ms)
         return self._forwarding.on_caller_datagram(datagram, now_ms)
 
     def on_server_datagram(
         self, server: ServerId, datagram: Datagram, now_ms: int
     ) -> list[Effect]:
         """Pass on a server's datagram of a flow."""
+        self._refresh_owners(now_ms)
         return self._returning.on_server_datagram(server, datagram, now_ms)
 
     @singledispatchmethod
@@ -258,20 +263,27 @@
         self, sender: InstanceId, message: Message, now_ms: int
     ) -> list[Effect]:
         """Take a message of another instance."""
+        self._refresh_owners(now_ms)
         effects: list[Effect] = self._on(message, sender, now_ms)
         return effects
 
     def on_instance_state(
         self, instance: InstanceId, state: InstanceState, now_ms: int
     ) -> list[Effect]:
-        """Take a change of another instance's state."""
-        self._update_owners(now_ms)
+        """Take a change of another instance's state.
+
+        Instances that come are taken in with the next packet, message or tick, because
+        a newcomer learns of many at once.
+        """
+        self._owners_are_stale = True
         if state in (InstanceState.DEAD, InstanceState.LEFT):
+            self._update_owners(now_ms)
             self._way_back.on_instance_lost(instance, now_ms)
         return []
 
     def tick(self, now_ms: int) -> list[Effect]:
         """Do what time brings; called every 100 ms."""
+        self._refresh_owners(now_ms)
         context = self._context
         grace_over_ms = context.plan_changed_ms + context.config.plan_grace_ms
         if now_ms >= grace_over_ms:
@@ -296,7 +308,12 @@
         self._way_back.hand_over_all(now_ms)
         return self._registrar.flush(now_ms, everything=True)
 
+    def _refresh_owners(self, now_ms: int) -> None:
+        if self._owners_are_stale:
+            self._update_owners(now_ms)
+
     def _update_owners(self, now_ms: int) -> None:
+        self._owners_are_stale = False
         context = self._context
         leaving = context.self_id if context.is_draining else None
         members = members_of(context.fleet, context.plan, leaving)
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/owners.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/owners.py
@@ -1,11 +1,11 @@
 """Computes the two instances that keep the record of a flow."""
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Iterable
 
 import xxhash
 
-from ..fleet.owners import OwnerTable, slot_of
+from ..fleet.owners import N_SLOTS, OwnerTable, slot_of
 from ..fleet.view import FleetView
 from ..plan.model import Plan
 from ..rendezvous import hash_key
@@ -30,8 +30,11 @@
     def __init__(self, members: dict[DataCentreId, tuple[InstanceId, ...]]) -> None:
         self.members: dict[DataCentreId, tuple[InstanceId, ...]] = {}
         self._tables: dict[DataCentreId, OwnerTable] = {}
+        self._n_filled: Counter[DataCentreId] = Counter()
         self._cache: dict[int, tuple[InstanceId, ...]] = {}
         self.version = 0
+        self.n_compared = 0
+        """Instances compared so far, at most, to find owners that were not known."""
         self.update(members)
 
     @classmethod
@@ -45,12 +48,14 @@
         """Take over a changed membership; costs what has changed."""
         for place, names in members.items():
             table = self._tables.get(place)
-            if table is None:
+            if table is None or self._is_rather_new(place, names):
                 self._tables[place] = OwnerTable(names)
+                self._n_filled[place] = 0
             elif names != self.members.get(place):
                 table.update(names)
         for place in [name for name in self._tables if name not in members]:
             del self._tables[place]
+            del self._n_filled[place]
         self.members = dict(members)
         self.version += 1
         self._cache.clear()
@@ -67,7 +72,22 @@
     def ranked(self, key: int, place: DataCentreId) -> tuple[InstanceId, ...]:
         """Return the first instances of a data centre for a key."""
         table = self._tables.get(place)
-        return () if table is None else table.owners(key, N_RANKED)
+        if table is None:
+            return ()
+        self._n_filled[place] += 1
+        self.n_compared += len(self.members[place])
+        return table.owners(key, N_RANKED)
+
+    def _is_rather_new(
+        self, place: DataCentreId, names: tuple[InstanceId, ...]
+    ) -> bool:
+        """Return whether ranking what is in use anew costs less than an update.
+
+        A newcomer learns of the others in quick succession, and an update compares
+        each added one in all slots.
+        """
+        n_added = len(set(names) - set(self.members.get(place, ())))
+        return n_added * N_SLOTS > self._n_filled[place] * len(names)
 
     def _compute(self, key: int) -> tuple[InstanceId, ...]:
         places = ranked_places(key, self.members)
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/silence.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/silence.py
@@ -16,6 +16,7 @@
 __all__ = ["Silence", "is_long_lived"]
 
 _HAND_OVER_MS = 200  # the answer to the caller's datagram comes through first
+_N_COMPARED_PER_TICK = 110_000  # about 25 ms
 _ANSWERED_KINDS = frozenset({Kind.DATA, Kind.KEEPALIVE})
 _LONG_LIVED = frozenset({TrafficClass.FEED, TrafficClass.UPLOAD})
 
@@ -143,7 +144,11 @@
     def tick(self, now_ms: int) -> list[Effect]:
         """Look at the flows whose time has come."""
         effects: list[Effect] = []
+        owners = self._context.owners.now
+        n_compared_max = owners.n_compared + _N_COMPARED_PER_TICK
         while self._watched and self._watched[0].due_ms <= now_ms:
+            if owners.n_compared >= n_compared_max:
+                break  # the others in the next tick
             timer = self._watched.popleft()
             row = self._context.table.find(timer.service, timer.flow)
             if row is not None:
--- a/packages/sapphirerail-core/tests/flow/test_director.py
+++ b/packages/sapphirerail-core/tests/flow/test_director.py
@@ -299,3 +299,16 @@
     fleet.tell_all(I5, InstanceState.DEAD)
     fleet.run(2_000)
     assert fleet.servers[server].flows[flow][0] in fleet.nodes
+
+
+def test_instances_that_come_together_are_taken_in_together(fleet: FlowFleet) -> None:
+    node = fleet.nodes[I3]
+    owners = node.director._context.owners
+    version = owners.now.version
+    newcomers = [InstanceId(f"n{number}") for number in range(12)]
+    for name in newcomers:
+        node.fleet.members[name] = PLACES[0]
+        node.director.on_instance_state(name, InstanceState.ALIVE, fleet.now_ms)
+    node.director.tick(fleet.now_ms)
+    assert owners.now.version == version + 1
+    assert set(newcomers) <= set(owners.now.members[PLACES[0]])
--- a/packages/sapphirerail-core/tests/flow/test_owners.py
+++ b/packages/sapphirerail-core/tests/flow/test_owners.py
@@ -131,3 +131,21 @@
     assert all(change.concerns(key) for key in KEYS[:10])
     history.replace({}, 1)
     assert not any(change.concerns(key) for key in KEYS[:10])
+
+
+def test_instances_learned_of_in_pieces_rank_like_those_known_at_once() -> None:
+    names = [InstanceId(f"n{number}") for number in range(60)]
+    draws = random.Random(3)
+    piecewise = OwnerMap({})
+    known: list[InstanceId] = []
+    while names:
+        page, names = names[:7], names[7:]
+        known += page
+        members = {
+            place: tuple(known[number :: len(PLACES)])
+            for number, place in enumerate(PLACES)
+        }
+        piecewise.update(members)
+        # Few look-ups lead to a table that is made anew, many to an update.
+        for key in draws.sample(KEYS, draws.choice([3, 1_000])):
+            assert piecewise.of(key) == OwnerMap(members).of(key)
--- a/packages/sapphirerail-core/tests/flow/test_silence.py
+++ b/packages/sapphirerail-core/tests/flow/test_silence.py
@@ -1,9 +1,16 @@
+import random
+
 import pytest
 
-from sapphirerail_core.datagram import Kind, RefusalCode
+from sapphirerail_core.datagram import Datagram, Kind, RefusalCode
+from sapphirerail_core.fleet import FixedFleet
+from sapphirerail_core.flow import FlowConfig, FlowDirector
+from sapphirerail_core.flow.silence import _N_COMPARED_PER_TICK
+from sapphirerail_core.flow.table import FlowMark
+from sapphirerail_core.journal import Journal
 from sapphirerail_core.types import FlowId, InstanceId, ServerId, TrafficClass
 from sapphirerail_standins.flow_fleet import FlowFleet
-from sapphirerail_standins.flow_plans import BOOKINGS
+from sapphirerail_standins.flow_plans import BOOKINGS, PLACES, first_plan
 
 I0 = InstanceId("i0")
 FLOW = FlowId(40)
@@ -133,3 +140,35 @@
 
 def n_records(fleet: FlowFleet) -> int:
     return sum(node.director.status().n_records for node in fleet.nodes.values())
+
+
+def test_the_registrations_of_one_tick_are_bounded() -> None:
+    n_instances, n_flows = 1_000, 400
+    places = {InstanceId(f"i{n}"): PLACES[n % 4] for n in range(n_instances)}
+    journal = Journal(I0)
+    director = FlowDirector.from_config(
+        FlowConfig(n_early_per_s=0), FixedFleet(I0, places), journal, random.Random(1)
+    )
+    director.on_plan(first_plan(), 0)
+    director.tick(12_000)
+    for number in range(n_flows):
+        flow = FlowId(number * 0x9E3779B97F4A7C15 % 2**64)
+        feed = Datagram(
+            kind=Kind.OPEN,
+            service=BOOKINGS,
+            flow=flow,
+            traffic_class=TrafficClass.FEED,
+            caller="10.0.0.1:5",
+        )
+        director.opened(feed, director.candidates(BOOKINGS, flow)[0], 12_000)
+    owners = director._context.owners.now
+    n_ticks = 0
+    registered = [False]
+    while not all(registered):
+        n_before = owners.n_compared
+        director.tick(14_000 + 100 * n_ticks)
+        assert owners.n_compared - n_before <= _N_COMPARED_PER_TICK + n_instances
+        table = director._context.table
+        registered = [table.has(row, FlowMark.REGISTERED) for row in range(n_flows)]
+        n_ticks += 1
+    assert 1 < n_ticks <= 5
