Refuse new work of callers without an IPv4 address

Sockets, sheet and flow records know IPv4 only. A datagram whose caller field held something else was taken all the same: the flow's records were kept without a caller, and its answers were handed to a socket that cannot send there, or that looks a name up first and holds up the loop meanwhile.

Now the router refuses requests, openings and cancellations of such a caller with MALFORMED, towards the fabric, and counts dropped.caller.bad_address; the edge sends to IPv4 numbers only and counts others as bad addresses; flags want IPv4. Supporting IPv6 was weighed: 33 bytes a record in place of 21, for callers that nobody has.

--- a/bench/virtual_system.py
+++ b/bench/virtual_system.py
@@ -19,7 +19,7 @@
 from sapphirerail_standins.history import HistoryEvent, in_order
 from sapphirerail_standins.server_model import ServerModel
 from sapphirerail_standins.server_settings import ServerSettings
-from sapphirerail_transport.udp import parse_address
+from sapphirerail_transport.udp import Address, format_address, parse_address
 
 __all__ = ["VirtualSystem"]
 
@@ -121,6 +121,14 @@
             )
             for number, place in enumerate(plan.data_centres)
         }
+        self._fabrics: dict[str, Address] = {
+            place: (f"10.2.0.{number}", 1)
+            for number, place in enumerate(plan.data_centres)
+        }
+        self._callers_by_address = {
+            format_address(self._fabrics[place]): callers
+            for place, callers in self.callers.items()
+        }
         self._join()
 
     def use_plan(self, plan: Plan, delays_ms: Mapping[str, float]) -> None:
@@ -141,7 +149,7 @@
 
     def send_to_caller(self, datagram: Datagram) -> None:
         """Carry a datagram to the callers of a data centre."""
-        callers = self.callers[DataCentreId(datagram.caller.partition(":")[0])]
+        callers = self._callers_by_address[datagram.caller]
         self.clock.call_later(CALLER_WAY_MS, lambda: callers.on_datagram(datagram))
 
     def send_to_server(self, datagram: Datagram, server: str, source: str) -> None:
@@ -196,10 +204,10 @@
     def _spray(self, datagram: Datagram, place: str) -> None:
         instances = [i for i in self.instances.values() if i.data_centre == place]
         instance = self._random.choice(instances)
-        stamped = msgspec.structs.replace(datagram, caller=f"{place}:1")
+        sender = self._fabrics[place]
+        stamped = msgspec.structs.replace(datagram, caller=format_address(sender))
 
         def arrive() -> None:
-            sender = (place, 1)
             now_ms = self.clock.now_ms()
             instance.router.on_caller_datagram(stamped, sender, now_ms)
 
--- a/packages/sapphirerail-node/src/sapphirerail_node/edge.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/edge.py
@@ -6,6 +6,7 @@
 
 from sapphirerail_core.datagram import Datagram
 from sapphirerail_core.errors import InputError
+from sapphirerail_core.flow.address import NO_ADDRESS, pack_address
 from sapphirerail_transport.datagram_codec import decode_datagram, encode_datagram
 from sapphirerail_transport.udp import Address, UdpSocket, parse_address
 
@@ -16,7 +17,14 @@
 DatagramHandler = Callable[[Datagram, Address], None]
 
 _ADDRESSES_CACHED = 65_536
-_cached_address = lru_cache(_ADDRESSES_CACHED)(parse_address)
+
+
+@lru_cache(_ADDRESSES_CACHED)
+def _cached_address(text: str) -> Address:
+    # The socket would look the name up and hold up the loop meanwhile.
+    if pack_address(text) == NO_ADDRESS:
+        raise ValueError(f"{text!r} is not an IPv4 number and a port")
+    return parse_address(text)
 
 
 class DatagramEdge:
--- a/packages/sapphirerail-node/src/sapphirerail_node/router.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/router.py
@@ -15,6 +15,7 @@
     SendToPeer,
     SendToServer,
 )
+from sapphirerail_core.flow.address import NO_ADDRESS, pack_address
 from sapphirerail_core.journal import Journal, Reason
 from sapphirerail_core.plan import EMPTY_PLAN, Plan
 from sapphirerail_core.types import InstanceId, ServerId, ServerState
@@ -154,6 +155,10 @@
         if datagram.kind not in CALLER_KINDS:
             self._drop(datagram, "caller.unexpected_kind")
             return
+        is_new = datagram.kind in NEW_WORK_KINDS
+        if is_new and pack_address(datagram.caller) == NO_ADDRESS:
+            self._refuse_address(datagram, sender)
+            return
         service = self._plan.services.get(datagram.service)
         if service is None:
             self._refuse_unknown_service(datagram)
@@ -222,6 +227,20 @@
         else:
             self._outlets.to_server(effect.datagram, server.address)
 
+    def _refuse_address(self, datagram: Datagram, sender: Address) -> None:
+        """Tell the fabric that its caller has no IPv4 address to answer to."""
+        self._drop(datagram, "caller.bad_address")
+        refusal = msgspec.structs.replace(
+            datagram,
+            kind=Kind.REFUSAL,
+            code=RefusalCode.MALFORMED,
+            # An earlier attempt may have met an instance of an older version.
+            run=Run.NO if datagram.attempt == 0 else Run.UNKNOWN,
+            caller=format_address(sender),
+            body=b"",
+        )
+        self._outlets.to_caller(refusal)
+
     def _refuse_unknown_service(self, datagram: Datagram) -> None:
         self._drop(datagram, "caller.unknown_service")
         if datagram.kind not in (Kind.OPEN, Kind.REQUEST):
--- a/packages/sapphirerail-node/src/sapphirerail_node/settings.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/settings.py
@@ -149,10 +149,10 @@
 
 
 def _check_address(flag: str, value: object) -> Address:
-    allowed = "IP address:port, such as 10.0.0.1:7000"
+    allowed = "IPv4 address:port, such as 10.0.0.1:7000"
     try:
         host, port = parse_address(str(value))
-        ipaddress.ip_address(host)
+        ipaddress.IPv4Address(host)
     except ValueError as error:
         raise SettingsError(flag, value, allowed) from error
     if port > 65535:
--- a/packages/sapphirerail-node/tests/test_edge.py
+++ b/packages/sapphirerail-node/tests/test_edge.py
@@ -33,6 +33,8 @@
         await other.open(_bound_socket())
         other.send(datagram, f"{address[0]}:{address[1]}")
         other.send(datagram, "no address")
+        other.send(datagram, "[::1]:80")
+        other.send(datagram, "localhost:80")
         assert await received.get() == datagram
         for open_one in (edge, other, sender):
             open_one.close()
@@ -40,7 +42,7 @@
 
     metrics, sending = asyncio.run(scenario())
     assert metrics.counters["caller.dropped.datagram.malformed"] == 1
-    assert sending.counters["caller.bad_address"] == 1
+    assert sending.counters["caller.bad_address"] == 3
 
 
 @settings(derandomize=True)
--- a/packages/sapphirerail-node/tests/test_router.py
+++ b/packages/sapphirerail-node/tests/test_router.py
@@ -91,6 +91,18 @@
     assert not bench.flows.calls
 
 
+@pytest.mark.parametrize("kind", [Kind.OPEN, Kind.REQUEST, Kind.CANCEL])
+@pytest.mark.parametrize("caller", ["[::1]:80", "::1:80", "painter.example:80", "x"])
+def test_new_work_of_a_caller_without_an_ipv4_address_is_refused(kind, caller):
+    bench = _Bench()
+    bench.router.on_caller_datagram(_datagram(kind, caller=caller), _CALLER, 1)
+    (refusal,) = bench.sent_to_callers
+    assert (refusal.kind, refusal.code) == (Kind.REFUSAL, RefusalCode.MALFORMED)
+    assert (refusal.run, refusal.caller) == (Run.NO, "127.0.0.1:9")
+    assert not bench.requests.calls
+    assert bench.metrics.counters["dropped.caller.bad_address"] == 1
+
+
 def test_parts_go_to_flows_and_keep_the_caller_that_the_fabric_wrote():
     bench = _Bench()
     datagram = _datagram(Kind.DATA, caller="127.0.0.1:11")
--- a/packages/sapphirerail-node/tests/test_settings.py
+++ b/packages/sapphirerail-node/tests/test_settings.py
@@ -33,6 +33,8 @@
         ("instance", "a b", "--instance"),
         ("data_centre", "x" * 65, "--data-centre"),
         ("caller_address", "localhost:1", "--caller-address"),
+        ("caller_address", "::1:7000", "--caller-address"),
+        ("caller_address", "[::1]:7000", "--caller-address"),
         ("peer_address", "127.0.0.1", "--peer-address"),
         ("api_address", "127.0.0.1:70000", "--api-address"),
         ("statsd_address", "nowhere", "--statsd"),
