--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/owners.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/owners.py
@@ -37,13 +37,6 @@
         """Instances compared so far, at most, to find owners that were not known."""
         self.update(members)
 
-    @classmethod
-    def from_fleet(
-        cls, fleet: FleetView, plan: Plan, without: InstanceId | None = None
-    ) -> "OwnerMap":
-        """Return the owners under the membership that a fleet believes in."""
-        return cls(members_of(fleet, plan, without))
-
     def update(self, members: dict[DataCentreId, tuple[InstanceId, ...]]) -> None:
         """Take over a changed membership; costs what has changed."""
         for place, names in members.items():
--- a/packages/sapphirerail-core/src/sapphirerail_core/flow/table.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/flow/table.py
@@ -11,6 +11,7 @@
 
 _TIME_UNIT_MS = 100  # 32 bits of 100 ms last for 13 years
 _NONE = 0xFFFFFFFF
+_BEFORE_START_MS = 60_000  # records tell of packets from before this instance's start
 
 
 class FlowMark(IntEnum):
@@ -230,7 +231,7 @@
 
     def _time(self, now_ms: int) -> int:
         if self._epoch_ms is None:
-            self._epoch_ms = now_ms
+            self._epoch_ms = now_ms - _BEFORE_START_MS
         return max(0, now_ms - self._epoch_ms) // _TIME_UNIT_MS
 
     def _grow(self) -> int:
--- a/packages/sapphirerail-core/tests/flow/test_owners.py
+++ b/packages/sapphirerail-core/tests/flow/test_owners.py
@@ -2,7 +2,12 @@
 from collections import Counter
 
 from sapphirerail_core.fleet import FixedFleet
-from sapphirerail_core.flow.owners import OwnerChange, OwnerHistory, OwnerMap
+from sapphirerail_core.flow.owners import (
+    OwnerChange,
+    OwnerHistory,
+    OwnerMap,
+    members_of,
+)
 from sapphirerail_core.plan import Plan
 from sapphirerail_core.types import DataCentreId, DataCentreState, InstanceId
 from sapphirerail_standins.flow_plans import (
@@ -20,7 +25,7 @@
     places: dict[InstanceId, DataCentreId], plan: Plan | None = None
 ) -> OwnerMap:
     fleet = FixedFleet(InstanceId("i0"), places)
-    return OwnerMap.from_fleet(fleet, plan or first_plan())
+    return OwnerMap(members_of(fleet, plan or first_plan()))
 
 
 def test_the_owners_stand_in_two_data_centres() -> None:
--- /dev/null
+++ b/packages/sapphirerail-core/tests/flow/test_record_store.py
@@ -0,0 +1,118 @@
+import random
+
+import pytest
+
+from sapphirerail_core.fleet import FixedFleet
+from sapphirerail_core.flow.config import FlowConfig
+from sapphirerail_core.flow.context import FlowContext
+from sapphirerail_core.flow.placement import Placement
+from sapphirerail_core.flow.record_codec import FlowRecord
+from sapphirerail_core.flow.record_store import Kept, RecordStore
+from sapphirerail_core.journal import Journal
+from sapphirerail_core.types import FlowId, InstanceId, ServerId, TrafficClass
+from sapphirerail_standins.flow_plans import BOOKINGS, PLACES, first_plan
+
+SELF, I1, I2 = InstanceId("i0"), InstanceId("i1"), InstanceId("i2")
+SERVER = ServerId("bookings-2")
+N_RECORDS_MAX = 3
+RECORD = FlowRecord(FlowId(1), SERVER, 0x0A00_0001_0FA0, TrafficClass.FEED)
+
+
+@pytest.fixture
+def context() -> FlowContext:
+    places = dict(zip((SELF, I1, I2), PLACES, strict=False))
+    config = FlowConfig(n_records_max=N_RECORDS_MAX)
+    fleet = FixedFleet(SELF, places)
+    context = FlowContext(config, fleet, Journal(SELF), random.Random(1))
+    context.placement = Placement(first_plan())
+    return context
+
+
+@pytest.fixture
+def store(context: FlowContext) -> RecordStore:
+    return RecordStore(context)
+
+
+def test_the_first_claim_is_kept_whole(
+    context: FlowContext, store: RecordStore
+) -> None:
+    assert store.keep(RECORD, I1, 10_000) == Kept(None, accepted=True)
+    row = context.records.find(BOOKINGS, RECORD.flow)
+    assert row is not None
+    assert store.read(row) == RECORD
+    assert context.records.holder(row) == I1
+    assert store.server(BOOKINGS, RECORD.flow) == SERVER
+
+
+def test_the_latest_packet_wins_whatever_order_the_claims_come_in(
+    store: RecordStore,
+) -> None:
+    store.keep(RECORD, I1, 10_000, age_ms=500)
+    late = store.keep(RECORD, I2, 10_100, age_ms=2_000)
+    assert (late.previous, late.accepted, late.age_ms) == (I1, False, 600)
+    newer = store.keep(RECORD, I2, 10_200, age_ms=100)
+    assert (newer.previous, newer.accepted) == (I1, True)
+
+
+def test_a_refresh_moves_a_flow_only_from_a_holder_that_is_gone(
+    context: FlowContext, store: RecordStore
+) -> None:
+    store.keep(RECORD, I1, 10_000)
+    assert not store.keep(RECORD, I2, 11_000, claims=False).accepted
+    assert isinstance(context.fleet, FixedFleet)
+    del context.fleet.members[I1]
+    assert store.keep(RECORD, I2, 12_000, claims=False).accepted
+
+
+def test_a_record_at_a_server_that_the_plan_lacks_is_not_kept(
+    store: RecordStore,
+) -> None:
+    strange = RECORD._replace(server=ServerId("nowhere"))
+    assert not store.keep(strange, I1, 0).accepted
+    assert store.drop(strange, 0) is None
+
+
+def test_claims_from_before_the_end_of_a_flow_are_refused_for_a_while(
+    store: RecordStore,
+) -> None:
+    store.keep(RECORD, I1, 10_000)
+    assert store.drop(RECORD, 12_000) == I1
+    assert store.keep(RECORD, I2, 13_000, age_ms=1_500).ended
+    assert store.keep(RECORD, I2, 13_000, age_ms=500).accepted
+    store.drop(RECORD, 14_000)
+    store.expire(44_100, 10)
+    assert store.keep(RECORD, I2, 44_200, age_ms=31_000).accepted
+
+
+def test_a_full_store_drops_what_was_not_refreshed_for_the_longest_time(
+    context: FlowContext, store: RecordStore
+) -> None:
+    for number in range(N_RECORDS_MAX):
+        store.keep(RECORD._replace(flow=FlowId(number)), I1, 1_000 * number)
+    store.keep(RECORD._replace(flow=FlowId(0)), I1, 5_000)
+    store.keep(RECORD._replace(flow=FlowId(9)), I1, 6_000)
+    kept = [n for n in range(10) if store.server(BOOKINGS, FlowId(n)) is not None]
+    assert kept == [0, 2, 9]
+    assert context.records.n_evicted == 1
+
+
+def test_records_expire_in_order_and_some_at_a_time(
+    context: FlowContext, store: RecordStore
+) -> None:
+    life_ms = context.config.record_life_ms
+    for number in range(N_RECORDS_MAX):
+        store.keep(RECORD._replace(flow=FlowId(number)), I1, 1_000 * number)
+    store.expire(life_ms + 1_000, 1)
+    assert store.server(BOOKINGS, FlowId(0)) is None
+    assert store.server(BOOKINGS, FlowId(1)) == SERVER
+    store.expire(life_ms + 1_000, 10)
+    assert [store.server(BOOKINGS, FlowId(n)) for n in (1, 2)] == [None, SERVER]
+
+
+def test_the_holder_of_an_unknown_server_is_known_until_the_next_plan(
+    store: RecordStore,
+) -> None:
+    store.keep_unknown(RECORD.flow, I1)
+    assert store.holder_of_unknown(RECORD.flow) == I1
+    store.forget_unknown()
+    assert store.holder_of_unknown(RECORD.flow) is None
--- a/packages/sapphirerail-core/tests/flow/test_registrar.py
+++ b/packages/sapphirerail-core/tests/flow/test_registrar.py
@@ -9,7 +9,7 @@
 from sapphirerail_core.flow.config import FlowConfig
 from sapphirerail_core.flow.context import FlowContext
 from sapphirerail_core.flow.messages import Forget, Register, Registered, RegisterMode
-from sapphirerail_core.flow.owners import OwnerMap
+from sapphirerail_core.flow.owners import OwnerMap, members_of
 from sapphirerail_core.flow.placement import Placement
 from sapphirerail_core.flow.record_codec import ServerCodes
 from sapphirerail_core.flow.record_store import RecordStore
@@ -33,7 +33,7 @@
     context = FlowContext(FlowConfig(), fleet, Journal(SELF), random.Random(1))
     context.placement = Placement(plan)
     context.codes = ServerCodes(plan)
-    context.owners.now = OwnerMap.from_fleet(fleet, plan, without=SELF)
+    context.owners.now = OwnerMap(members_of(fleet, plan, without=SELF))
     return context
 
 
