--- a/packages/sapphirerail-core/src/sapphirerail_core/plan/layout.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/plan/layout.py
@@ -19,13 +19,16 @@
     Server,
     Service,
     ServiceLayers,
+    SheetRecord,
     Write,
     WriteId,
 )
 from .store import Version
 
 __all__ = [
+    "COMPRESSION_LEVEL",
     "HISTORY_LENGTH",
+    "N_GENERATIONS",
     "N_SHARDS",
     "ROOT_KEY",
     "Garbage",
@@ -50,6 +53,8 @@
 ROOT_KEY = "plan-root"
 ROOT_FORMAT = 1
 N_SHARDS = 64
+N_GENERATIONS = 16
+"""Keys that a shard can lie at: one that nobody names is found by trying them all."""
 HISTORY_LENGTH = 32
 COMPRESSION_LEVEL = 6
 
@@ -60,7 +65,7 @@
     Parameters
     ----------
     generation : int
-        Part of the key; never used by two writes that both took effect.
+        Part of the key: 1 to `N_GENERATIONS`, round after round.
     version : Version
         Version of the key, for its deletion.
     checksum : int
@@ -103,6 +108,8 @@
         Shards to delete.
     removed_data_centres : tuple of RemovedDataCentre
         As in `Plan`.
+    sheet : SheetRecord or None
+        As in `Plan`.
     """
 
     revision: Revision
@@ -114,6 +121,7 @@
     garbage: tuple[Garbage, ...] = ()
     format: int = ROOT_FORMAT
     removed_data_centres: tuple[RemovedDataCentre, ...] = ()
+    sheet: SheetRecord | None = None
 
 
 class Shard(msgspec.Struct, frozen=True, array_like=True):
@@ -220,6 +228,7 @@
         removed_services={
             part.service: part for shard in found for part in shard.removed_services
         },
+        sheet=root.sheet,
     )
     if content_digest(plan) != root.digest:
         text = f"the shards of revision {root.revision} don't belong to its root"
@@ -248,6 +257,7 @@
         forgotten_at=plan.forgotten_at,
         garbage=tuple(garbage),
         removed_data_centres=tuple(plan.removed_data_centres.values()),
+        sheet=plan.sheet,
     )
 
 
