Give half of a large data centre its leases back within seconds

Cause: where exactly half of a data centre was lost, the tie-break asked about the first 8 lost instances and needs each one confirmed, so above 16 instances the survivors waited for the list or 30 s. A trial of a split showed more: until all deaths had arrived, both halves counted themselves as a majority, and each used roles of the other; two instances that missed the same news counted each other as agreement; and pages for those who missed news were sent without a bound. Now three arbiters of the next data centre vote for one side at a time; an instance that sees a quarter die at once gives its lease up until no more deaths come; roles lost together rest 6 s longer in data centres of 16 or more; digests are compared with each neighbour by itself; pages have a budget of bytes a tick. No existing test was changed. A split inside a data centre of which a third one reaches both halves is still not handled, as before.

--- a/bench/capacity_fleet.py
+++ b/bench/capacity_fleet.py
@@ -13,6 +13,7 @@
 from sapphirerail_core.types import DataCentreId, InstanceId
 from sapphirerail_standins.virtual_fleet import VirtualFleet
 
+from .half_loss import half_lost
 from .membership import sent_bytes_per_s, tick_us
 from .slope import Growth, Slope
 
@@ -28,7 +29,7 @@
 EVENTS_PER_S = (2200 + 120) / 86_400
 IN_FORCE_MS = 4000
 FLEET_SIZES = (70, 140, 280, 560)
-RACK_SIZES = (20, 40, 80, 160, 320)
+RACK_SIZES = (16, 64, 280, 556)
 CUT_SIZES = (28, 70, 140)
 TABLE_SIZES = (500, 1000, 2000, N_NODES)
 OWNER_SIZES = (70, 140, 280, N_IN_DATA_CENTRE)
@@ -52,7 +53,7 @@
     yield from _neighbour()
     yield from _member_table()
     yield from _owners()
-    yield _rack()
+    yield from _rack()
     yield from _cut()
     yield _event_bytes()
 
@@ -230,32 +231,36 @@
     return size
 
 
-def _rack() -> Slope:
-    values = []
-    for n_instances in RACK_SIZES:
-        fleet = _fleet(n_instances, 1)
-        osu = DataCentreId("osu")
-        for victim in fleet.of(osu)[::2]:
-            fleet.kill(victim)
-        names = tuple(fleet.of(osu))
-        values.append(
-            fleet.run_until(
-                lambda fleet=fleet, names=names: all(
-                    fleet.members[n].live(DataCentreId("osu")) == names for n in names
-                ),
-                LIMIT_MS,
-            )
-        )
-    return Slope(
+def _rack() -> Iterator[Slope]:
+    losses = [half_lost(n_instances) for n_instances in RACK_SIZES]
+    common = {
+        "role": "heartbeat neighbour (rack loss)",
+        "sizes": RACK_SIZES,
+        "size_of": "instances of a data centre",
+        "target_size": RACK_SIZES[-1],
+        "growth": Growth.LOGARITHMIC,
+    }
+    yield Slope(
         name="half_data_centre_lost_known",
-        role="heartbeat neighbour (rack loss)",
         unit="ms",
-        sizes=RACK_SIZES,
-        values=values,
-        size_of="instances of a data centre",
-        target_size=N_IN_DATA_CENTRE,
-        growth=Growth.LOGARITHMIC,
+        values=[loss.known_ms for loss in losses],
         mechanism="accused neighbours are skipped, so that the next ones are watched",
+        **common,
+    )
+    yield Slope(
+        name="half_data_centre_lost_leases_back",
+        unit="ms",
+        values=[loss.leases_ms for loss in losses],
+        mechanism="three arbiters of another data centre vote for one side",
+        **common,
+    )
+    yield Slope(
+        name="half_data_centre_lost_bytes",
+        unit="B/s",
+        values=[loss.most_bytes_per_s for loss in losses],
+        limit=CONTROL_BYTES_PER_S,
+        mechanism="rumours, pages and votes within a budget of bytes a tick",
+        **common,
     )
 
 
--- a/bench/membership.py
+++ b/bench/membership.py
@@ -9,6 +9,7 @@
 from sapphirerail_core.types import DataCentreId, InstanceId, InstanceState
 from sapphirerail_standins.virtual_fleet import VirtualFleet
 
+from .half_loss import half_lost, roles_used_twice
 from .result import Figure
 
 __all__ = ["BYTES_SIZES", "figures", "sizes_of", "sent_bytes_per_s", "tick_us"]
@@ -19,6 +20,7 @@
 DEATH_MS_MAX = 1500
 CONTROL_BYTES_PER_S_MAX = 28_000
 LIMIT_MS = 30_000
+HALF_SIZES = (16, 32)
 LAPSED_MS = 5000
 SETTLE_MS = 3000
 MEASURED_MS = 2000
@@ -202,6 +204,15 @@
     noticed_ms, lease_ms = _rack_ms(N_TODAY)
     yield Figure("membership_rack_noticed_19", noticed_ms, "ms")
     yield Figure("membership_rack_lease_back_19", lease_ms, "ms")
+    for n_instances in HALF_SIZES:
+        half = half_lost(n_instances)
+        name = f"membership_half_of_{n_instances}_lease_back"
+        yield Figure(name, half.leases_ms, "ms")
+        name = f"membership_half_of_{n_instances}_sent_bytes_per_s"
+        value = half.most_bytes_per_s
+        yield Figure.at_most(name, value, "B/s", CONTROL_BYTES_PER_S_MAX)
+        name = f"membership_split_of_{n_instances}_roles_used_twice"
+        yield Figure.at_most(name, roles_used_twice(n_instances), "steps", 0)
     name = "membership_two_of_five_lease_back_list_lags_10s"
     yield Figure(name, _minority_ms(10_000), "ms")
     name = "membership_two_of_five_lease_back_no_list"
--- a/packages/sapphirerail-core/src/sapphirerail_core/fleet/config.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/config.py
@@ -36,6 +36,19 @@
         no list arrives.
     counted_listed_ms : int
         The same while the list still names it.
+    vote_ms : int
+        Time for which an arbiter's vote counts where exactly half is lost.
+    vote_renewal_ms : int
+        Time between two requests for a vote that was given; half of it for others.
+    mass_window_ms : int
+        Deaths in one data centre within this time count as one loss.
+    mass_quiet_ms : int
+        Time without a further death after which the count of a large loss is
+        taken as complete.
+    mass_news_ms : int
+        Time for the news of further deaths to come after the first one.
+    mass_wait_ms : int
+        Added before roles are used that were lost together with many others.
     alone_ms : int
         Time after which an instance that has heard of no other one serves alone.
     sync_after_ms : int
@@ -52,6 +65,8 @@
         Rumours that ride in one message at most.
     rumour_tick_bytes : int
         Bytes of rumours that are sent between two ticks at most.
+    answer_tick_bytes : int
+        Bytes of pages and votes that are sent between two ticks at most.
     n_fanout : int
         Instances that fresh rumours are sent to at once.
     n_page : int
@@ -70,6 +85,12 @@
     forget_after_ms: int = 600_000
     counted_unlisted_ms: int = 30_000
     counted_listed_ms: int = 120_000
+    vote_ms: int = 4000
+    vote_renewal_ms: int = 2000
+    mass_window_ms: int = 5000
+    mass_quiet_ms: int = 1500
+    mass_news_ms: int = 1000
+    mass_wait_ms: int = 6000
     alone_ms: int = 10_000
     sync_after_ms: int = 2000
     n_ring: int = 2
@@ -78,5 +99,6 @@
     n_helpers: int = 3
     n_rumours: int = 12
     rumour_tick_bytes: int = 1600
+    answer_tick_bytes: int = 1000
     n_fanout: int = 3
     n_page: int = 12
--- a/packages/sapphirerail-core/src/sapphirerail_core/fleet/electorate.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/electorate.py
@@ -1,26 +1,24 @@
 """Which lost instances still count when a majority of a data centre is needed."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
+from ..effects import Effect
 from ..types import DataCentreId, InstanceId, InstanceState
 from .config import FleetConfig
 from .listing import ListedInstance, ListedState
-from .messages import ProbeAnswer
+from .mass_loss import MassLoss
 from .roster import Roster
+from .votes import Votes
 
 __all__ = ["Electorate"]
 
-N_CONFIRMATIONS = 2
-"""Instances of the tie-breaking data centre that must miss a lost instance."""
-
 
 @dataclass(slots=True)
 class _Lost:
     """An instance that is dead, or listed but never heard of."""
 
     since_ms: int
-    unreached_by: set[InstanceId] = field(default_factory=set)
     released: bool = False
 
 
@@ -29,9 +27,9 @@
 
     A lost instance counts until the platform's list no longer names it or until a
     documented time has passed. Where exactly half is lost, one other data centre
-    breaks the tie: instances there that hold their own lease must have failed to
-    reach each lost one. Both halves would ask the same data centre, and at most one
-    side of it holds leases, so that at most one half wins.
+    breaks the tie: arbiters there that hold their own lease vote for one side. Both
+    halves ask the same data centre, and at most one side of it holds leases, so that
+    at most one half wins.
 
     Parameters
     ----------
@@ -39,9 +37,13 @@
         The documented times.
     roster : Roster
         The members.
+    votes : Votes
+        The arbiters' votes for the side of this instance.
     """
 
-    def __init__(self, config: FleetConfig, roster: Roster) -> None:
+    def __init__(self, config: FleetConfig, roster: Roster, votes: Votes) -> None:
+        self._votes = votes
+        self.mass_loss = MassLoss(config)
         self._config = config
         self._roster = roster
         self._lost: dict[InstanceId, _Lost] = {}
@@ -70,21 +72,8 @@
         following = [name for name in others if name > own]
         return next(iter(following + others), None)
 
-    def on_probe(self, helper: InstanceId, answer: ProbeAnswer) -> None:
-        """Take in whether the tie-breaking data centre reached a lost instance."""
-        lost = self._lost.get(answer.subject)
-        member = self._roster.get(helper)
-        if lost is None or member is None:
-            return
-        if member.data_centre != self.tie_breaker() or not answer.leased:
-            return
-        if answer.reached:
-            lost.unreached_by.clear()
-        else:
-            lost.unreached_by.add(helper)
-
-    def tick(self, now_ms: int) -> None:
-        """Follow the roster, and release those whose time has passed."""
+    def tick(self, now_ms: int) -> list[Effect]:
+        """Follow the roster, release those whose time has passed, ask for votes."""
         names = self._lost_names()
         for name in [n for n in self._lost if n not in names]:
             del self._lost[name]
@@ -92,26 +81,38 @@
             lost = self._lost.setdefault(name, _Lost(now_ms))
             if now_ms - lost.since_ms > self._counted_ms(name):
                 lost.released = True
-
-    def has_majority(self) -> bool:
+        own = self._roster.own.data_centre
+        died_ms = [
+            self._roster.members[name].since_ms
+            for name in names
+            if name in self._roster.members
+        ]
+        self.mass_loss.tick(died_ms, len(self._roster.live(own)), now_ms)
+        data_centre = self.tie_breaker()
+        if data_centre is None or not self.is_tied():
+            return []
+        return self._votes.ask(data_centre, now_ms)
+
+    def has_majority(self, now_ms: int) -> bool:
         """Return whether the live ones outnumber those lost, or win the tie."""
+        if self.mass_loss.is_counting:
+            return False
         n_live = len(self._roster.live(self._roster.own.data_centre))
-        counted = self.counted_lost()
-        if n_live != len(counted):
-            return n_live > len(counted)
-        return all(
-            len(self._lost[name].unreached_by) >= N_CONFIRMATIONS for name in counted
-        )
+        n_lost = self._n_counted()
+        return n_live > n_lost or (n_live == n_lost and self._votes.won(now_ms))
 
     def is_tied(self) -> bool:
         """Return whether exactly half of those that count are lost."""
         n_live = len(self._roster.live(self._roster.own.data_centre))
-        return n_live == len(self.counted_lost())
+        return n_live == self._n_counted()
 
     def counted_lost(self) -> list[InstanceId]:
         """Return the lost instances that still count, sorted."""
         return sorted(n for n, lost in self._lost.items() if not lost.released)
 
+    def _n_counted(self) -> int:
+        return sum(not lost.released for lost in self._lost.values())
+
     def _lost_names(self) -> set[InstanceId]:
         own = self._roster.own
         dead = {
--- a/packages/sapphirerail-core/src/sapphirerail_core/fleet/handlers.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/handlers.py
@@ -18,6 +18,8 @@
     ProbeRequest,
     Rumours,
     SyncRequest,
+    TieAnswer,
+    TieRequest,
 )
 from .state import FleetState
 
@@ -84,14 +86,14 @@
     if known.gone or known.incarnation > record.incarnation:
         return [SendToPeer(sender, _beliefs(fleet, known, now_ms))]
     request = SyncRequest(NO_INSTANCE, 0)
-    return [SendToPeer(sender, fleet.sync.page(sender, request, now_ms))]
+    return fleet.desk.ask(sender, request, now_ms)
 
 
 @handle.register
 def _(
     message: SyncRequest, fleet: FleetState, sender: InstanceId, now_ms: int
 ) -> list[Effect]:
-    return [SendToPeer(sender, fleet.sync.page(sender, message, now_ms))]
+    return fleet.desk.ask(sender, message, now_ms)
 
 
 @handle.register
@@ -127,7 +129,7 @@
     message: Pong, fleet: FleetState, sender: InstanceId, now_ms: int
 ) -> list[Effect]:
     fleet.roster.heard(sender, message.incarnation, now_ms)
-    return fleet.helper.on_pong(sender, message, fleet.lease.holds(now_ms))
+    return fleet.helper.on_pong(sender, message)
 
 
 @handle.register
@@ -143,8 +145,22 @@
 ) -> list[Effect]:
     if message.reached:
         fleet.roster.heard(message.subject, message.incarnation, now_ms)
-    if not fleet.is_local(sender):
-        fleet.electorate.on_probe(sender, message)
+    return []
+
+
+@handle.register
+def _(
+    message: TieRequest, fleet: FleetState, sender: InstanceId, now_ms: int
+) -> list[Effect]:
+    leased = not fleet.leaving and fleet.lease.holds(now_ms)
+    return fleet.arbiter.on_request(sender, message, leased, now_ms)
+
+
+@handle.register
+def _(
+    message: TieAnswer, fleet: FleetState, sender: InstanceId, now_ms: int
+) -> list[Effect]:
+    fleet.votes.on_answer(sender, message)
     return []
 
 
--- a/packages/sapphirerail-core/src/sapphirerail_core/fleet/helper.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/helper.py
@@ -46,20 +46,20 @@
         self._until_ms.setdefault(order, now_ms + self._probe_ms)
         return [SendToPeer(subject, Ping(origin))]
 
-    def on_pong(self, subject: InstanceId, pong: Pong, leased: bool) -> list[Effect]:
+    def on_pong(self, subject: InstanceId, pong: Pong) -> list[Effect]:
         """Tell the origin that its subject lives."""
         order = _Order(pong.origin, subject)
         if self._until_ms.pop(order, None) is None:
             return []
-        answer = ProbeAnswer(subject, pong.incarnation, True, leased)
+        answer = ProbeAnswer(subject, pong.incarnation, True)
         return [SendToPeer(pong.origin, answer)]
 
-    def tick(self, now_ms: int, leased: bool) -> list[Effect]:
+    def tick(self, now_ms: int) -> list[Effect]:
         """Tell the origins of probes that got no answer in time."""
         late = [o for o, until_ms in self._until_ms.items() if now_ms >= until_ms]
         effects: list[Effect] = []
         for order in late:
             del self._until_ms[order]
-            answer = ProbeAnswer(order.subject, 0, False, leased)
+            answer = ProbeAnswer(order.subject, 0, False)
             effects.append(SendToPeer(order.origin, answer))
         return effects
--- a/packages/sapphirerail-core/src/sapphirerail_core/fleet/membership.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/membership.py
@@ -154,9 +154,16 @@
         if member.state is InstanceState.LEFT:
             return member.since_ms
         if member.state is InstanceState.DEAD:
-            return max(member.last_heard_ms(), self._fleet.started_ms) + lapse_ms
+            heard_ms = max(member.last_heard_ms(), self._fleet.started_ms)
+            return self._roles_from_ms(member, heard_ms + lapse_ms)
         return ROLE_NEVER_MS
 
+    def _roles_from_ms(self, member: Member, lapsed_ms: int) -> int:
+        if member.data_centre != self.self_data_centre:
+            return lapsed_ms
+        mass_loss = self._fleet.electorate.mass_loss
+        return mass_loss.roles_from_ms(member.since_ms, lapsed_ms)
+
     def peer_address(self, instance: InstanceId) -> str | None:
         """Return where an instance takes messages, or None if it is unknown."""
         member = self._fleet.roster.get(instance)
@@ -249,18 +256,21 @@
         fleet = self._fleet
         self._notice_pause(now_ms)
         fleet.news.refill()
+        fleet.budget.refill()
         effects: list[Effect] = []
         if now_ms - self._round_ms >= fleet.config.heartbeat_ms:
             self._round_ms = now_ms
             effects += rounds.heartbeats(fleet, now_ms)
         effects += self._detect(now_ms)
-        effects += fleet.helper.tick(now_ms, self.holds_lease(now_ms))
+        effects += fleet.helper.tick(now_ms)
         self._update_reach(now_ms)
-        self._update_lease(now_ms)
+        fleet.arbiter.tick(now_ms)
+        effects += self._update_lease(now_ms)
         if now_ms - self._rejoin_ms >= fleet.config.rejoin_ms:
             self._rejoin_ms = now_ms
             self._forget(now_ms)
             effects += rounds.rejoin(fleet, now_ms)
+        effects += fleet.desk.tick(now_ms)
         effects += fleet.requests
         fleet.requests = []
         effects += rounds.send_news(fleet, now_ms)
@@ -280,6 +290,7 @@
         fleet.lease.drop(now_ms)
         fleet.detector.restart(now_ms)
         fleet.reach.restart(now_ms)
+        fleet.arbiter.restart(now_ms)
         detail = f"{now_ms - last_ms} ms"
         fleet.journal.note(now_ms, Reason.PAUSE_NOTICED, detail=detail)
 
@@ -298,19 +309,20 @@
             for name in fleet.roster.live(data_centre):
                 fleet.report(name, now_ms)
 
-    def _update_lease(self, now_ms: int) -> None:
+    def _update_lease(self, now_ms: int) -> list[Effect]:
         fleet = self._fleet
-        fleet.electorate.tick(now_ms)
+        effects = fleet.electorate.tick(now_ms)
         if fleet.joined_ms is None and self._is_alone(now_ms):
             fleet.note_joined(now_ms)
         witnesses = fleet.roster.neighbours(self.self_id)
-        may_hold = fleet.joined_ms is not None and fleet.electorate.has_majority()
+        may_hold = fleet.joined_ms is not None and fleet.electorate.has_majority(now_ms)
         fleet.lease.renew(witnesses, may_hold, now_ms)
         held = self.holds_lease(now_ms)
         if held is not self._lease_was_held:
             self._lease_was_held = held
             reason = Reason.LEASE_HELD if held else Reason.LEASE_LOST
             fleet.journal.note(now_ms, reason)
+        return effects
 
     def _is_alone(self, now_ms: int) -> bool:
         fleet = self._fleet
--- a/packages/sapphirerail-core/src/sapphirerail_core/fleet/messages.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/messages.py
@@ -21,6 +21,8 @@
     "Rumour",
     "Rumours",
     "SyncRequest",
+    "TieAnswer",
+    "TieRequest",
 ]
 
 
@@ -171,14 +173,11 @@
         Its incarnation; 0 if it was not reached.
     reached : bool
         Whether it answered.
-    leased : bool
-        Whether the helper holds its own peer lease.
     """
 
     subject: InstanceId
     incarnation: int
     reached: bool
-    leased: bool = False
 
 
 class Rumours(Message, frozen=True, array_like=True, tag=78):
@@ -187,6 +186,37 @@
     rumours: tuple[Rumour, ...]
 
 
+class TieRequest(Message, frozen=True, array_like=True, tag=79):
+    """Asks an arbiter for its vote, where exactly half of a data centre is lost.
+
+    Parameters
+    ----------
+    side : int
+        Hash of the instances that live on the asking side.
+    sent_ms : int
+        Time of sending on the asking instance's clock.
+    """
+
+    side: int
+    sent_ms: int
+
+
+class TieAnswer(Message, frozen=True, array_like=True, tag=80):
+    """Says that the arbiter's vote is the asking side's.
+
+    Parameters
+    ----------
+    side, sent_ms
+        As in the request.
+    n_needed : int
+        Votes that win.
+    """
+
+    side: int
+    sent_ms: int
+    n_needed: int
+
+
 MESSAGES: tuple[type[Message], ...] = (
     Heartbeat,
     Join,
@@ -197,4 +227,6 @@
     ProbeRequest,
     ProbeAnswer,
     Rumours,
+    TieRequest,
+    TieAnswer,
 )
--- a/packages/sapphirerail-core/src/sapphirerail_core/fleet/rounds.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/rounds.py
@@ -3,14 +3,12 @@
 from ..effects import Effect, SendToPeer
 from ..types import InstanceId, InstanceState
 from .member import Member
-from .messages import Join, Left, ProbeRequest, Rumours
+from .messages import Join, Left, Rumours
 from .state import FleetState
 
 __all__ = ["accuse", "farewell", "heartbeats", "join_listed", "rejoin", "send_news"]
 
 N_JOIN = 3
-N_CONFIRM = 8
-"""Lost instances that another data centre is asked about at a time."""
 
 
 def heartbeats(fleet: FleetState, now_ms: int) -> list[Effect]:
@@ -117,22 +115,4 @@
         name = fleet.random_state.choice(dead)
         heartbeat = fleet.heartbeat(name, fleet.sequence, now_ms)
         effects.append(SendToPeer(name, heartbeat))
-    if fleet.electorate.is_tied():
-        effects += _confirm_lost(fleet)
     return effects
-
-
-def _confirm_lost(fleet: FleetState) -> list[Effect]:
-    """Ask the tie-breaking data centre whether it reaches those lost here."""
-    data_centre = fleet.electorate.tie_breaker()
-    if data_centre is None:
-        return []
-    helpers = fleet.roster.sample(
-        fleet.random_state, data_centre, fleet.config.n_helpers
-    )
-    subjects = fleet.electorate.counted_lost()[:N_CONFIRM]
-    return [
-        SendToPeer(name, ProbeRequest(subject))
-        for subject in subjects
-        for name in helpers
-    ]
--- a/packages/sapphirerail-core/src/sapphirerail_core/fleet/state.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/state.py
@@ -6,6 +6,8 @@
 from ..effects import Effect
 from ..journal import Journal, Reason
 from ..types import InstanceId, InstanceState, Revision
+from .arbiter import Arbiter
+from .budget import TickBudget
 from .config import FleetConfig
 from .detector import Detector
 from .electorate import Electorate
@@ -14,10 +16,12 @@
 from .listing import ListedInstance
 from .member import Member
 from .messages import Accused, Alive, Heartbeat, Left, MemberRecord, Rumour
+from .page_desk import PageDesk
 from .reach import Reach
 from .roster import Roster
 from .rumours import RumourQueue
 from .sync import MemberSync
+from .votes import Votes
 
 __all__ = ["FleetState", "StateChangeCallback"]
 
@@ -78,9 +82,13 @@
         self.news = RumourQueue(self.roster, config.rumour_tick_bytes)
         self.detector = Detector(config, self.roster, random_state)
         self.helper = ProbeHelper(config, own.instance)
-        self.electorate = Electorate(config, self.roster)
+        self.budget = TickBudget(config.answer_tick_bytes)
+        self.arbiter = Arbiter(config, self.roster, self.budget, now_ms)
+        self.votes = Votes(config, self.roster)
+        self.electorate = Electorate(config, self.roster, self.votes)
         self.lease = PeerLease(config, now_ms)
         self.sync = MemberSync(config, self.roster, random_state, now_ms)
+        self.desk = PageDesk(self.sync, self.budget)
 
     def is_local(self, instance: InstanceId) -> bool:
         """Return whether an instance is known to stand in the own data centre."""
--- a/packages/sapphirerail-core/src/sapphirerail_core/fleet/sync.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/sync.py
@@ -3,8 +3,9 @@
 import random
 
 from ..effects import Effect, SendToPeer
-from ..types import DataCentreId, InstanceId
+from ..types import DataCentreId, InstanceId, InstanceState
 from .config import FleetConfig
+from .member import Member
 from .messages import MembersPage, Rumour, SyncRequest
 from .roster import Roster
 
@@ -44,20 +45,24 @@
         self._config = config
         self._roster = roster
         self._start_ms = now_ms
-        self._matched_ms: dict[DataCentreId, int] = {}
+        self._matched_ms: dict[InstanceId | DataCentreId, int] = {}
         self._asked_ms = now_ms
         self._window_ms = 0
+        self._asked_digest = 0
 
     def on_digest(self, sender: InstanceId, digest: int, now_ms: int) -> list[Effect]:
         """Compare a peer's digest with the own one."""
         member = self._roster.get(sender)
         if member is None:
             return []
+        compared = self._compared(member)
+        if compared is None:
+            return []
         if digest == self._roster.digest:
-            self._matched_ms[member.data_centre] = now_ms
+            self._matched_ms[compared] = now_ms
             self._window_ms = 0
             return []
-        matched_ms = self._matched_ms.setdefault(member.data_centre, now_ms)
+        matched_ms = self._matched_ms.setdefault(compared, now_ms)
         differs_ms = now_ms - matched_ms
         if differs_ms <= self._config.sync_after_ms:
             return []
@@ -67,6 +72,10 @@
         if self._random_state.random() >= ASKED_SHARE:
             return []
         self._asked_ms = now_ms
+        # While news still comes in, what is missing is new: look no further back.
+        if self._roster.digest != self._asked_digest:
+            self._window_ms = 0
+        self._asked_digest = self._roster.digest
         self._window_ms = max(self._window_ms * GROWTH, differs_ms + SLACK_MS)
         window_ms = 0 if self._window_ms > ALL_AFTER_MS else self._window_ms
         return [SendToPeer(sender, SyncRequest(InstanceId(""), window_ms))]
@@ -86,7 +95,7 @@
         chosen = names[: self._config.n_page]
         rumours: list[Rumour] = []
         for name in chosen:
-            rumours.extend(self._roster.rumours(name, now_ms))
+            rumours.extend(self._news(name, request, now_ms))
         after = chosen[-1] if len(names) > len(chosen) else InstanceId("")
         return MembersPage(tuple(rumours), after, request.changed_within_ms)
 
@@ -96,6 +105,32 @@
             return None
         return SyncRequest(page.after, page.changed_within_ms)
 
+    def _compared(self, member: Member) -> InstanceId | DataCentreId | None:
+        """Return with whom digests are compared; None for all others.
+
+        Each neighbour by itself: two that missed the same news agree with each other.
+        Those of another data centre as a whole, as each is heard of too seldom.
+        """
+        if member.data_centre != self._roster.own.data_centre:
+            return member.data_centre
+        is_neighbour = member.instance in self._roster.neighbours(self._roster.self_id)
+        return member.instance if is_neighbour else None
+
+    def _news(
+        self, name: InstanceId, request: SyncRequest, now_ms: int
+    ) -> list[Rumour]:
+        """Return what is believed of a member.
+
+        The record of a dead one is left out if it is older than the time that is
+        asked for: who lacks it needs not know that it is dead.
+        """
+        rumours = self._roster.rumours(name, now_ms)
+        member = self._roster.members[name]
+        is_old = member.known_ms < now_ms - request.changed_within_ms
+        is_dead = member.state is InstanceState.DEAD
+        has_window = request.changed_within_ms > 0
+        return rumours[1:] if has_window and is_dead and is_old else rumours
+
     def _changed_ms(self, instance: InstanceId) -> int:
         member = self._roster.members[instance]
         return max(member.since_ms, member.known_ms)
--- a/packages/sapphirerail-core/tests/fleet/test_membership.py
+++ b/packages/sapphirerail-core/tests/fleet/test_membership.py
@@ -140,6 +140,47 @@
     fleet.run_until(lambda: _holders(fleet, "kaneshie") == left, 4000)
 
 
+@pytest.fixture(scope="module")
+def half_cut_off():
+    """Half of a data centre, cut off from all others; the leases of each step."""
+    fleet = VirtualFleet({"osu": 32, "tema": 16}, seed=1, introduced=True)
+    fleet.run(8000)
+    osu = fleet.of("osu")
+    cut_off = set(random.Random(5).sample(osu, 16))
+    _cut(fleet, cut_off)
+    steps, taken = [], []
+    for _ in range(150):
+        fleet.run(100)
+        held = _holders(fleet, "osu")
+        steps.append((held, {name for name in held if name in cut_off}))
+        taken += _taken_twice(fleet, held)
+    return cut_off, steps, taken
+
+
+def _taken_twice(fleet, held):
+    """Return who holds a lease while another holder uses its roles."""
+    return [
+        (taker, name)
+        for taker in held
+        for name in held
+        if fleet.members[taker].state(name) is InstanceState.DEAD
+        and fleet.members[taker].role_valid_from_ms(name) <= fleet.now_ms
+    ]
+
+
+def test_halves_of_a_split_data_centre_use_no_role_twice(half_cut_off):
+    _, _, taken = half_cut_off
+    assert taken == []
+
+
+def test_half_that_reaches_the_arbiters_gets_its_leases_alone(half_cut_off):
+    cut_off, steps, _ = half_cut_off
+    assert all(not theirs for _, theirs in steps[40:])
+    held, _ = steps[-1]
+    assert len(held) == 16
+    assert not cut_off & set(held)
+
+
 def test_two_of_five_wait_until_the_list_agrees(fleet):
     fleet.give_listing()
     for name in fleet.of("osu")[:3]:
--- /dev/null
+++ b/packages/sapphirerail-core/tests/fleet/test_sync.py
@@ -0,0 +1,108 @@
+import random
+
+import pytest
+
+from sapphirerail_core.fleet.config import FleetConfig
+from sapphirerail_core.fleet.messages import Accused, Alive, MemberRecord, SyncRequest
+from sapphirerail_core.fleet.roster import Roster
+from sapphirerail_core.fleet.sync import MemberSync
+
+CONFIG = FleetConfig(n_page=3)
+NAMES = [f"osu-{n}" for n in range(4)] + [f"tema-{n}" for n in range(4)]
+
+
+@pytest.fixture
+def roster():
+    roster = Roster(CONFIG, _record("osu-0"), 0, lambda member, now_ms: None)
+    for name in NAMES:
+        roster.apply(Alive(_record(name)), 0)
+    return roster
+
+
+@pytest.fixture
+def sync(roster):
+    return MemberSync(CONFIG, roster, random.Random(1), 0)
+
+
+def _record(name):
+    return MemberRecord(name, name.split("-")[0], "", "", 1)
+
+
+def _asked(sync, digests, until_ms):
+    """Who is asked for pages while each sender tells its digest every 250 ms."""
+    asked = set()
+    for now_ms in range(0, until_ms, 250):
+        for sender, digest in digests.items():
+            effects = sync.on_digest(sender, digest, now_ms)
+            asked.update(effect.instance for effect in effects)
+    return asked
+
+
+def _pages(sync, asker, request, now_ms=0):
+    names = []
+    while request is not None:
+        page = sync.page(asker, request, now_ms)
+        names.append([r.record.instance for r in page.rumours if isinstance(r, Alive)])
+        request = sync.next_request(page)
+    return names
+
+
+def test_pages_name_all_members_once_and_the_askers_data_centre_first(sync):
+    pages = _pages(sync, "tema-1", SyncRequest("", 0))
+    assert [len(page) for page in pages] == [3, 3, 2]
+    assert sum(pages, []) == NAMES[4:] + NAMES[:4]
+
+
+def test_pages_of_what_changed_leave_out_the_rest(sync, roster):
+    for accuser in ("osu-1", "osu-3"):
+        roster.apply(Accused("osu-2", 1, accuser, 1000), 9000)
+    pages = _pages(sync, "osu-1", SyncRequest("", 500), 9200)
+    assert sum(pages, []) == []
+    page = sync.page("osu-1", SyncRequest("", 500), 9200)
+    assert {rumour.accuser for rumour in page.rumours} == {"osu-1", "osu-3"}
+    assert {rumour.instance for rumour in page.rumours} == {"osu-2"}
+
+
+def test_pages_of_what_changed_hold_records_that_the_asker_may_lack(sync, roster):
+    renewed = MemberRecord("osu-2", "osu", "", "", 2)
+    roster.apply(Alive(renewed), 8900)
+    for accuser in ("osu-1", "osu-3"):
+        roster.apply(Accused("osu-2", 2, accuser, 1000), 9000)
+    page = sync.page("osu-1", SyncRequest("", 500), 9200)
+    assert Alive(renewed) in page.rumours
+
+
+def test_digests_that_differ_for_a_short_time_ask_for_nothing(sync):
+    assert _asked(sync, {"osu-1": 1}, CONFIG.sync_after_ms) == set()
+
+
+def test_a_neighbour_that_missed_the_same_news_hides_no_difference(sync, roster):
+    digests = {"osu-1": roster.digest, "osu-2": 1}
+    assert _asked(sync, digests, 20_000) == {"osu-2"}
+
+
+def test_another_data_centre_is_compared_as_a_whole(sync, roster):
+    digests = {"tema-1": roster.digest, "tema-2": 1}
+    assert _asked(sync, digests, 20_000) == set()
+
+
+def _windows(sync, roster, news):
+    """The times that five requests go back, with or without news before each."""
+    windows = []
+    for now_ms in range(0, 60_000, 250):
+        for effect in sync.on_digest("osu-1", 1, now_ms):
+            windows.append(effect.message.changed_within_ms)
+            if news:
+                record = MemberRecord(f"osu-{now_ms}", "osu", "", "", 1)
+                roster.apply(Alive(record), now_ms)
+    return windows[:5]
+
+
+def test_requests_go_no_further_back_while_news_comes_in(sync, roster):
+    with_news = _windows(sync, roster, True)
+    assert 0 not in with_news
+    assert max(with_news) < 60_000 + 10_000
+
+
+def test_requests_go_back_to_the_start_if_nothing_is_learnt(sync, roster):
+    assert _windows(sync, roster, False)[-1] == 0
--- /dev/null
+++ b/packages/sapphirerail-core/tests/fleet/test_votes.py
@@ -0,0 +1,63 @@
+from sapphirerail_core.fleet.config import FleetConfig
+from sapphirerail_core.fleet.messages import Alive, Left, MemberRecord, TieAnswer
+from sapphirerail_core.fleet.roster import Roster
+from sapphirerail_core.fleet.votes import Votes
+
+CONFIG = FleetConfig()
+NAMES = ("osu-1", "osu-2", "tema-0", "tema-1", "tema-2", "tema-3")
+LAPSE_MS = CONFIG.vote_ms - CONFIG.pause_ms
+
+
+def _record(name):
+    return MemberRecord(name, name.split("-")[0], "", "", 1)
+
+
+def _asking():
+    roster = Roster(CONFIG, _record("osu-0"), 0, lambda member, now_ms: None)
+    for name in NAMES:
+        roster.apply(Alive(_record(name)), 0)
+    votes = Votes(CONFIG, roster)
+    return votes, roster, votes.ask("tema", 0)
+
+
+def _grant(votes, effect, **changed):
+    request = effect.message
+    fields = {"side": request.side, "sent_ms": request.sent_ms, "n_needed": 2}
+    votes.on_answer(effect.instance, TieAnswer(**{**fields, **changed}))
+
+
+def test_two_of_three_votes_win_until_they_run_out():
+    votes, _, asked = _asking()
+    assert len(asked) == 3
+    _grant(votes, asked[0])
+    assert not votes.won(100)
+    _grant(votes, asked[1])
+    assert votes.won(LAPSE_MS)
+    assert not votes.won(LAPSE_MS + 1)
+
+
+def test_answers_to_older_requests_or_other_sides_do_not_count():
+    votes, _, asked = _asking()
+    _grant(votes, asked[0])
+    _grant(votes, asked[1], side=1)
+    _grant(votes, asked[2], sent_ms=-CONFIG.vote_ms)
+    assert not votes.won(100)
+
+
+def test_votes_are_for_those_who_lived_when_they_were_asked_for():
+    votes, roster, asked = _asking()
+    for effect in asked:
+        _grant(votes, effect)
+    roster.apply(Left("osu-2", 1), 100)
+    assert not votes.won(100)
+    renewed = votes.ask("tema", 100)
+    assert renewed[0].message.side != asked[0].message.side
+
+
+def test_requests_wait_and_are_repeated_sooner_without_an_answer():
+    votes, _, asked = _asking()
+    _grant(votes, asked[0])
+    again = votes.ask("tema", CONFIG.vote_renewal_ms // 2)
+    assert {e.instance for e in again} == {e.instance for e in asked[1:]}
+    renewed = votes.ask("tema", CONFIG.vote_renewal_ms)
+    assert {e.instance for e in renewed} == {e.instance for e in asked}
