Let every survivor of half of a data centre get its votes

Cause: an arbiter gives 16 votes a tick, and instances that asked in a crowded tick asked again in just such a tick.

--- a/packages/sapphirerail-core/src/sapphirerail_core/fleet/votes.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/fleet/votes.py
@@ -12,6 +12,9 @@
 
 __all__ = ["Votes"]
 
+RETRY_SHIFT_MS = 100
+"""Moves a retry to another tick of an arbiter whose votes of one tick were given."""
+
 
 @dataclass(slots=True)
 class _Asked:
@@ -94,4 +97,4 @@
     def _wait_ms(self, asked: _Asked) -> int:
         if asked.granted_ms == asked.sent_ms:
             return self._config.vote_renewal_ms
-        return self._config.vote_renewal_ms // 2
+        return self._config.vote_renewal_ms // 2 + RETRY_SHIFT_MS
