--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -18,9 +18,11 @@
     "placement",
     "flow_state",
     "way_back",
+    "newcomer",
     "service",
     "data_path",
     "requests",
+    "peer_traffic",
     "limits",
 )
 KNOWN_RED_PATH = Path(__file__).parent.parent / "KNOWN-RED.txt"
--- a/packages/sapphirerail-core/tests/flow/test_owners.py
+++ b/packages/sapphirerail-core/tests/flow/test_owners.py
@@ -2,7 +2,12 @@
 from collections import Counter
 
 from sapphirerail_core.fleet import FixedFleet
-from sapphirerail_core.flow.owners import OwnerChange, OwnerHistory, OwnerMap
+from sapphirerail_core.flow.owners import (
+    OwnerChange,
+    OwnerHistory,
+    OwnerMap,
+    members_of,
+)
 from sapphirerail_core.plan import Plan
 from sapphirerail_core.types import DataCentreId, DataCentreState, InstanceId
 from sapphirerail_standins.flow_plans import (
@@ -20,7 +25,7 @@
     places: dict[InstanceId, DataCentreId], plan: Plan | None = None
 ) -> OwnerMap:
     fleet = FixedFleet(InstanceId("i0"), places)
-    return OwnerMap.from_fleet(fleet, plan or first_plan())
+    return OwnerMap(members_of(fleet, plan or first_plan()))
 
 
 def test_the_owners_stand_in_two_data_centres() -> None:
@@ -131,3 +136,21 @@
     assert all(change.concerns(key) for key in KEYS[:10])
     history.replace({}, 1)
     assert not any(change.concerns(key) for key in KEYS[:10])
+
+
+def test_instances_learned_of_in_pieces_rank_like_those_known_at_once() -> None:
+    names = [InstanceId(f"n{number}") for number in range(60)]
+    draws = random.Random(3)
+    piecewise = OwnerMap({})
+    known: list[InstanceId] = []
+    while names:
+        page, names = names[:7], names[7:]
+        known += page
+        members = {
+            place: tuple(known[number :: len(PLACES)])
+            for number, place in enumerate(PLACES)
+        }
+        piecewise.update(members)
+        # Few look-ups lead to a table that is made anew, many to an update.
+        for key in draws.sample(KEYS, draws.choice([3, 1_000])):
+            assert piecewise.of(key) == OwnerMap(members).of(key)
--- a/packages/sapphirerail-node/src/sapphirerail_node/peers.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/peers.py
@@ -7,8 +7,9 @@
 
 from sapphirerail_core.effects import Message
 from sapphirerail_core.errors import InputError
+from sapphirerail_core.request.short_forms import expanded, shortened
 from sapphirerail_core.types import InstanceId
-from sapphirerail_transport.message_codec import MessageCodec
+from sapphirerail_transport.message_codec import MessageCodec, Received
 from sapphirerail_transport.udp import Address, UdpSocket, parse_address
 
 from .metrics import Metrics
@@ -18,12 +19,16 @@
 # A tenth of a second of work at most, beyond which a message is of no use.
 N_WAITING_MAX = 1_000
 BATCH_SIZE = 32
+# Twice the instances of the largest fleet; those who are forgotten are learned anew.
+N_SHORT_READERS_MAX = 8_192
 MessageHandler = Callable[[InstanceId, Message], None]
 
 
 class PeerSocket:
     """Receives, checks and sends messages between instances.
 
+    An instance gets the short form once a payload of its own said that it reads it.
+
     Parameters
     ----------
     self_id : InstanceId
@@ -55,6 +60,7 @@
         self._urgent = urgent
         self._waiting: deque[tuple[InstanceId, Message]] = deque()
         self._is_handling = False
+        self._short_readers: dict[InstanceId, None] = {}
         self._socket: UdpSocket | None = None
 
     async def open(self, bound: socket.socket) -> None:
@@ -66,24 +72,46 @@
         if self._socket is not None:
             self._socket.close()
 
-    def send(self, message: Message, address: str) -> None:
-        """Send a message to ``address:port``."""
+    def send(self, receiver: InstanceId, message: Message, address: str) -> None:
+        """Send a message to an instance at ``address:port``."""
         if self._socket is None:
             return
-        payload = self._codec.encode(self._self_id, message)
+        payload = self._encoded(receiver, message)
         self._socket.send(payload, parse_address(address))
         self._metrics.count("peer.sent")
         self._metrics.count(f"peer.sent.{type(message).__name__}")
         self._metrics.count("peer.sent_bytes", len(payload))
 
+    def _encoded(self, receiver: InstanceId, message: Message) -> bytes:
+        if receiver not in self._short_readers:
+            self._metrics.count("peer.sent_single")
+            return self._codec.encode(self._self_id, message)
+        return self._codec.encode_short(self._self_id, shortened(message, receiver))
+
     def _on_payload(self, payload: bytes, sender: Address) -> None:
         try:
-            instance, message = self._codec.decode(payload)
+            received = self._codec.decode(payload)
         except InputError as error:
             self._metrics.count(f"peer.dropped.{error.code}")
             return
-        self._metrics.count("peer.received")
+        self._metrics.count("peer.received", len(received.messages))
         self._metrics.count("peer.received_bytes", len(payload))
+        if received.n_refused:
+            self._metrics.count("peer.dropped.message.malformed", received.n_refused)
+        self._learn_form(received)
+        for message in received.messages:
+            self._on_message(received.sender, expanded(message, self._self_id))
+
+    def _learn_form(self, received: Received) -> None:
+        """Follow the sender's newest payload, as it may have been replaced."""
+        if not received.reads_short:
+            self._short_readers.pop(received.sender, None)
+            return
+        self._short_readers[received.sender] = None
+        if len(self._short_readers) > N_SHORT_READERS_MAX:
+            del self._short_readers[next(iter(self._short_readers))]
+
+    def _on_message(self, instance: InstanceId, message: Message) -> None:
         if isinstance(message, self._urgent):
             self._handler(instance, message)
             return
--- a/packages/sapphirerail-node/tests/test_peers.py
+++ b/packages/sapphirerail-node/tests/test_peers.py
@@ -1,6 +1,9 @@
 import asyncio
 import socket
 
+import msgspec
+
+from sapphirerail_core.effects import Message
 from sapphirerail_core.request.messages import Claim, Grant
 from sapphirerail_node import peers
 from sapphirerail_node.metrics import Metrics
@@ -43,7 +46,8 @@
         bound = _bound_socket()
         await receiver.socket.open(bound)
         await sender.socket.open(_bound_socket())
-        sender.socket.send(Claim(1, 2, 3), format_address(bound.getsockname()))
+        address = format_address(bound.getsockname())
+        sender.socket.send("osu-1", Claim(1, 2, 3), address)
         while not receiver.handled:
             await asyncio.sleep(0)
         receiver.socket.close()
@@ -110,3 +114,101 @@
         return handled
 
     assert asyncio.run(scenario()) == [1, 2]
+
+
+async def _two_peers():
+    """Return a sender that knows that the receiver reads the short form."""
+    receiver, sender = _Peer(), _Peer()
+    bound = _bound_socket()
+    await receiver.socket.open(bound)
+    await sender.socket.open(_bound_socket())
+    sender.socket._on_payload(_CODEC.encode("osu-1", Claim(0, 0, 0)), _SENDER)
+    return sender, receiver, format_address(bound.getsockname())
+
+
+def _close(*peers):
+    for peer in peers:
+        peer.socket.close()
+
+
+def test_several_messages_of_one_payload_are_handled_in_order():
+    async def scenario():
+        peer = _Peer()
+        claims = [Claim(key, 0, 0) for key in range(5)]
+        peer.socket._on_payload(_CODEC.encode_short("tema-1", *claims), _SENDER)
+        while len(peer.handled) < 5:
+            await asyncio.sleep(0)
+        return peer
+
+    peer = asyncio.run(scenario())
+    assert [message.key for message in peer.handled] == list(range(5))
+    assert peer.metrics.counters["peer.received"] == 5
+
+
+def test_first_contact_is_in_the_single_form():
+    async def scenario():
+        sender, receiver, address = await _two_peers()
+        for name in ("tema-1", "osu-1"):
+            sender.socket.send(name, Claim(1, 0, 0), address)
+        while len(receiver.handled) < 2:
+            await asyncio.sleep(0)
+        _close(sender, receiver)
+        return sender.metrics.counters
+
+    counters = asyncio.run(scenario())
+    assert counters["peer.sent"] == 2
+    assert counters["peer.sent_single"] == 1
+
+
+def test_unknown_message_is_counted_beside_the_known_one():
+    peer = _Peer(urgent=(Claim,))
+    payload = _CODEC.encode_short("tema-1", Claim(1, 2, 3), _Newer("x"))
+    peer.socket._on_payload(payload, _SENDER)
+    assert peer.handled == [Claim(1, 2, 3)]
+    assert peer.metrics.counters["peer.dropped.message.malformed"] == 1
+
+
+class _Newer(Message, frozen=True, array_like=True, tag=49):
+    """A message of a later version."""
+
+    text: str
+
+
+def _old_payload(message):
+    """Return the single form of a version that knows no other."""
+    content = msgspec.msgpack.encode(["tema-1", message])
+    return Signer("a key of tests").tag(content) + content
+
+
+def test_peer_that_was_replaced_by_an_older_version_gets_the_single_form():
+    async def scenario():
+        sender, receiver, address = await _two_peers()
+        sender.socket._on_payload(_old_payload(Claim(0, 0, 0)), _SENDER)
+        sender.socket.send("tema-1", Claim(1, 0, 0), address)
+        _close(sender, receiver)
+        return sender.metrics.counters["peer.sent_single"]
+
+    assert asyncio.run(scenario()) == 1
+
+
+def test_readers_of_the_short_form_are_bounded(monkeypatch):
+    monkeypatch.setattr(peers, "N_SHORT_READERS_MAX", 2)
+    peer = _Peer(urgent=(Claim,))
+    for name in ("a", "b", "c"):
+        peer.socket._on_payload(_CODEC.encode(name, Claim(1, 2, 3)), _SENDER)
+    assert list(peer.socket._short_readers) == ["b", "c"]
+
+
+def test_grants_arrive_whole_whoever_holds_them():
+    grants = [Grant(1, 2, "osu-1"), Grant(3, 4, "tema-1"), Grant(5, 6, "")]
+
+    async def scenario():
+        sender, receiver, address = await _two_peers()
+        for grant in grants:
+            sender.socket.send("osu-1", grant, address)
+        while len(receiver.handled) < len(grants):
+            await asyncio.sleep(0)
+        _close(sender, receiver)
+        return receiver.handled, sender.metrics.counters["peer.sent_single"]
+
+    assert asyncio.run(scenario()) == (grants, 0)
