Let new openings find out whether an unreachable server can be reached again

Where only the open connections are silent, a new opening is the first sign of life, so the servers were ejected and five openings were refused with NO_SERVER. Ruled out: the probes' own way (silent as before), the flows' mending (the old feeds went on).

An unreachable server gets openings as before; what was sent there less than a probe's interval ago stays, so that its queue is not passed through within a few ticks, which had spent the budget of retries.

--- a/packages/sapphirerail-core/src/sapphirerail_core/load/gate.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/load/gate.py
@@ -97,14 +97,10 @@
 
     def has_room(self, now_ms: int) -> bool:
         """Return whether one more request may be sent."""
-        if self.is_unreachable():
-            return False
         return self.n_in_flight(now_ms) < self.limit.allowed(now_ms)
 
     def is_closed(self, now_ms: int) -> bool:
         """Return whether the server is ejected and gets no request now."""
-        if self.is_unreachable():
-            return True
         if self.limit.state is not LimitState.EJECTED:
             return False
         return not self.has_room(now_ms)
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/admission.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/admission.py
@@ -444,13 +444,18 @@
         return effects
 
     def _leave_unreachable(self, gate: ServerGate, now_ms: int) -> list[Effect]:
-        """Send elsewhere what an unreachable server has got and may run twice."""
+        """Send elsewhere what an unreachable server has got and may run twice.
+
+        What was sent a moment ago stays: it is the way to find out that a server
+        can be reached again by new connections.
+        """
         effects: list[Effect] = []
+        sent_by_ms = now_ms - self._context.config.notice_ms
         for key in list(gate.in_flight):
             work = self.ledger.get(RequestKey(key))
             if work is None or work.state is not WorkState.SENT or work.parts:
                 continue
-            if needs_claim(work.datagram):
+            if needs_claim(work.datagram) or work.sent_at_ms > sent_by_ms:
                 continue
             work.is_uncertain = True
             self.forget_opening(work, now_ms)
