Let the newcomer's peer tick in the capacity measurement

Cause: `make capacity` ended in a TimeoutError. Since pages of members have a budget of bytes a tick, the measurement's single peer, which was put into the virtual fleet without ticks, sent two pages and then none. Ruled out: the product; with whole virtual fleets a newcomer knows 70, 280 and 700 members after 0.5, 2.0 and 5.4 s.

The peer now ticks like any other, and pages are counted apart from its heartbeats and accusations.

--- a/bench/capacity_fleet.py
+++ b/bench/capacity_fleet.py
@@ -158,19 +158,17 @@
 
 
 def _catch_up(n_instances: int) -> tuple[int, int]:
-    """Return the bytes and the time in which a newcomer learns all members."""
+    """Return the bytes of pages and the time in which a newcomer learns all members."""
     fleet = VirtualFleet({}, seed=1)
     records = _records(n_instances)
-    known = _membership(records[0], records)
-    fleet.members[records[0].instance] = known
-    fleet.traffic_of(records[0].instance)
+    fleet.add(records[0].instance, _membership(records[0], records))
     fleet.list_only(records[0])
     newcomer = fleet.start(InstanceId("newcomer"), records[0].data_centre)
     wanted = n_instances + 1
     duration_ms = fleet.run_until(
         lambda: len(newcomer.status(fleet.now_ms).members) == wanted, LIMIT_MS * 2
     )
-    return fleet.traffic_of(records[0].instance).n_bytes, duration_ms
+    return fleet.traffic_of(records[0].instance).n_page_bytes, duration_ms
 
 
 def _owners() -> Iterator[Slope]:
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/virtual_fleet.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/virtual_fleet.py
@@ -33,10 +33,11 @@
 
 @dataclass
 class Traffic:
-    """Bytes and messages that one instance sent."""
+    """Bytes and messages that one instance sent, pages of members apart as well."""
 
     n_messages: int = 0
     n_bytes: int = 0
+    n_page_bytes: int = 0
 
 
 @dataclass(order=True)
@@ -121,6 +122,13 @@
         """Return what an instance has sent so far."""
         return self.traffic.setdefault(name, Traffic())
 
+    def add(self, name: InstanceId, membership: Membership) -> None:
+        """Let an instance take part that was made elsewhere, with what it knows."""
+        self._epochs[name] = 1
+        self.members[name] = membership
+        self.traffic_of(name)
+        self._push(self.now_ms, name)
+
     def start(
         self, name: InstanceId, data_centre: DataCentreId, *, listed: bool = True
     ) -> Membership:
@@ -268,7 +276,10 @@
             return
         traffic = self.traffic_of(sender)
         traffic.n_messages += 1
-        traffic.n_bytes += self._wire_bytes(sender, effect.message)
+        n_bytes = self._wire_bytes(sender, effect.message)
+        traffic.n_bytes += n_bytes
+        if isinstance(effect.message, MembersPage):
+            traffic.n_page_bytes += n_bytes
         link = self.link
         if link.blocks(sender, effect.instance):
             return
