Look at the newest joins only when a claim starts, and ask anew in one place

Cause, found by reading the change again: each claim looked through all instances that had ever joined, though almost always none is new; and three places in the claimant set the panels and the next time to ask, then asked.

Newcomers are kept in the order of their joins and dropped when they are none any longer; `_ask_anew` serves the start, a claim that waited, and the next home.

--- a/packages/sapphirerail-core/src/sapphirerail_core/request/claimant.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/claimant.py
@@ -115,7 +115,7 @@
             is_first=is_first,
             deadline_at_ms=deadline_at_ms,
             panels=[],
-            ask_again_at_ms=ask_at_ms + config.claim_resend_ms,
+            ask_again_at_ms=ask_at_ms,
             silent_at_ms=ask_at_ms + config.claim_silence_ms,
             yield_at_ms=ask_at_ms + config.claim_contention_ms,
             fail_at_ms=deadline_at_ms - config.claim_reserve_ms,
@@ -127,10 +127,8 @@
         if ask_at_ms > now_ms:
             # With a view that is still growing, two instances could each find a
             # majority of keepers that does not meet the other's.
-            attempt.ask_again_at_ms = ask_at_ms
             return []
-        attempt.panels = self._panels(attempt, now_ms)
-        return self._ask(attempt, now_ms, is_again=False)
+        return self._ask_anew(attempt, now_ms)
 
     def stop(self, key: RequestKey) -> None:
         """Give up a claim whose right was obtained in another way."""
@@ -164,7 +162,7 @@
         if now_ms < attempt.ask_again_at_ms:
             return []
         if not attempt.panels:
-            return self._ask_first(attempt, now_ms)
+            return self._ask_anew(attempt, now_ms)
         attempt.n_asked += 1
         if all(panel.is_silent() for panel in attempt.asked()):
             attempt.is_wide = True
@@ -173,8 +171,8 @@
         self._refresh(attempt, now_ms)
         return self._ask(attempt, now_ms, is_again=True)
 
-    def _ask_first(self, attempt: _Attempt, now_ms: int) -> list[Effect]:
-        """Ask for a claim that waited for the view of the fleet to settle."""
+    def _ask_anew(self, attempt: _Attempt, now_ms: int) -> list[Effect]:
+        """Ask the keepers by the present view, without any votes so far."""
         attempt.panels = self._panels(attempt, now_ms)
         attempt.ask_again_at_ms = now_ms + self._context.config.claim_resend_ms
         return self._ask(attempt, now_ms, is_again=False)
@@ -375,10 +373,8 @@
             if panel.data_centre != self._context.fleet.self_data_centre:
                 until_ms = now_ms + config.unresponsive_ms
                 self._silent_until_ms[panel.data_centre] = until_ms
-        attempt.panels = self._panels(attempt, now_ms)
-        attempt.ask_again_at_ms = now_ms + config.claim_resend_ms
         attempt.silent_at_ms = now_ms + config.claim_silence_ms
-        return self._ask(attempt, now_ms, is_again=False)
+        return self._ask_anew(attempt, now_ms)
 
     def _end(
         self,
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/history.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/history.py
@@ -28,6 +28,8 @@
         if started_at_ms is not None:
             self._settled_at_ms = started_at_ms + self._view_settle_ms
         self._joined_at_ms: dict[InstanceId, int] = {}
+        # In the order of their joins, so that claims look at the newest ones only.
+        self._newcomers: dict[InstanceId, int] = {}
         self._died_at_ms: dict[InstanceId, int] = {}
 
     def on_state(self, instance: InstanceId, state: InstanceState, now_ms: int) -> None:
@@ -38,6 +40,8 @@
             # Claims may have been made without it while it was believed dead.
             self._died_at_ms.pop(instance, None)
             self._joined_at_ms[instance] = now_ms
+            self._newcomers.pop(instance, None)
+            self._newcomers[instance] = now_ms
 
     def start(self, now_ms: int) -> None:
         """Take the present for the start, unless the start is known."""
@@ -60,7 +64,12 @@
     def newcomers(self, now_ms: int) -> set[InstanceId]:
         """Return who joined so lately that another instance may not know it yet."""
         since_ms = now_ms - self._view_settle_ms
-        return {name for name, at_ms in self._joined_at_ms.items() if at_ms > since_ms}
+        while self._newcomers:
+            oldest = next(iter(self._newcomers))
+            if self._newcomers[oldest] > since_ms:
+                break
+            del self._newcomers[oldest]
+        return set(self._newcomers)
 
     def is_complete(self, now_ms: int) -> bool:
         """Return whether this instance saw all changes that matter."""
