--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/choice.py
@@ -0,0 +1,133 @@
+"""Where new flows go."""
+
+import random
+from collections.abc import Iterable, Sequence
+
+from ..rendezvous import hash_key
+from ..types import DataCentreId, ServerId, ServiceId
+from .cold import ColdBudget
+from .config import SteeringConfig
+from .directory import Directory, KnownServer
+from .peers import Peers
+from .routes import RouteTable
+
+__all__ = ["Choice"]
+
+# Breaks ties at random and keeps instances with the same reports from moving together.
+_NOISE = 0.1
+
+
+class Choice:
+    """Picks the server of a new flow.
+
+    The least occupied server of the own data centre gets it, one elsewhere only if it
+    is ahead by the remote penalty. Servers that are silent are avoided while others
+    answer. A cold server gets flows from one instance only, within its budget.
+
+    Parameters
+    ----------
+    config : SteeringConfig
+        Penalties and budgets.
+    directory : Directory
+        The servers.
+    routes : RouteTable
+        Services and data centres that are out.
+    peers : Peers
+        The other instances.
+    rng : random.Random
+        Breaks ties.
+    """
+
+    def __init__(
+        self,
+        config: SteeringConfig,
+        directory: Directory,
+        routes: RouteTable,
+        peers: Peers,
+        rng: random.Random,
+    ) -> None:
+        self._config = config
+        self._directory = directory
+        self._routes = routes
+        self._peers = peers
+        self._rng = rng
+        self._cold: dict[tuple[ServerId, int], ColdBudget] = {}
+
+    def pick(
+        self, service: ServiceId, tried: Sequence[KnownServer], now_ms: int
+    ) -> KnownServer | None:
+        """Return the server for an opening and count it; None if none may get it.
+
+        Parameters
+        ----------
+        service : ServiceId
+            What the caller asked for.
+        tried : sequence of KnownServer
+            Servers that did not answer this opening; chosen only if no other is left.
+        now_ms : int
+            Time of the opening.
+        """
+        usable = [
+            server
+            for server in self._directory.of_service(service)
+            if not self._routes.is_out(server.entry.data_centre)
+        ]
+        fresh = [server for server in usable if server not in tried]
+        answering = [server for server in fresh if not server.is_avoided(now_ms)]
+        for candidates in (answering, fresh, usable):
+            found = self._least(candidates, now_ms)
+            if found is not None:
+                found.on_trial(now_ms)
+                return found
+        return None
+
+    def has_usable(self, service: ServiceId) -> bool:
+        """Return whether a service has any server that may get flows, if not cold."""
+        return any(
+            not self._routes.is_out(server.entry.data_centre)
+            for server in self._directory.of_service(service)
+        )
+
+    def _least(
+        self, candidates: Iterable[KnownServer], now_ms: int
+    ) -> KnownServer | None:
+        ranked = sorted(candidates, key=self._score)
+        for server in ranked:
+            if not server.is_cold(now_ms) or self._take_cold(server, now_ms):
+                return server
+        return None
+
+    def _score(self, server: KnownServer) -> float:
+        score = server.occupancy() + self._rng.random() * _NOISE
+        if server.entry.data_centre != self._peers.own.data_centre:
+            score += self._config.remote_penalty
+        return score
+
+    def _take_cold(self, server: KnownServer, now_ms: int) -> bool:
+        entry = server.entry
+        key = hash_key(entry.server)
+        if not self._peers.is_sender(key, entry.data_centre, now_ms):
+            return False
+        budget_key = (entry.server, entry.started_at_ms)
+        budget = self._cold.get(budget_key)
+        if budget is None:
+            service = self._routes.service(entry.service)
+            n_cold_per_s = 0.0 if service is None else service.n_cold_per_s
+            budget = ColdBudget(n_cold_per_s, self._config)
+            self._cold[budget_key] = budget
+        return budget.take(now_ms)
+
+    def forget(self, known: Iterable[KnownServer]) -> None:
+        """Drop the budgets of servers that are gone."""
+        kept = {(s.entry.server, s.entry.started_at_ms) for s in known}
+        for key in list(self._cold):
+            if key not in kept:
+                del self._cold[key]
+
+    def hold_cold(self, data_centre: DataCentreId, now_ms: int) -> None:
+        """Treat the servers of a returned data centre as cold for a while."""
+        for server in self._directory.of_data_centre(data_centre):
+            service = self._routes.service(server.entry.service)
+            warm_up_ms = 0 if service is None else service.cold_ms
+            wait_ms = max(warm_up_ms, self._config.return_cold_ms)
+            server.forced_cold_until_ms = now_ms + wait_ms
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/config.py
@@ -0,0 +1,81 @@
+"""Settings of the steering of packets."""
+
+import msgspec
+
+__all__ = ["SteeringConfig"]
+
+
+class SteeringConfig(msgspec.Struct, frozen=True):
+    """When servers are suspected, how openings are repeated, what is held back.
+
+    Parameters
+    ----------
+    opening_repeat_ms : int
+        Time without an answer after which an opening is sent to a second server;
+        about five round trips of a caller (3 ms one way).
+    n_opening_repeats : int
+        How often one opening is repeated by the instance.
+    trial_ms, trial_max_ms : int
+        First and longest wait before a suspected server gets one opening again.
+    dead_after_ms : int
+        Least time without progress before a server is taken as dead; longer than the
+        slowest request that was seen to run (230 ms).
+    n_flows_to_dead : int
+        Flows that have to show the silence of a server.
+    peer_suspicion_ms : int
+        How long the suspicion of another instance counts.
+    peer_report_ms : int
+        How long the load that another instance reported counts.
+    departed_keep_ms : int
+        How long a departed server is remembered; the longest life of a flow.
+    departed_grace_ms : int
+        Time after a departure before its flows are reset.
+    steady_ms : int
+        Time that the store must have answered before a missing entry counts as a
+        departure: entries return within 2 s of an outage's end, plus a heartbeat.
+    remote_penalty : float
+        Occupancy, in slots per slot, that a server of another data centre must be
+        ahead by before it is preferred.
+    flow_weight : float
+        Expected occupancy of an open flow that has no request in flight.
+    unproven_weight : float
+        Occupancy that is added for an opening that was not answered yet.
+    n_flows_max : int
+        Flows that are tracked; the longest idle one is forgotten first.
+    flow_idle_ms : int
+        Idle time after which the record of a flow is dropped.
+    request_max_ms : int
+        Longest time that an unanswered request counts as in flight.
+    cold_overshoot, n_cold_slack : float and int
+        A cold server bears its rate times the overshoot plus the slack a second.
+    n_cold_senders : int
+        Instances that may believe to be the one sender of a cold server at a time.
+    return_cold_ms : int
+        How long servers of a returned data centre count as cold until their own
+        entries tell: a heartbeat, a read and a margin.
+    evacuation_grace_ms : int
+        Time in which open flows may end after their data centre was taken out.
+    """
+
+    opening_repeat_ms: int = 40
+    n_opening_repeats: int = 2
+    trial_ms: int = 1_000
+    trial_max_ms: int = 4_000
+    dead_after_ms: int = 250
+    n_flows_to_dead: int = 2
+    peer_suspicion_ms: int = 1_500
+    peer_report_ms: int = 1_500
+    departed_keep_ms: int = 60_000
+    departed_grace_ms: int = 300
+    steady_ms: int = 3_500
+    remote_penalty: float = 0.5
+    flow_weight: float = 0.02
+    unproven_weight: float = 0.5
+    n_flows_max: int = 50_000
+    flow_idle_ms: int = 20_000
+    request_max_ms: int = 400
+    cold_overshoot: float = 1.5
+    n_cold_slack: int = 5
+    n_cold_senders: int = 2
+    return_cold_ms: int = 4_000
+    evacuation_grace_ms: int = 2_500
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/directory.py
@@ -0,0 +1,142 @@
+"""The backend servers that this instance knows, and the tags of their flows."""
+
+from collections.abc import Iterable, Sequence
+
+from ..types import DataCentreId, ServerId, ServiceId
+from .config import SteeringConfig
+from .events import Belief, Event
+from .model import ServerEntry
+from .server_state import KnownServer
+from .tag import ServerTag
+
+__all__ = ["Directory", "KnownServer"]
+
+
+class Directory:
+    """Servers by name, service and tag; departed ones stay known by their tag.
+
+    Parameters
+    ----------
+    config : SteeringConfig
+        How long departed servers stay known, and what confirms a departure.
+    """
+
+    def __init__(self, config: SteeringConfig) -> None:
+        self._config = config
+        self._servers: dict[ServerId, KnownServer] = {}
+        self._by_service: dict[ServiceId, list[KnownServer]] = {}
+        self._by_tag: dict[ServerTag, KnownServer] = {}
+        self.entries: tuple[ServerEntry, ...] = ()
+
+    def servers(self) -> Iterable[KnownServer]:
+        """Return the servers that are announced, or missing but not departed."""
+        return self._servers.values()
+
+    def of_service(self, service: ServiceId) -> Sequence[KnownServer]:
+        """Return the servers of a service that can get new flows."""
+        return self._by_service.get(service, ())
+
+    def of_data_centre(self, data_centre: DataCentreId) -> list[KnownServer]:
+        """Return the servers of a data centre."""
+        return [
+            server
+            for server in self._servers.values()
+            if server.entry.data_centre == data_centre
+        ]
+
+    def by_tag(self, tag: int) -> KnownServer | None:
+        """Return the server of a tag, departed ones included."""
+        return self._by_tag.get(ServerTag(tag))
+
+    def apply(
+        self, entries: Iterable[ServerEntry], steady_ms: int, now_ms: int
+    ) -> list[Event]:
+        """Replace what is known by one complete read.
+
+        Parameters
+        ----------
+        entries : iterable of ServerEntry
+            All entries that the store holds.
+        steady_ms : int
+            How long the store has answered without a failure. Entries that are missing
+            soon after an outage may come back.
+        now_ms : int
+            When they were read.
+
+        Returns
+        -------
+        list of Event
+            What changed.
+        """
+        events = []
+        self.entries = tuple(entries)
+        listed = {entry.server: entry for entry in self.entries}
+        for entry in self.entries:
+            events += self._take(entry, now_ms)
+        for server in list(self._servers.values()):
+            if server.entry.server not in listed:
+                events += self._miss(server, steady_ms, now_ms)
+        events += self._index()
+        return events
+
+    def forget_departed(self, now_ms: int) -> None:
+        """Drop departed servers whose flows have all ended."""
+        keep_ms = self._config.departed_keep_ms
+        for tag, server in list(self._by_tag.items()):
+            departed_ms = server.departed_at_ms
+            if departed_ms is not None and now_ms - departed_ms > keep_ms:
+                del self._by_tag[tag]
+
+    def _take(self, entry: ServerEntry, now_ms: int) -> list[Event]:
+        known = self._servers.get(entry.server)
+        if known is None:
+            self._servers[entry.server] = KnownServer(entry, self._config, now_ms)
+            return [_event(Belief.SERVER_ADDED, entry)]
+        if known.entry.started_at_ms != entry.started_at_ms:
+            self._servers[entry.server] = KnownServer(entry, self._config, now_ms)
+            return [_event(Belief.SERVER_RESTARTED, entry)]
+        is_changed = known.entry.is_draining != entry.is_draining
+        known.update(entry, now_ms)
+        return [_event(Belief.SERVER_CHANGED, entry)] if is_changed else []
+
+    def _miss(self, server: KnownServer, steady_ms: int, now_ms: int) -> list[Event]:
+        is_steady = steady_ms >= self._config.steady_ms
+        if is_steady:
+            del self._servers[server.entry.server]
+            server.departed_at_ms = now_ms
+            return [_event(Belief.SERVER_DEPARTED, server.entry, steady_ms=steady_ms)]
+        if server.missing_since_ms is None:
+            server.missing_since_ms = now_ms
+            return [_event(Belief.SERVER_MISSING, server.entry, steady_ms=steady_ms)]
+        return []
+
+    def _index(self) -> list[Event]:
+        events = []
+        self._by_service = {}
+        # Of two servers with one tag the older one keeps it, on every instance.
+        ordered = sorted(
+            self._servers.values(),
+            key=lambda server: (server.entry.started_at_ms, server.entry.server),
+        )
+        taken: set[ServerTag] = set()
+        for server in ordered:
+            if server.tag in taken:
+                events.append(_event(Belief.TAG_COLLISION, server.entry))
+                continue
+            taken.add(server.tag)
+            self._by_tag[server.tag] = server
+            if not server.entry.is_draining:
+                self._by_service.setdefault(server.entry.service, []).append(server)
+        return events
+
+
+def _event(belief: Belief, entry: ServerEntry, **detail: object) -> Event:
+    inputs: dict[str, object] = {
+        "service": entry.service,
+        "data_centre": entry.data_centre,
+        "address": entry.address,
+        "started_at_ms": entry.started_at_ms,
+        "is_draining": entry.is_draining,
+        "cold_ms": entry.cold_ms,
+    }
+    return Event(belief, entry.server, inputs | detail)
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
@@ -0,0 +1,365 @@
+"""Steers packets of flows to backend servers, and learns from what passes."""
+
+import random
+from collections import deque
+from collections.abc import Iterable
+
+import msgspec
+
+from ..types import DataCentreId
+from .actions import Action, Drop, Forward, Open, Reset
+from .choice import Choice
+from .config import SteeringConfig
+from .directory import Directory, KnownServer
+from .events import Belief, Event, Reason
+from .flows import Flow, FlowTable
+from .messages import LoadReport, ServerLoad
+from .model import OperatorState, RequestKind, Route, ServerEntry
+from .packet import FlowKey, Packet
+from .peers import Peers
+from .refresh import Refresh
+from .routes import RouteTable, pick_service
+from .server_state import Health
+from .tag import NO_TAG
+
+__all__ = ["Repeat", "SteeringEngine"]
+
+_N_UNKNOWN_TAGS_MAX = 1_024
+
+
+class Repeat(msgspec.Struct):
+    """An opening that goes out again, on the instance's own account."""
+
+    packet: Packet
+    action: Open
+
+
+class _Pending(msgspec.Struct):
+    """An opening whose answer is awaited."""
+
+    packet: Packet
+    flow: Flow
+    server: KnownServer
+    sent_at_ms: int
+    n_repeats: int
+
+
+class SteeringEngine:
+    """Decides on each packet of a caller.
+
+    An opening is placed by `Choice` and marked with the server's tag, which the caller
+    repeats in every later packet. So any instance steers any packet without a record
+    of its flow; the records that are kept are evidence about servers only.
+
+    Parameters
+    ----------
+    config : SteeringConfig
+        Thresholds.
+    peers : Peers
+        The other instances.
+    refresh : Refresh
+        How current the directory is.
+    rng : random.Random
+        Source of random choices.
+    """
+
+    def __init__(
+        self,
+        config: SteeringConfig,
+        peers: Peers,
+        refresh: Refresh,
+        rng: random.Random,
+    ) -> None:
+        self.config = config
+        self.peers = peers
+        self.refresh = refresh
+        self.directory = Directory(config)
+        self.routes = RouteTable()
+        self.flows = FlowTable(config.n_flows_max)
+        self.choice = Choice(config, self.directory, self.routes, peers, rng)
+        self._rng = rng
+        self._pending: deque[_Pending] = deque()
+        self._unknown_tags: dict[int, int] = {}
+        self._events: list[Event] = []
+
+    @classmethod
+    def from_config(
+        cls, config: SteeringConfig, peers: Peers, refresh: Refresh, seed: int
+    ) -> "SteeringEngine":
+        """Return an engine whose choices follow from a seed."""
+        return cls(config, peers, refresh, random.Random(seed))
+
+    # State that comes in.
+
+    def is_ready(self) -> bool:
+        """Return whether packets can be steered."""
+        has_configuration = self.routes.state.configuration is not None
+        return has_configuration and self.refresh.read_at_ms() is not None
+
+    def apply_operator_state(self, state: OperatorState, now_ms: int) -> None:
+        """Take in what operators wrote."""
+        events = self.routes.apply(state, now_ms)
+        for event in events:
+            if event.belief is Belief.DATA_CENTRE_BACK:
+                self.choice.hold_cold(DataCentreId(event.subject), now_ms)
+        self._events += events
+
+    def apply_servers(self, entries: Iterable[ServerEntry], now_ms: int) -> None:
+        """Take in a complete read of the servers' entries."""
+        steady_ms = self.refresh.steady_ms(now_ms)
+        self._events += self.directory.apply(entries, steady_ms, now_ms)
+
+    def apply_report(self, report: LoadReport, now_ms: int) -> None:
+        """Take in what a peer of the own data centre has and saw."""
+        self.peers.on_heard(report.sender, now_ms).report = report
+        for load in report.loads:
+            server = self.directory.by_tag(load.tag)
+            if server is None:
+                continue
+            if load.progress_age_ms >= 0:
+                at_ms = now_ms - load.progress_age_ms
+                server.peer_progress_at_ms = max(server.peer_progress_at_ms, at_ms)
+            if load.silence_ms:
+                server.peer_suspected_at_ms = now_ms
+        self._sum_peer_loads(now_ms)
+
+    def report_loads(self, now_ms: int) -> tuple[ServerLoad, ...]:
+        """Return what this instance has at each server that it uses."""
+        loads = []
+        for server in self.directory.servers():
+            age_ms = now_ms - server.progress_at_ms
+            is_recent = age_ms <= self.config.peer_report_ms
+            silence_ms = server.silence_ms(now_ms)
+            if not (server.n_flows or is_recent or silence_ms):
+                continue
+            weight = self.config.flow_weight * server.n_flows
+            load = round(server.n_in_flight + weight, 2)
+            progress_ms = age_ms if is_recent else -1
+            loads.append(ServerLoad(server.tag, load, progress_ms, silence_ms))
+        return tuple(loads)
+
+    def take_events(self) -> list[Event]:
+        """Return the changes of belief since the last call."""
+        events, self._events = self._events, []
+        return events
+
+    # Packets.
+
+    def on_packet(self, packet: Packet, now_ms: int) -> Action:
+        """Return what is to be done with a caller's packet."""
+        if packet.is_opening:
+            return self._on_opening(packet, now_ms)
+        return self._on_later_packet(packet, now_ms)
+
+    def _on_opening(self, packet: Packet, now_ms: int) -> Action:
+        if self.routes.state.configuration is None:
+            return Drop(Reason.NO_CONFIGURATION)
+        route = self.routes.route(packet.destination)
+        if route is None:
+            return Reset(Reason.NO_ROUTE)
+        flow = self.flows.get(packet.flow)
+        if flow is not None and flow.opening_sequence == packet.sequence:
+            return self._on_repeated_opening(packet, flow, route, now_ms)
+        return self._open(packet, route, now_ms)
+
+    def _open(self, packet: Packet, route: Route, now_ms: int) -> Action:
+        service = pick_service(route, self._rng)
+        server = self.choice.pick(service, (), now_ms)
+        if server is None:
+            is_cold = self.choice.has_usable(service)
+            return Reset(Reason.SERVERS_COLD if is_cold else Reason.NO_SERVER)
+        flow = Flow(server, packet.sequence, now_ms)
+        flow.is_repeatable = route.kind is RequestKind.SAFE
+        self.flows.add(packet.flow, flow)
+        self._await(packet, flow, 0, now_ms)
+        return Open(server, Reason.NEW_FLOW)
+
+    def _on_repeated_opening(
+        self, packet: Packet, flow: Flow, route: Route, now_ms: int
+    ) -> Action:
+        flow.seen_at_ms = now_ms
+        if not flow.is_open:
+            self._reopen(flow, route, now_ms)
+        return Open(flow.server, Reason.REPEATED_OPENING)
+
+    def _reopen(self, flow: Flow, route: Route, now_ms: int) -> bool:
+        """Move an unanswered opening to another server; False if there is none."""
+        tried = [server for server, _ in flow.tried]
+        service = flow.server.entry.service
+        if service not in {share.service for share in route.shares}:
+            service = pick_service(route, self._rng)
+        server = self.choice.pick(service, tried, now_ms)
+        if server is None or server in tried:
+            return False
+        self.flows.move(flow, server)
+        flow.tried.append((server, now_ms))
+        return True
+
+    def _await(self, packet: Packet, flow: Flow, n_repeats: int, now_ms: int) -> None:
+        pending = _Pending(packet, flow, flow.server, now_ms, n_repeats)
+        self._pending.append(pending)
+
+    def repeat_wait_ms(self, now_ms: int) -> int | None:
+        """Return the time until the next awaited opening is due; None for never."""
+        if not self._pending:
+            return None
+        due_ms = self._pending[0].sent_at_ms + self.config.opening_repeat_ms
+        return max(0, due_ms - now_ms)
+
+    def repeat_openings(self, now_ms: int) -> list[Repeat]:
+        """Return the openings that go to a second server, as the first is silent."""
+        repeats = []
+        while self._pending and self.repeat_wait_ms(now_ms) == 0:
+            pending = self._pending.popleft()
+            if not pending.flow.is_open:
+                repeats += self._repeat(pending, now_ms)
+        return repeats
+
+    def _repeat(self, pending: _Pending, now_ms: int) -> list[Repeat]:
+        packet, flow = pending.packet, pending.flow
+        self._on_silence(pending.server, packet.flow, pending.sent_at_ms, now_ms)
+        route = self.routes.route(packet.destination)
+        if self.flows.get(packet.flow) is not flow or route is None:
+            return []
+        is_allowed = pending.n_repeats < self.config.n_opening_repeats
+        if not is_allowed or not self._reopen(flow, route, now_ms):
+            return []
+        self._await(packet, flow, pending.n_repeats + 1, now_ms)
+        return [Repeat(packet, Open(flow.server, Reason.UNANSWERED_OPENING))]
+
+    def _on_later_packet(self, packet: Packet, now_ms: int) -> Action:
+        if packet.tag == NO_TAG:
+            return Drop(Reason.NO_TAG)
+        if self.routes.is_removed(packet.destination):
+            return Reset(Reason.ROUTE_REMOVED)
+        server = self.directory.by_tag(packet.tag)
+        if server is None:
+            return self._on_unknown_tag(packet, now_ms)
+        flow = self._observe(packet, server, now_ms)
+        return self._toward(packet, server, flow, now_ms)
+
+    def _toward(
+        self, packet: Packet, server: KnownServer, flow: Flow, now_ms: int
+    ) -> Action:
+        if packet.is_reset:
+            return Forward(server)
+        departed_ms = server.departed_at_ms
+        if departed_ms is not None:
+            if now_ms - departed_ms >= self.config.departed_grace_ms:
+                return Reset(Reason.SERVER_DEPARTED)
+        elif server.health is Health.DEAD and flow.is_repeatable:
+            # A caller that may repeat its request gains the rest of its deadline.
+            return Reset(Reason.SERVER_DEAD)
+        return Forward(server)
+
+    def _on_unknown_tag(self, packet: Packet, now_ms: int) -> Action:
+        """Reset a flow only if a read that began later does not name its server."""
+        seen_ms = self._unknown_tags.get(packet.tag)
+        if seen_ms is None:
+            if len(self._unknown_tags) >= _N_UNKNOWN_TAGS_MAX:
+                self._unknown_tags.clear()
+            self._unknown_tags[packet.tag] = now_ms
+            self.refresh.want()
+            return Drop(Reason.UNCONFIRMED_TAG)
+        read_ms = self.refresh.read_at_ms()
+        is_steady = self.refresh.steady_ms(now_ms) >= self.config.steady_ms
+        if read_ms is None or read_ms <= seen_ms or not is_steady:
+            return Drop(Reason.UNCONFIRMED_TAG)
+        return Reset(Reason.UNKNOWN_TAG)
+
+    # Evidence.
+
+    def _observe(self, packet: Packet, server: KnownServer, now_ms: int) -> Flow:
+        flow = self.flows.get(packet.flow)
+        if flow is None:
+            flow = self._adopt(packet, server, now_ms)
+        flow.seen_at_ms = now_ms
+        if not flow.is_open:
+            self._on_opened(flow, server, packet.acknowledged, now_ms)
+        self.flows.move(flow, server)
+        self._observe_answer(packet, flow, now_ms)
+        if packet.n_data_bytes:
+            self._observe_data(packet, flow, now_ms)
+        if packet.is_finish or packet.is_reset:
+            self.flows.end_request(flow)
+        return flow
+
+    def _adopt(self, packet: Packet, server: KnownServer, now_ms: int) -> Flow:
+        """Track a flow that another instance opened."""
+        flow = Flow(server, packet.sequence, now_ms)
+        flow.is_open = True
+        flow.acknowledged = packet.acknowledged
+        route = self.routes.route(packet.destination)
+        flow.is_repeatable = route is not None and route.kind is RequestKind.SAFE
+        self.flows.add(packet.flow, flow)
+        return flow
+
+    def _on_opened(
+        self, flow: Flow, server: KnownServer, acknowledged: int, now_ms: int
+    ) -> None:
+        flow.is_open = True
+        flow.acknowledged = acknowledged
+        for tried, sent_at_ms in flow.tried:
+            if tried is server:
+                self._on_progress(server, sent_at_ms, now_ms)
+
+    def _observe_answer(self, packet: Packet, flow: Flow, now_ms: int) -> None:
+        advance = (packet.acknowledged - flow.acknowledged) & 0xFFFFFFFF
+        if not 0 < advance < 0x80000000:
+            return
+        flow.acknowledged = packet.acknowledged
+        since_ms = flow.sent_at_ms or now_ms
+        self.flows.end_request(flow)
+        self._on_progress(flow.server, since_ms, now_ms)
+
+    def _observe_data(self, packet: Packet, flow: Flow, now_ms: int) -> None:
+        end = (packet.sequence + packet.n_data_bytes) & 0xFFFFFFFF
+        is_new = 0 < (end - flow.data_end) & 0xFFFFFFFF < 0x80000000
+        if is_new or not flow.sent_at_ms:
+            flow.data_end = end
+            self.flows.begin_request(flow, now_ms)
+            return
+        self._on_silence(flow.server, packet.flow, flow.sent_at_ms, now_ms)
+
+    def _on_progress(self, server: KnownServer, since_ms: int, now_ms: int) -> None:
+        silence_ms = server.silence_ms(now_ms)
+        if server.on_progress(since_ms, now_ms):
+            detail: dict[str, object] = {"silence_ms": silence_ms}
+            event = Event(Belief.SERVER_RECOVERED, server.entry.server, detail)
+            self._events.append(event)
+
+    def _on_silence(
+        self, server: KnownServer, flow: FlowKey, since_ms: int, now_ms: int
+    ) -> None:
+        health = server.on_silence(flow, since_ms, now_ms)
+        if health is None:
+            return
+        is_dead = health is Health.DEAD
+        detail: dict[str, object] = {
+            "silence_ms": server.silence_ms(now_ms),
+            "progress_age_ms": now_ms - server.progress_at_ms,
+            "n_flows": server.n_flows,
+        }
+        belief = Belief.SERVER_DEAD if is_dead else Belief.SERVER_SUSPECTED
+        self._events.append(Event(belief, server.entry.server, detail))
+
+    def _sum_peer_loads(self, now_ms: int) -> None:
+        totals: dict[int, float] = {}
+        for peer in self.peers.near():
+            is_live = now_ms - peer.heard_at_ms <= self.config.peer_report_ms
+            if peer.report is None or not is_live:
+                continue
+            for load in peer.report.loads:
+                totals[load.tag] = totals.get(load.tag, 0.0) + load.load
+        for server in self.directory.servers():
+            server.peer_load = totals.get(server.tag, 0.0)
+
+    def sweep(self, now_ms: int) -> None:
+        """Forget what is over."""
+        self.flows.sweep(self.config.flow_idle_ms, self.config.request_max_ms, now_ms)
+        self.directory.forget_departed(now_ms)
+        self.choice.forget(self.directory.servers())
+        self._sum_peer_loads(now_ms)
+        for tag, seen_ms in list(self._unknown_tags.items()):
+            if now_ms - seen_ms > self.config.departed_keep_ms:
+                del self._unknown_tags[tag]
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/events.py
@@ -0,0 +1,63 @@
+"""What the steering came to believe or decided, for logs and counters."""
+
+from enum import Enum
+
+import msgspec
+
+__all__ = ["Belief", "Event", "Reason"]
+
+
+class Belief(Enum):
+    """A change of what an instance believes."""
+
+    CONFIGURATION_APPLIED = "configuration_applied"
+    CONFIGURATION_STALE = "configuration_stale"
+    DATA_CENTRE_OUT = "data_centre_out"
+    DATA_CENTRE_BACK = "data_centre_back"
+    SERVER_ADDED = "server_added"
+    SERVER_CHANGED = "server_changed"
+    SERVER_RESTARTED = "server_restarted"
+    SERVER_MISSING = "server_missing"
+    SERVER_DEPARTED = "server_departed"
+    SERVER_SUSPECTED = "server_suspected"
+    SERVER_DEAD = "server_dead"
+    SERVER_RECOVERED = "server_recovered"
+    TAG_COLLISION = "tag_collision"
+
+
+class Reason(Enum):
+    """Why a packet was handled as it was."""
+
+    NEW_FLOW = "new_flow"
+    REPEATED_OPENING = "repeated_opening"
+    UNANSWERED_OPENING = "unanswered_opening"
+    KNOWN_TAG = "known_tag"
+    NO_CONFIGURATION = "no_configuration"
+    NO_ROUTE = "no_route"
+    ROUTE_REMOVED = "route_removed"
+    NO_SERVER = "no_server"
+    SERVERS_COLD = "servers_cold"
+    NO_TAG = "no_tag"
+    UNKNOWN_TAG = "unknown_tag"
+    UNCONFIRMED_TAG = "unconfirmed_tag"
+    SERVER_DEPARTED = "server_departed"
+    SERVER_DEAD = "server_dead"
+    DATA_CENTRE_OUT = "data_centre_out"
+
+
+class Event(msgspec.Struct, frozen=True):
+    """One change of belief.
+
+    Parameters
+    ----------
+    belief : Belief
+        What changed.
+    subject : str
+        The server, data centre or revision that it is about.
+    detail : dict of str to object
+        The inputs that decided it, with their age or version.
+    """
+
+    belief: Belief
+    subject: str
+    detail: dict[str, object]
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/flows.py
@@ -0,0 +1,114 @@
+"""Recent flows of this instance: evidence only, no flow depends on it."""
+
+from .directory import KnownServer
+from .packet import FlowKey
+
+__all__ = ["Flow", "FlowTable"]
+
+
+class Flow:
+    """What this instance saw of one flow.
+
+    Parameters
+    ----------
+    server : KnownServer
+        Where its packets go.
+    opening_sequence : int
+        Position of its opening; tells a new flow from a copy.
+    now_ms : int
+        When it was first seen.
+    """
+
+    __slots__ = (
+        "acknowledged",
+        "answered_at_ms",
+        "data_end",
+        "is_open",
+        "is_repeatable",
+        "opening_sequence",
+        "seen_at_ms",
+        "sent_at_ms",
+        "server",
+        "tried",
+    )
+
+    def __init__(self, server: KnownServer, opening_sequence: int, now_ms: int) -> None:
+        self.server = server
+        self.opening_sequence = opening_sequence
+        self.tried: list[tuple[KnownServer, int]] = [(server, now_ms)]
+        self.is_open = False
+        self.is_repeatable = False
+        self.acknowledged = 0
+        self.data_end = 0
+        self.sent_at_ms = 0
+        self.answered_at_ms = 0
+        self.seen_at_ms = now_ms
+
+
+class FlowTable:
+    """Flows by their key, least recently opened first.
+
+    Parameters
+    ----------
+    n_flows_max : int
+        Most flows that are kept.
+    """
+
+    def __init__(self, n_flows_max: int) -> None:
+        self._n_flows_max = n_flows_max
+        self._flows: dict[FlowKey, Flow] = {}
+        self.n_evicted = 0
+
+    def __len__(self) -> int:
+        return len(self._flows)
+
+    def get(self, key: FlowKey) -> Flow | None:
+        """Return the record of a flow, or None."""
+        return self._flows.get(key)
+
+    def add(self, key: FlowKey, flow: Flow) -> None:
+        """Keep a flow in place of an older one of the same key."""
+        self.remove(key)
+        if len(self._flows) >= self._n_flows_max:
+            self.remove(next(iter(self._flows)))
+            self.n_evicted += 1
+        self._flows[key] = flow
+        flow.server.n_flows += 1
+
+    def move(self, flow: Flow, server: KnownServer) -> None:
+        """Count a flow at another server."""
+        if flow.server is server:
+            return
+        flow.server.n_flows -= 1
+        if flow.sent_at_ms:
+            flow.server.n_in_flight -= 1
+            server.n_in_flight += 1
+        server.n_flows += 1
+        flow.server = server
+
+    def remove(self, key: FlowKey) -> None:
+        """Forget a flow; an unknown one is no error."""
+        flow = self._flows.pop(key, None)
+        if flow is not None:
+            flow.server.n_flows -= 1
+            self.end_request(flow)
+
+    def begin_request(self, flow: Flow, now_ms: int) -> None:
+        """Count a request as in flight."""
+        if not flow.sent_at_ms:
+            flow.sent_at_ms = now_ms
+            flow.server.n_in_flight += 1
+
+    def end_request(self, flow: Flow) -> None:
+        """Count the request of a flow, if there is one, as ended."""
+        if flow.sent_at_ms:
+            flow.sent_at_ms = 0
+            flow.server.n_in_flight -= 1
+
+    def sweep(self, idle_ms: int, request_max_ms: int, now_ms: int) -> None:
+        """Forget idle flows, and count no request for longer than it can run."""
+        for key, flow in list(self._flows.items()):
+            if now_ms - flow.seen_at_ms > idle_ms:
+                self.remove(key)
+            elif flow.sent_at_ms and now_ms - flow.sent_at_ms > request_max_ms:
+                self.end_request(flow)
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/messages.py
@@ -0,0 +1,93 @@
+"""Messages between entry instances."""
+
+import msgspec
+
+from ..types import InstanceId
+from .model import InstanceEntry, OperatorState, ServerEntry
+
+__all__ = [
+    "DirectoryUpdate",
+    "LoadReport",
+    "PeerMessage",
+    "ServerLoad",
+    "StateSnapshot",
+    "Stopped",
+]
+
+
+class ServerLoad(msgspec.Struct, frozen=True, array_like=True):
+    """What an instance has at one server, and what it saw of it.
+
+    Parameters
+    ----------
+    tag : int
+        The server.
+    load : float
+        Its part of the server's occupancy, in slots.
+    progress_age_ms : int
+        Time since the server last answered one of its flows; -1 if it never did.
+    silence_ms : int
+        How long it has been silent; 0 if it answers.
+    """
+
+    tag: int
+    load: float
+    progress_age_ms: int
+    silence_ms: int
+
+
+class LoadReport(msgspec.Struct, frozen=True, array_like=True, tag=91):
+    """Sent to the peers of the own data centre at a fixed interval."""
+
+    sender: InstanceEntry
+    operator_revision: int
+    loads: tuple[ServerLoad, ...]
+
+
+class DirectoryUpdate(msgspec.Struct, frozen=True, array_like=True, tag=92):
+    """What a reader of the store tells the others after each read.
+
+    Parameters
+    ----------
+    sender : InstanceEntry
+        Who relays it.
+    store_revision : int
+        The store's revision at the read.
+    age_ms : int
+        Time since the read when this was sent.
+    steady_ms : int
+        How long the store had answered the reader without a failure.
+    operator_revision : int
+        Store revision of the operators' newest change that the sender knows.
+    digest : int
+        Checksum of the entries.
+    entries : tuple of ServerEntry or None
+        All entries; left out while they stay the same.
+    """
+
+    sender: InstanceEntry
+    store_revision: int
+    age_ms: int
+    steady_ms: int
+    operator_revision: int
+    digest: int
+    entries: tuple[ServerEntry, ...] | None
+
+
+class Stopped(msgspec.Struct, frozen=True, array_like=True, tag=93):
+    """An instance stops; its peers take over what it did for them."""
+
+    instance: InstanceId
+
+
+class StateSnapshot(msgspec.Struct, frozen=True):
+    """All that an instance knows, for one that starts while the store is away."""
+
+    operator_state: OperatorState
+    servers: tuple[ServerEntry, ...]
+    store_revision: int
+    age_ms: int
+    instances: tuple[InstanceEntry, ...]
+
+
+PeerMessage = LoadReport | DirectoryUpdate | Stopped
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/refresh.py
@@ -0,0 +1,129 @@
+"""When an instance reads the store itself, and how far it trusts what it has."""
+
+import msgspec
+
+__all__ = ["Refresh", "RefreshConfig"]
+
+
+class RefreshConfig(msgspec.Struct, frozen=True):
+    """Intervals of reads.
+
+    Parameters
+    ----------
+    interval_ms : int
+        Age at which the first reader reads again; drains are in force within 3 s.
+    data_centre_step_ms : int
+        Added for the first instance of another data centre.
+    rank_step_ms : int
+        Added for each rank within the data centre.
+    max_ms : int
+        Longest age before any instance reads; below the 3 s of a drain.
+    retry_ms, retry_max_ms : int
+        First and longest wait after a failed read.
+    """
+
+    interval_ms: int = 500
+    data_centre_step_ms: int = 250
+    rank_step_ms: int = 250
+    max_ms: int = 1_600
+    retry_ms: int = 200
+    retry_max_ms: int = 1_000
+
+
+class Refresh:
+    """Decides from the age of the directory who reads next.
+
+    Every instance waits a little longer than the one that ranks before it, and starts
+    to wait anew when it hears the result of another one's read. So one instance reads
+    for all, and each part of a divided fleet finds a reader of its own by itself.
+
+    Parameters
+    ----------
+    config : RefreshConfig
+        Intervals.
+    now_ms : int
+        Start of the process.
+    """
+
+    def __init__(self, config: RefreshConfig, now_ms: int) -> None:
+        self._config = config
+        self._read_at_ms: int | None = None
+        self._steady_since_ms = now_ms
+        self._failed_at_ms: int | None = None
+        self._n_failures = 0
+        self._is_wanted = True
+        self.store_revision = 0
+
+    def age_ms(self, now_ms: int) -> int | None:
+        """Return the age of what is known; None before the first read."""
+        return None if self._read_at_ms is None else now_ms - self._read_at_ms
+
+    def read_at_ms(self) -> int | None:
+        """Return when the read began whose result is known."""
+        return self._read_at_ms
+
+    def steady_ms(self, now_ms: int) -> int:
+        """Return how long the store has answered without a failure."""
+        return now_ms - self._steady_since_ms
+
+    def is_lost(self) -> bool:
+        """Return whether the last read of this instance failed."""
+        return self._n_failures > 0
+
+    def delay_ms(self, data_centre_rank: int, rank: int) -> int:
+        """Return the age at which an instance of a rank reads."""
+        config = self._config
+        delay_ms = (
+            config.interval_ms
+            + config.data_centre_step_ms * min(data_centre_rank, 1)
+            + config.rank_step_ms * rank
+        )
+        return min(delay_ms, config.max_ms)
+
+    def wait_ms(self, data_centre_rank: int, rank: int, now_ms: int) -> int:
+        """Return the time until this instance should read; 0 for now."""
+        if self._failed_at_ms is not None:
+            backoff_ms = min(
+                self._config.retry_ms << min(self._n_failures - 1, 8),
+                self._config.retry_max_ms,
+            )
+            return max(0, self._failed_at_ms + backoff_ms - now_ms)
+        if self._is_wanted or self._read_at_ms is None:
+            return 0
+        due_ms = self._read_at_ms + self.delay_ms(data_centre_rank, rank)
+        return max(0, due_ms - now_ms)
+
+    def want(self) -> None:
+        """Ask for a read as soon as possible."""
+        self._is_wanted = True
+
+    def on_read(self, store_revision: int, began_ms: int) -> None:
+        """Note the success of an own read that began at a time."""
+        if self._n_failures:
+            self._steady_since_ms = began_ms
+        self._n_failures = 0
+        self._failed_at_ms = None
+        self._is_wanted = False
+        self.store_revision = store_revision
+        self._read_at_ms = began_ms
+
+    def on_failure(self, now_ms: int) -> bool:
+        """Note a failed read; returns whether it is the first in a row."""
+        self._failed_at_ms = now_ms
+        self._n_failures += 1
+        return self._n_failures == 1
+
+    def on_update(
+        self, store_revision: int, age_ms: int, steady_ms: int, now_ms: int
+    ) -> bool:
+        """Note another instance's read; returns whether it is newer than the own."""
+        if store_revision < self.store_revision:
+            return False
+        began_ms = now_ms - age_ms
+        if self._read_at_ms is not None and began_ms <= self._read_at_ms:
+            return False
+        self.store_revision = store_revision
+        self._read_at_ms = began_ms
+        self._is_wanted = False
+        self._steady_since_ms = began_ms - steady_ms
+        return True
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/routes.py
@@ -0,0 +1,110 @@
+"""The operators' state in force: it only moves forward."""
+
+import random
+
+from ..types import DataCentreId, Revision, ServiceId
+from .events import Belief, Event
+from .model import Configuration, OperatorState, Route, ServiceEntry
+from .packet import ServiceAddress
+
+__all__ = ["RouteTable"]
+
+
+class RouteTable:
+    """Routes, services and data centres that are out, at the newest revision known."""
+
+    def __init__(self) -> None:
+        self.state = OperatorState(0, 0, None, ())
+        self._routes: dict[ServiceAddress, Route] = {}
+        self._removed: set[ServiceAddress] = set()
+        self._services: dict[ServiceId, ServiceEntry] = {}
+        self.out_since_ms: dict[DataCentreId, int] = {}
+
+    @property
+    def revision(self) -> Revision:
+        """Revision of the configuration in force; 0 before the first."""
+        configuration = self.state.configuration
+        return Revision(0) if configuration is None else configuration.revision
+
+    def route(self, destination: ServiceAddress) -> Route | None:
+        """Return the route of an address, or None."""
+        return self._routes.get(destination)
+
+    def is_removed(self, destination: ServiceAddress) -> bool:
+        """Return whether a configuration has removed the route of an address."""
+        return destination in self._removed
+
+    def service(self, service: ServiceId) -> ServiceEntry | None:
+        """Return a service, or None if the configuration has none of that name."""
+        return self._services.get(service)
+
+    def is_out(self, data_centre: DataCentreId) -> bool:
+        """Return whether operators have taken a data centre out."""
+        return data_centre in self.out_since_ms
+
+    def apply(self, state: OperatorState, now_ms: int) -> list[Event]:
+        """Take in a read of the operators' state; an older one changes nothing."""
+        if state.store_revision < self.state.store_revision:
+            return []
+        events: list[Event] = []
+        configuration = state.configuration
+        current = self.state.configuration
+        if configuration is None or (
+            current is not None and configuration.revision < current.revision
+        ):
+            if current is not None:
+                events.append(_stale(configuration, current))
+            configuration = current
+        elif current is None or configuration.revision > current.revision:
+            events.append(self._replace(configuration))
+        events += self._apply_evacuations(state.evacuated, now_ms)
+        self.state = OperatorState(
+            state.store_revision,
+            max(state.change_revision, self.state.change_revision),
+            configuration,
+            tuple(self.out_since_ms),
+        )
+        return events
+
+    def _replace(self, configuration: Configuration) -> Event:
+        routes = {route.destination: route for route in configuration.routes}
+        self._removed |= self._routes.keys()
+        self._removed -= routes.keys()
+        self._routes = routes
+        self._services = {entry.service: entry for entry in configuration.services}
+        detail: dict[str, object] = {
+            "n_routes": len(routes),
+            "n_services": len(self._services),
+            "n_removed": len(self._removed),
+        }
+        return Event(Belief.CONFIGURATION_APPLIED, str(configuration.revision), detail)
+
+    def _apply_evacuations(
+        self, evacuated: tuple[DataCentreId, ...], now_ms: int
+    ) -> list[Event]:
+        events = []
+        for data_centre in evacuated:
+            if data_centre not in self.out_since_ms:
+                self.out_since_ms[data_centre] = now_ms
+                events.append(Event(Belief.DATA_CENTRE_OUT, data_centre, {}))
+        for data_centre in list(self.out_since_ms):
+            if data_centre not in evacuated:
+                out_ms = now_ms - self.out_since_ms.pop(data_centre)
+                detail: dict[str, object] = {"out_ms": out_ms}
+                events.append(Event(Belief.DATA_CENTRE_BACK, data_centre, detail))
+        return events
+
+
+def pick_service(route: Route, rng: random.Random) -> ServiceId:
+    """Return one of a route's services, by weight."""
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    weights = [share.weight for share in route.shares]
+    return rng.choices(route.shares, weights)[0].service
+
+
+def _stale(configuration: Configuration | None, current: Configuration) -> Event:
+    offered = None if configuration is None else configuration.revision
+    return Event(
+        Belief.CONFIGURATION_STALE, str(current.revision), {"offered": offered}
+    )
--- /dev/null
+++ b/packages/sapphirerail-node/src/sapphirerail_node/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: names, forms and calls, and no decisions."""
--- /dev/null
+++ b/packages/sapphirerail-node/src/sapphirerail_node/platform/__main__.py
@@ -0,0 +1,41 @@
+"""Starts an entry instance on the users' platform."""
+
+import sys
+
+# asyncio works without TLS, which this platform does not use; its library would be
+# a fifth of the process's memory.
+sys.modules["ssl"] = None  # type: ignore[assignment]
+
+import asyncio  # noqa: E402
+
+from sapphirerail_core.errors import InputError  # noqa: E402
+
+from ..exit_code import ExitCode  # noqa: E402
+from ..steering.application import SteeringApplication  # noqa: E402
+from .packets import PlatformPacketCodec  # noqa: E402
+from .settings import read_settings  # noqa: E402
+from .store import HttpPlatformStore  # noqa: E402
+
+
+async def _run() -> ExitCode:
+    settings = read_settings()
+    application = SteeringApplication.from_config(
+        settings,
+        PlatformPacketCodec(settings.packet_address[1]),
+        HttpPlatformStore(settings.store_address),
+        read_settings,
+    )
+    return await application.run()
+
+
+def main() -> int:
+    """Run until a signal, and return the exit code."""
+    try:
+        return asyncio.run(_run())
+    except InputError as error:
+        print(f"{error.code}: {error.message}", file=sys.stderr)
+        return ExitCode.SETTINGS
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/__init__.py
@@ -0,0 +1,1 @@
+"""The entry instance that steers packets by tag, apart from the platform's forms."""
--- /dev/null
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/application.py
@@ -0,0 +1,252 @@
+"""The application object of an entry instance that steers by tag."""
+
+import asyncio
+import gc
+import signal
+import time
+from collections.abc import Callable
+
+from sapphirerail_core.steering import (
+    Peers,
+    Refresh,
+    RefreshConfig,
+    SteeringConfig,
+    SteeringEngine,
+)
+from sapphirerail_core.steering.model import InstanceEntry
+from sapphirerail_transport.http import (
+    HttpError,
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+)
+from sapphirerail_transport.udp import format_address
+
+from ..clock import monotonic_ms
+from ..exit_code import ExitCode
+from ..lifecycle import LifeCycle, Phase
+from ..ticker import Ticker
+from .decision_log import DecisionLog, LogClass, configure_decision_log
+from .metrics import SteeringMetrics
+from .packet_service import PacketService
+from .peer_service import PeerService
+from .ports import PacketCodec, PlatformStore
+from .settings import SteeringSettings
+from .state_api import StateApi, fetch_snapshot
+from .store_service import StoreService
+
+__all__ = ["SteeringApplication"]
+
+PEER_LIVE_MS = 1_200
+SWEEP_INTERVAL_MS = 500
+SETTINGS_CHECK_INTERVAL_MS = 2_000
+SNAPSHOT_RETRY_MS = 500
+READY_CHECK_MS = 20
+# Routers need two missed checks, half a second apart, and a margin.
+STOP_LINGER_MS = 1_800
+STOP_QUIET_MS = 300
+# Leaves time to close what is open before the kill.
+STOP_MARGIN_MS = 1_500
+STOP_CHECK_MS = 100
+
+SettingsReader = Callable[[], SteeringSettings]
+
+
+class SteeringApplication:
+    """One entry instance: opens its sockets, runs, cleans up.
+
+    Parameters
+    ----------
+    settings : SteeringSettings
+        What it was told.
+    codec : PacketCodec
+        The platform's packets.
+    store : PlatformStore
+        The platform's store.
+    read_settings : callable
+        Reads the settings again; raises `InputError` if they cannot be used.
+    """
+
+    def __init__(
+        self,
+        settings: SteeringSettings,
+        codec: PacketCodec,
+        store: PlatformStore,
+        read_settings: SettingsReader,
+    ) -> None:
+        self.settings = settings
+        self._read_settings = read_settings
+        self.life = LifeCycle()
+        self.metrics = SteeringMetrics()
+        self.log: DecisionLog = configure_decision_log(
+            settings.instance, settings.data_centre
+        )
+        now_ms = monotonic_ms()
+        self._began_ms = now_ms
+        own = InstanceEntry(
+            settings.instance,
+            settings.data_centre,
+            format_address(settings.peer_address),
+        )
+        self.engine = SteeringEngine.from_config(
+            SteeringConfig(),
+            Peers(own, PEER_LIVE_MS),
+            Refresh(RefreshConfig(), now_ms),
+            time.time_ns(),
+        )
+        self.packets = PacketService(self.engine, codec, self.log, self.metrics)
+        self.peers = PeerService(self.engine, self.metrics)
+        self.store = StoreService(
+            store, self.engine, self.peers, self.log, self.metrics
+        )
+        self._ready_server = HttpServer(self._answer_ready)
+        self._state_server = HttpServer(StateApi(self.engine, self.metrics).handle)
+        self._ticker = Ticker()
+        self._stop = asyncio.Event()
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: SteeringSettings,
+        codec: PacketCodec,
+        store: PlatformStore,
+        read_settings: SettingsReader,
+    ) -> "SteeringApplication":
+        """Return an application that is not started yet."""
+        return cls(settings, codec, store, read_settings)
+
+    async def run(self) -> ExitCode:
+        """Serve until a signal asks to stop."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stop.set)
+        loop.add_signal_handler(signal.SIGINT, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload, "signal")
+        try:
+            await self._start()
+            await self._stop.wait()
+            await self._drain()
+        finally:
+            await self.life.close()
+        self.log.write(LogClass.LIFE, "stopped", ran_ms=self._age_ms())
+        return ExitCode.OK
+
+    def _age_ms(self) -> int:
+        return monotonic_ms() - self._began_ms
+
+    async def _start(self) -> None:
+        settings = self.settings
+        self.life.on_close("packets", self.packets.close)
+        await self.packets.open(settings.packet_address)
+        self.life.on_close("peers", self.peers.close)
+        await self.peers.open(settings.peer_address)
+        self.life.on_close("readiness", self._ready_server.close)
+        await self._ready_server.start(settings.ready_address)
+        self.life.on_close("state", self._state_server.close)
+        await self._state_server.start(settings.state_address)
+        self.life.on_close("store", self.store.close)
+        self.store.start()
+        self._ticker.every(
+            self.peers.report_interval_ms(), lambda _: self.peers.report()
+        )
+        self._ticker.every(SWEEP_INTERVAL_MS, self._sweep)
+        self._ticker.every(
+            SETTINGS_CHECK_INTERVAL_MS, lambda _: self._reload("interval")
+        )
+        self.life.on_close("ticker", self._ticker.close)
+        self._ticker.start()
+        self.life.phase = Phase.SERVING
+        self.log.write(LogClass.LIFE, "started", settings=repr(settings))
+        await self._bootstrap()
+        # What lives from here on was mostly made by imports.
+        gc.freeze()
+
+    async def _bootstrap(self) -> None:
+        """Ask other instances for the state while the store has not answered."""
+        while not self.engine.is_ready() and not self._stop.is_set():
+            await self._await_ready()
+            for seed in self.settings.seeds:
+                if self.engine.is_ready():
+                    break
+                if seed != self.settings.state_address:
+                    await self._fetch(seed)
+        self.packets.log_events()
+        if self.engine.is_ready():
+            self.log.write(LogClass.LIFE, "ready", after_ms=self._age_ms())
+
+    async def _await_ready(self) -> None:
+        """Wait for the store's first answers, but not for long."""
+        for _ in range(SNAPSHOT_RETRY_MS // READY_CHECK_MS):
+            if self.engine.is_ready() or self._stop.is_set():
+                return
+            await asyncio.sleep(READY_CHECK_MS / 1000)
+
+    async def _fetch(self, seed: tuple[str, int]) -> None:
+        try:
+            snapshot = await fetch_snapshot(seed)
+        except HttpError as error:
+            self.log.write(
+                LogClass.LIFE,
+                "snapshot_failed",
+                seed=format_address(seed),
+                code=error.code,
+                why=error.message,
+            )
+            return
+        now_ms = monotonic_ms()
+        self.engine.apply_operator_state(snapshot.operator_state, now_ms)
+        is_newer = self.engine.refresh.on_update(
+            snapshot.store_revision, snapshot.age_ms, 0, now_ms
+        )
+        if is_newer:
+            self.engine.apply_servers(snapshot.servers, now_ms)
+        self.engine.peers.apply(snapshot.instances)
+        self.packets.log_events()
+
+    def _sweep(self, now_ms: int) -> None:
+        self.engine.sweep(now_ms)
+        self.packets.log_events()
+
+    async def _answer_ready(self, request: HttpRequest) -> HttpResponse:
+        is_serving = self.life.phase is Phase.SERVING and self.engine.is_ready()
+        return HttpResponse(None, 200 if is_serving else 503)
+
+    def _reload(self, cause: str) -> None:
+        """Read the settings again and keep what can change while running."""
+        try:
+            settings = self._read_settings()
+        except Exception as error:
+            self.log.write(LogClass.LIFE, "reload_refused", cause=cause, why=str(error))
+            return
+        if settings == self.settings:
+            if cause == "signal":
+                self.log.write(LogClass.LIFE, "reloaded", cause=cause, changed=[])
+            return
+        changed = [
+            name
+            for name in settings.__struct_fields__
+            if getattr(settings, name) != getattr(self.settings, name)
+        ]
+        self.settings = settings
+        self.log.write(LogClass.LIFE, "reloaded", cause=cause, changed=changed)
+
+    async def _drain(self) -> None:
+        """Leave the rotation, and forward until routers have noticed."""
+        self.life.phase = Phase.DRAINING
+        began_ms = monotonic_ms()
+        n_before = self.packets.n_forwarded
+        self.log.write(LogClass.LIFE, "stopping", ran_ms=self._age_ms())
+        self.peers.stop()
+        limit_ms = max(self.settings.stop_grace_ms - STOP_MARGIN_MS, STOP_LINGER_MS)
+        while True:
+            await asyncio.sleep(STOP_CHECK_MS / 1000)
+            now_ms = monotonic_ms()
+            is_quiet = now_ms - self.packets.last_packet_ms >= STOP_QUIET_MS
+            lingered_ms = now_ms - began_ms
+            if lingered_ms >= limit_ms or (is_quiet and lingered_ms >= STOP_LINGER_MS):
+                break
+        self.log.write(
+            LogClass.LIFE,
+            "drained",
+            lingered_ms=lingered_ms,
+            n_forwarded=self.packets.n_forwarded - n_before,
+        )
--- /dev/null
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/packet_service.py
@@ -0,0 +1,165 @@
+"""The socket towards callers and backend servers, and what the engine decides."""
+
+import asyncio
+from functools import singledispatchmethod
+
+from sapphirerail_core.errors import InputError
+from sapphirerail_core.steering import (
+    Action,
+    Drop,
+    Forward,
+    Open,
+    Reason,
+    Reset,
+    SteeringEngine,
+)
+from sapphirerail_core.steering.packet import Packet
+from sapphirerail_transport.udp import Address, UdpSocket
+
+from ..clock import monotonic_ms
+from .decision_log import DecisionLog, LogClass
+from .metrics import SteeringMetrics
+from .ports import PacketCodec
+
+__all__ = ["PacketService"]
+
+
+class PacketService:
+    """Carries out the engine's decisions.
+
+    Parameters
+    ----------
+    engine : SteeringEngine
+        Decides.
+    codec : PacketCodec
+        The platform's packets.
+    log : DecisionLog
+        One line for each opening, reset and change of belief.
+    metrics : SteeringMetrics
+        Counts packets by outcome.
+    """
+
+    def __init__(
+        self,
+        engine: SteeringEngine,
+        codec: PacketCodec,
+        log: DecisionLog,
+        metrics: SteeringMetrics,
+    ) -> None:
+        self._engine = engine
+        self._codec = codec
+        self._log = log
+        self._metrics = metrics
+        self._socket: UdpSocket | None = None
+        self._repeat_timer: asyncio.TimerHandle | None = None
+        self.last_packet_ms = 0
+        self.n_forwarded = 0
+
+    async def open(self, address: Address) -> None:
+        """Start to take packets."""
+        self._socket = await UdpSocket.bind(address, self._on_datagram)
+
+    async def close(self) -> None:
+        """Stop taking packets."""
+        if self._repeat_timer is not None:
+            self._repeat_timer.cancel()
+        if self._socket is not None:
+            self._socket.close()
+
+    def log_events(self) -> None:
+        """Write what the engine came to believe since the last call."""
+        for event in self._engine.take_events():
+            self._metrics.count("beliefs", event.belief.value)
+            self._log.write(
+                LogClass.BELIEF,
+                event.belief.value,
+                subject=event.subject,
+                **event.detail,
+                **self._versions(),
+            )
+
+    def _versions(self) -> dict[str, object]:
+        """Return version and age of what decisions rest on."""
+        refresh = self._engine.refresh
+        return {
+            "configuration": self._engine.routes.revision,
+            "store_revision": refresh.store_revision,
+            "directory_age_ms": refresh.age_ms(monotonic_ms()),
+        }
+
+    def _on_datagram(self, datagram: bytes, _: Address) -> None:
+        try:
+            packet = self._codec.decode(datagram)
+        except InputError as error:
+            self._metrics.count("packets", "malformed")
+            self._log.write(
+                LogClass.FLOW, "packet_malformed", code=error.code, why=error.message
+            )
+            return
+        now_ms = monotonic_ms()
+        self.last_packet_ms = now_ms
+        action = self._engine.on_packet(packet, now_ms)
+        self._carry_out(action, packet)
+        if packet.is_opening:
+            self._schedule_repeats(now_ms)
+        self.log_events()
+
+    @singledispatchmethod
+    def _carry_out(self, action: Action, packet: Packet) -> None:
+        raise TypeError(f"no way to carry out {type(action).__name__}")
+
+    @_carry_out.register
+    def _(self, action: Forward, packet: Packet) -> None:
+        self._send(*self._codec.for_server(packet, action.server.entry, None))
+        self._metrics.count("packets", Reason.KNOWN_TAG.value)
+        self.n_forwarded += 1
+
+    @_carry_out.register
+    def _(self, action: Open, packet: Packet) -> None:
+        server = action.server
+        self._send(*self._codec.for_server(packet, server.entry, server.tag))
+        self._note("flow_opening", action.reason, packet, server=server.entry.server)
+        self.n_forwarded += 1
+
+    @_carry_out.register
+    def _(self, action: Reset, packet: Packet) -> None:
+        self._send(*self._codec.reset(packet))
+        self._note("flow_reset", action.reason, packet)
+
+    @_carry_out.register
+    def _(self, action: Drop, packet: Packet) -> None:
+        self._note("packet_dropped", action.reason, packet)
+
+    def _note(
+        self, message: str, reason: Reason, packet: Packet, **fields: object
+    ) -> None:
+        self._metrics.count("packets", reason.value)
+        self._log.write(
+            LogClass.FLOW,
+            message,
+            flow=self._codec.describe(packet.flow),
+            tag=packet.tag,
+            reason=reason.value,
+            **fields,
+            **self._versions(),
+        )
+
+    def _send(self, datagram: bytes, address: Address) -> None:
+        if self._socket is not None:
+            self._socket.send(datagram, address)
+
+    def _schedule_repeats(self, now_ms: int) -> None:
+        if self._repeat_timer is not None:
+            return
+        wait_ms = self._engine.repeat_wait_ms(now_ms)
+        if wait_ms is not None:
+            loop = asyncio.get_running_loop()
+            self._repeat_timer = loop.call_later(wait_ms / 1000, self._repeat)
+
+    def _repeat(self) -> None:
+        self._repeat_timer = None
+        now_ms = monotonic_ms()
+        for repeat in self._engine.repeat_openings(now_ms):
+            self._carry_out(repeat.action, repeat.packet)
+        self.log_events()
+        self._schedule_repeats(now_ms)
--- /dev/null
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/peer_service.py
@@ -0,0 +1,163 @@
+"""Datagrams between entry instances: load reports and relayed reads."""
+
+import asyncio
+import zlib
+
+import msgspec
+
+from sapphirerail_core.steering import SteeringEngine
+from sapphirerail_core.steering.messages import (
+    DirectoryUpdate,
+    LoadReport,
+    PeerMessage,
+    Stopped,
+)
+from sapphirerail_core.steering.model import ServerEntry
+from sapphirerail_core.steering.peers import Peer
+from sapphirerail_transport.udp import Address, UdpSocket, parse_address
+
+from ..clock import monotonic_ms
+from .metrics import SteeringMetrics
+
+__all__ = ["PeerService"]
+
+REPORT_INTERVAL_MS = 250
+# Keeps what an instance of a large data centre receives near 50 reports a second.
+N_PEERS_AT_FULL_RATE = 12
+# Updates after a change that carry all entries, so that one lost datagram costs none
+# of the receivers a read of its own.
+N_FULL_UPDATES = 3
+
+
+class PeerService:
+    """Sends and receives the messages between instances.
+
+    Parameters
+    ----------
+    engine : SteeringEngine
+        Takes in what peers tell.
+    metrics : SteeringMetrics
+        Counts messages.
+    """
+
+    def __init__(self, engine: SteeringEngine, metrics: SteeringMetrics) -> None:
+        self._engine = engine
+        self._metrics = metrics
+        self._own = engine.peers.own
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(PeerMessage)
+        self._socket: UdpSocket | None = None
+        self._digest = 0
+        self._n_full_left = 0
+        self.on_behind = asyncio.Event()
+
+    async def open(self, address: Address) -> None:
+        """Start to take messages."""
+        self._socket = await UdpSocket.bind(address, self._on_datagram)
+
+    async def close(self) -> None:
+        """Stop taking messages."""
+        if self._socket is not None:
+            self._socket.close()
+
+    def report_interval_ms(self) -> int:
+        """Return the time between two reports, longer in a large data centre."""
+        n_peers = len(self._engine.peers.near())
+        return REPORT_INTERVAL_MS * max(1, n_peers // N_PEERS_AT_FULL_RATE)
+
+    def report(self) -> None:
+        """Tell the peers of the own data centre what this instance has and saw."""
+        loads = self._engine.report_loads(monotonic_ms())
+        revision = self._engine.routes.state.change_revision
+        self._broadcast(
+            LoadReport(self._own, revision, loads), self._engine.peers.near()
+        )
+
+    def relay_read(self) -> None:
+        """Tell all others of an own read of the store."""
+        self._relay(0)
+
+    def stop(self) -> None:
+        """Tell the peers of the own data centre that this instance stops."""
+        message = Stopped(self._own.instance)
+        self._broadcast(message, self._engine.peers.near())
+
+    def _relay(self, age_ms: int, *, is_near_only: bool = False) -> None:
+        entries = self._engine.directory.entries
+        digest = _digest(entries)
+        if digest != self._digest:
+            self._digest = digest
+            self._n_full_left = N_FULL_UPDATES
+        is_full = self._n_full_left > 0
+        self._n_full_left = max(0, self._n_full_left - 1)
+        refresh = self._engine.refresh
+        message = DirectoryUpdate(
+            sender=self._own,
+            store_revision=refresh.store_revision,
+            age_ms=age_ms,
+            steady_ms=refresh.steady_ms(monotonic_ms()),
+            operator_revision=self._engine.routes.state.change_revision,
+            digest=digest,
+            entries=entries if is_full else None,
+        )
+        peers = self._engine.peers.near()
+        if not is_near_only:
+            peers += self._engine.peers.far_first()
+        self._broadcast(message, peers)
+
+    def _broadcast(self, message: PeerMessage, peers: list[Peer]) -> None:
+        payload = self._encoder.encode(message)
+        for peer in peers:
+            if self._socket is not None:
+                self._socket.send(payload, parse_address(peer.entry.address))
+        self._metrics.count("peer_messages", "sent", len(peers))
+
+    def _on_datagram(self, payload: bytes, _: Address) -> None:
+        try:
+            message = self._decoder.decode(payload)
+        except msgspec.MsgspecError:
+            self._metrics.count("peer_messages", "malformed")
+            return
+        self._metrics.count("peer_messages", "received")
+        now_ms = monotonic_ms()
+        if isinstance(message, LoadReport):
+            self._engine.apply_report(message, now_ms)
+            self._compare_operator_state(message.operator_revision)
+        elif isinstance(message, DirectoryUpdate):
+            self._on_update(message, now_ms)
+        else:
+            self._engine.peers.on_stopped(message.instance)
+
+    def _on_update(self, message: DirectoryUpdate, now_ms: int) -> None:
+        self._engine.peers.on_heard(message.sender, now_ms)
+        self._compare_operator_state(message.operator_revision)
+        is_known = message.digest == _digest(self._engine.directory.entries)
+        if not is_known and message.entries is None:
+            if message.store_revision >= self._engine.refresh.store_revision:
+                self._engine.refresh.want()
+            return
+        is_newer = self._engine.refresh.on_update(
+            message.store_revision, message.age_ms, message.steady_ms, now_ms
+        )
+        if not is_newer:
+            return
+        entries = message.entries
+        if entries is None:
+            entries = self._engine.directory.entries
+        self._engine.apply_servers(entries, now_ms)
+        if message.sender.data_centre != self._own.data_centre:
+            self._relay(message.age_ms, is_near_only=True)
+
+    def _compare_operator_state(self, revision: int) -> None:
+        """Ask for a read if a peer knows a change that is not known here."""
+        if revision > self._engine.routes.state.store_revision:
+            self.on_behind.set()
+
+
+def _digest(entries: tuple[ServerEntry, ...]) -> int:
+    """Return a checksum of all that steering depends on."""
+    parts = [
+        (e.server, e.started_at_ms, e.address, e.is_draining, e.cold_ms > 0)
+        for e in entries
+    ]
+    return zlib.crc32(repr(sorted(parts)).encode())
--- /dev/null
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/state_api.py
@@ -0,0 +1,61 @@
+"""What an instance tells others over HTTP: its state, and its figures."""
+
+import msgspec
+
+from sapphirerail_core.errors import SapphirerailError
+from sapphirerail_core.steering import SteeringEngine
+from sapphirerail_core.steering.messages import StateSnapshot
+from sapphirerail_transport.http import (
+    HttpClient,
+    HttpError,
+    HttpRequest,
+    HttpResponse,
+)
+from sapphirerail_transport.udp import Address
+
+from ..clock import monotonic_ms
+from .metrics import SteeringMetrics
+
+__all__ = ["StateApi", "fetch_snapshot"]
+
+STATE_PATH = "/state"
+METRICS_PATH = "/metrics"
+FETCH_TIMEOUT_MS = 500
+
+
+class StateApi:
+    """Answers the other instances and whoever collects metrics."""
+
+    def __init__(self, engine: SteeringEngine, metrics: SteeringMetrics) -> None:
+        self._engine = engine
+        self._metrics = metrics
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one request."""
+        if request.path == STATE_PATH:
+            return HttpResponse(self._snapshot())
+        if request.path == METRICS_PATH:
+            return HttpResponse(self._metrics.exposition().decode())
+        raise HttpError(404, "http.no_such_path", f"{request.path} does not exist")
+
+    def _snapshot(self) -> StateSnapshot:
+        age_ms = self._engine.refresh.age_ms(monotonic_ms())
+        if age_ms is None:
+            raise SapphirerailError("state.unknown", "this instance knows nothing yet")
+        return StateSnapshot(
+            operator_state=self._engine.routes.state,
+            servers=self._engine.directory.entries,
+            store_revision=self._engine.refresh.store_revision,
+            age_ms=age_ms,
+            instances=tuple(self._engine.peers.entries()),
+        )
+
+
+async def fetch_snapshot(address: Address) -> StateSnapshot:
+    """Return another instance's state, or raise `HttpError`."""
+    client = HttpClient(address)
+    body = await client.call("GET", STATE_PATH, timeout_ms=FETCH_TIMEOUT_MS)
+    try:
+        return msgspec.json.decode(body, type=StateSnapshot)
+    except msgspec.MsgspecError as error:
+        raise HttpError(0, "http.bad_body", str(error)) from error
