--- /dev/null
+++ b/packages/sapphirerail-core/tests/steering/test_engine.py
@@ -0,0 +1,290 @@
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sapphirerail_core.steering import (
+    Belief,
+    Drop,
+    Forward,
+    Open,
+    Reason,
+    Reset,
+    SteeringConfig,
+)
+from sapphirerail_core.steering.model import RequestKind, Route, Share
+from sapphirerail_core.steering.tag import server_tag
+from sapphirerail_standins.steering_fleet import (
+    BOOKINGS,
+    FEED,
+    HOLD,
+    SKETCHES,
+    UPLOAD,
+    SteeringFleet,
+    configuration,
+    later_packet,
+    opening,
+    server_entry,
+)
+
+CONFIG = SteeringConfig()
+
+
+def test_an_opening_is_marked_with_the_tag_of_a_server_of_its_service(fleet):
+    action = fleet.send(opening(1))
+    assert isinstance(action, Open)
+    assert action.server.entry.service == BOOKINGS
+    assert action.server.tag == server_tag(action.server.entry.identity)
+
+
+def test_any_instance_steers_a_flow_by_its_tag_alone():
+    fleet = SteeringFleet({"osu-1": "osu", "tema-1": "tema"})
+    fleet.configure()
+    fleet.announce(*(server_entry(n) for n in range(1, 6)))
+    tag = fleet.open(1)
+    action = fleet.send(later_packet(1, tag), "tema-1")
+    assert isinstance(action, Forward)
+    assert action.server.tag == tag
+
+
+def test_without_a_route_an_opening_is_refused_at_once(fleet):
+    assert fleet.send(opening(1, 77 << 16)) == Reset(Reason.NO_ROUTE)
+
+
+def test_without_a_configuration_nothing_is_refused():
+    assert SteeringFleet().send(opening(1)) == Drop(Reason.NO_CONFIGURATION)
+
+
+def test_without_a_server_an_opening_is_refused_at_once(fleet):
+    assert fleet.send(opening(1, UPLOAD)) == Reset(Reason.NO_SERVER)
+
+
+def test_a_route_that_moves_to_another_service_leaves_open_flows_alone(fleet):
+    fleet.announce(server_entry(1), server_entry(9, SKETCHES))
+    tag = fleet.open(1)
+    moved = Route(FEED, "feed", RequestKind.SAFE, (Share(SKETCHES, 1),))
+    fleet.configure(configuration(2, routes=(moved,)))
+    assert fleet.send(later_packet(1, tag)).server.entry.identity == 1
+    assert fleet.send(opening(2)).server.entry.identity == 9
+
+
+def test_flows_of_a_removed_route_are_reset(fleet):
+    tag = fleet.open(1, HOLD)
+    feed = Route(FEED, "feed", RequestKind.SAFE, (Share(BOOKINGS, 1),))
+    fleet.configure(configuration(2, routes=(feed,)))
+    assert fleet.send(later_packet(1, tag, HOLD)) == Reset(Reason.ROUTE_REMOVED)
+
+
+def test_a_copy_of_an_answered_opening_goes_to_the_same_server(fleet):
+    first = fleet.send(opening(1))
+    fleet.advance(7)
+    fleet.send(later_packet(1, first.server.tag))
+    copy = fleet.send(opening(1))
+    assert copy.server is first.server
+
+
+def test_a_copy_of_an_unanswered_opening_goes_to_another_server(fleet):
+    first = fleet.send(opening(1))
+    fleet.advance(200)
+    copy = fleet.send(opening(1))
+    assert isinstance(copy, Open)
+    assert copy.server is not first.server
+
+
+def test_a_copy_through_another_instance_is_opened_there(fleet):
+    fleet = SteeringFleet({"osu-1": "osu", "osu-2": "osu"})
+    fleet.configure()
+    fleet.announce(server_entry(1), server_entry(2))
+    first = fleet.send(opening(1), "osu-1")
+    copy = fleet.send(opening(1), "osu-2")
+    # Whichever the caller acknowledges names itself in the caller's next packet.
+    for action in (first, copy):
+        packet = later_packet(1, action.server.tag)
+        assert fleet.send(packet, "osu-2").server.tag == action.server.tag
+
+
+def test_a_new_flow_from_the_same_port_is_no_copy(fleet):
+    fleet.open(1)
+    action = fleet.send(opening(1, sequence=77_777))
+    assert action.reason is Reason.NEW_FLOW
+
+
+def test_an_opening_without_an_answer_is_sent_to_a_second_server(fleet):
+    first = fleet.send(opening(1))
+    fleet.advance(CONFIG.opening_repeat_ms - 1)
+    assert fleet.engine.repeat_openings(fleet.now_ms) == []
+    fleet.advance(1)
+    (repeat,) = fleet.engine.repeat_openings(fleet.now_ms)
+    assert repeat.action.reason is Reason.UNANSWERED_OPENING
+    assert repeat.action.server is not first.server
+
+
+def test_an_answered_opening_is_not_repeated(fleet):
+    fleet.open(1)
+    fleet.advance(1_000)
+    assert fleet.engine.repeat_openings(fleet.now_ms) == []
+
+
+def test_an_opening_is_repeated_a_bounded_number_of_times(fleet):
+    fleet.send(opening(1))
+    n_repeats = 0
+    for _ in range(50):
+        fleet.advance(20)
+        n_repeats += len(fleet.engine.repeat_openings(fleet.now_ms))
+    assert n_repeats == CONFIG.n_opening_repeats
+
+
+def test_new_flows_avoid_a_server_that_did_not_answer(fleet):
+    silent = fleet.send(opening(1)).server
+    fleet.advance(CONFIG.opening_repeat_ms)
+    fleet.engine.repeat_openings(fleet.now_ms)
+    chosen = {fleet.send(opening(n)).server for n in range(2, 40)}
+    assert silent not in chosen
+    assert len(chosen) == 2
+
+
+def test_if_all_servers_are_silent_flows_are_still_offered(fleet):
+    for n in range(1, 30):
+        fleet.send(opening(n))
+    fleet.advance(100)
+    fleet.engine.repeat_openings(fleet.now_ms)
+    assert isinstance(fleet.send(opening(99)), Open)
+
+
+def dead_server(fleet):
+    """Let the only server fall silent, shown by two flows, and return its tag."""
+    fleet.announce(server_entry(1))
+    tag = fleet.open(1)
+    fleet.open(2)
+    fleet.advance(5)
+    for flow in (1, 2):
+        fleet.send(later_packet(flow, tag, sequence=2_000, n_data_bytes=10))
+    fleet.advance(300)
+    for flow in (1, 2):
+        fleet.send(later_packet(flow, tag, sequence=2_000, n_data_bytes=10))
+    return tag
+
+
+def test_flows_of_a_dead_server_are_given_back_if_they_may_be_repeated(fleet):
+    tag = dead_server(fleet)
+    packet = later_packet(1, tag, sequence=2_000, n_data_bytes=10)
+    assert fleet.send(packet) == Reset(Reason.SERVER_DEAD)
+
+
+def test_flows_that_must_not_be_repeated_are_left_to_their_server(fleet):
+    fleet.announce(server_entry(1))
+    tag = fleet.open(3, HOLD)
+    dead_server(fleet)
+    packet = later_packet(3, tag, HOLD, sequence=2_000, n_data_bytes=10)
+    assert isinstance(fleet.send(packet), Forward)
+
+
+def test_a_slow_request_alone_does_not_make_a_server_dead(fleet):
+    fleet.announce(server_entry(1))
+    tag = fleet.open(1)
+    fleet.open(2)
+    for attempt in range(4):
+        fleet.send(later_packet(1, tag, sequence=2_000, n_data_bytes=10))
+        # Another flow of the server goes on.
+        fleet.send(later_packet(2, tag, sequence=2_000 + attempt, n_data_bytes=1))
+        fleet.advance(200)
+        fleet.send(later_packet(2, tag, sequence=9_000, acknowledged=600 + attempt))
+    packet = later_packet(1, tag, sequence=2_000, n_data_bytes=10)
+    assert isinstance(fleet.send(packet), Forward)
+
+
+def test_a_server_that_answers_again_gets_its_flows_back(fleet):
+    tag = dead_server(fleet)
+    fleet.engine.take_events()
+    fleet.advance(500)
+    fleet.send(opening(9))
+    fleet.advance(7)
+    fleet.send(later_packet(9, tag))
+    beliefs = [event.belief for event in fleet.engine.take_events()]
+    assert Belief.SERVER_RECOVERED in beliefs
+    packet = later_packet(1, tag, sequence=2_000, n_data_bytes=10)
+    assert isinstance(fleet.send(packet), Forward)
+
+
+def test_flows_of_a_departed_server_are_reset_after_a_grace(fleet):
+    tag = fleet.open(1)
+    fleet.announce()
+    assert isinstance(fleet.send(later_packet(1, tag)), Forward)
+    fleet.advance(CONFIG.departed_grace_ms)
+    assert fleet.send(later_packet(1, tag)) == Reset(Reason.SERVER_DEPARTED)
+
+
+def test_a_tag_that_the_directory_does_not_have_yet_is_not_reset(fleet):
+    tag = server_tag(0xABCDEF)
+    assert fleet.send(later_packet(1, tag)) == Drop(Reason.UNCONFIRMED_TAG)
+    assert fleet.engine.refresh.wait_ms(0, 3, fleet.now_ms) == 0
+    fleet.advance(100)
+    assert fleet.send(later_packet(1, tag)) == Drop(Reason.UNCONFIRMED_TAG)
+    fleet.announce(server_entry(0xABCDEF))
+    assert isinstance(fleet.send(later_packet(1, tag)), Forward)
+
+
+def test_a_tag_that_a_later_read_does_not_name_is_reset(fleet):
+    tag = server_tag(0xABCDEF)
+    fleet.send(later_packet(1, tag))
+    fleet.advance(100)
+    fleet.announce(server_entry(1))
+    assert fleet.send(later_packet(1, tag)) == Reset(Reason.UNKNOWN_TAG)
+
+
+def test_after_an_outage_of_the_store_an_unknown_tag_is_not_reset(fleet):
+    tag = server_tag(0xABCDEF)
+    fleet.send(later_packet(1, tag))
+    fleet.engine.refresh.on_failure(fleet.now_ms)
+    fleet.advance(100)
+    fleet.announce(server_entry(1))
+    assert fleet.send(later_packet(1, tag)) == Drop(Reason.UNCONFIRMED_TAG)
+
+
+def test_a_packet_without_a_tag_is_dropped(fleet):
+    assert fleet.send(later_packet(1, 0)) == Drop(Reason.NO_TAG)
+
+
+def test_no_new_flow_enters_a_data_centre_that_is_out(fleet):
+    fleet.announce(server_entry(1), server_entry(2, data_centre="tema"))
+    fleet.configure(evacuated=("osu",))
+    chosen = {fleet.send(opening(n)).server.entry.identity for n in range(30)}
+    assert chosen == {2}
+    fleet.configure(evacuated=("osu", "tema"))
+    assert fleet.send(opening(99)) == Reset(Reason.NO_SERVER)
+
+
+packets = st.builds(
+    later_packet,
+    st.integers(0, 5),
+    st.sampled_from([0, server_tag(1), server_tag(2), server_tag(50)]),
+    sequence=st.integers(0, 2**32 - 1),
+    acknowledged=st.integers(0, 2**32 - 1),
+    n_data_bytes=st.integers(0, 1_200),
+    is_finish=st.booleans(),
+    is_reset=st.booleans(),
+) | st.builds(
+    opening,
+    st.integers(0, 5),
+    st.sampled_from([FEED, HOLD, UPLOAD, 5]),
+    st.integers(0, 3),
+)
+steps = st.lists(st.tuples(packets, st.integers(0, 400)), max_size=60)
+
+
+@settings(max_examples=100, deadline=None)
+@given(steps)
+def test_counts_of_flows_and_requests_stay_true(steps):
+    fleet = SteeringFleet()
+    fleet.configure()
+    fleet.announce(server_entry(1), server_entry(2), server_entry(3, SKETCHES))
+    engine = fleet.engine
+    for packet, step_ms in steps:
+        fleet.send(packet)
+        fleet.advance(step_ms)
+        engine.repeat_openings(fleet.now_ms)
+    servers = list(engine.directory.servers())
+    assert sum(s.n_flows for s in servers) == len(engine.flows)
+    assert all(0 <= s.n_in_flight <= s.n_flows for s in servers)
+    fleet.advance(CONFIG.flow_idle_ms + 1)
+    engine.sweep(fleet.now_ms)
+    assert len(engine.flows) == 0
+    assert all(s.n_flows == s.n_in_flight == 0 for s in servers)
--- /dev/null
+++ b/packages/sapphirerail-core/tests/steering/test_peers.py
@@ -0,0 +1,65 @@
+from sapphirerail_core.rendezvous import hash_key
+from sapphirerail_core.steering import Peers
+from sapphirerail_core.steering.model import InstanceEntry
+
+LIVE_MS = 1_200
+
+
+def entry(name, address="10.9.0.1:1"):
+    return InstanceEntry(name, name.rpartition("-")[0], address)
+
+
+def peers_of(own, *others, now_ms=0):
+    peers = Peers(entry(own), LIVE_MS)
+    peers.apply([entry(name) for name in (own, *others)])
+    for name in others:
+        peers.on_heard(entry(name), now_ms)
+    return peers
+
+
+def test_ranks_count_live_instances_of_the_own_data_centre_only():
+    peers = peers_of("osu-3", "osu-1", "osu-2", "accra-0")
+    assert peers.own_rank(0) == 2
+    peers.on_heard(entry("osu-2"), 2_000)
+    assert peers.own_rank(2_000) == 1
+
+
+def test_an_unregistered_instance_that_speaks_is_known():
+    peers = peers_of("osu-1")
+    peers.on_heard(entry("osu-9"), 0)
+    assert "osu-9" in peers.live_near(0)
+
+
+def test_a_new_address_is_a_new_instance_that_was_not_heard_yet():
+    peers = peers_of("osu-1", "osu-2")
+    peers.apply([entry("osu-1"), entry("osu-2", "10.9.0.2:1")])
+    assert peers.live_near(0) == ["osu-1"]
+
+
+def test_exactly_one_instance_sends_to_a_cold_server():
+    names = ["osu-1", "osu-2", "tema-1", "tema-2"]
+    for server in ("i-1", "i-2", "i-3", "i-4"):
+        key = hash_key(server)
+        senders = [
+            own
+            for own in names
+            if peers_of(own, *(n for n in names if n != own)).is_sender(key, "osu", 0)
+        ]
+        assert len(senders) == 1
+        assert senders[0].startswith("osu")
+
+
+def test_a_data_centre_without_instances_is_served_by_one_of_the_others():
+    names = ["osu-1", "tema-1", "tema-2"]
+    key = hash_key("i-1")
+    senders = [
+        own
+        for own in names
+        if peers_of(own, *(n for n in names if n != own)).is_sender(key, "cali", 0)
+    ]
+    assert len(senders) == 1
+
+
+def test_one_peer_of_each_other_data_centre_relays():
+    peers = peers_of("osu-1", "osu-2", "tema-2", "tema-1", "cali-5")
+    assert [p.entry.instance for p in peers.far_first()] == ["cali-5", "tema-1"]
