--- /dev/null
+++ b/packages/sapphirerail-node/tests/steering/test_metrics.py
@@ -0,0 +1,19 @@
+from sapphirerail_node.steering.metrics import Histogram, SteeringMetrics
+
+
+def test_counters_and_histograms_are_exposed_as_text():
+    metrics = SteeringMetrics()
+    metrics.count("packets", "known_tag", 3)
+    metrics.observe("store", "servers", 4.0)
+    text = metrics.exposition().decode()
+    assert 'sapphirerail_packets_total{label="known_tag"} 3.0' in text
+    assert 'sapphirerail_store_servers_ms_bucket{le="5"} 1.0' in text
+    assert "sapphirerail_store_servers_ms_sum 4.0" in text
+
+
+def test_a_histogram_counts_up_to_each_bound():
+    histogram = Histogram()
+    for value_ms in (0.5, 1, 7, 9_000):
+        histogram.observe(value_ms)
+    counts = dict(histogram.cumulative())
+    assert (counts["1"], counts["10"], counts["+Inf"]) == (2, 3, 4)
