Play the platform's path with real processes around a stand-in store

A stand-in of the platform's store (leases, watches, conditions, its ways to fail), of a server and of a caller that speak packets, and 19 tests with real processes: kill, planned stop, removed route, drain, evacuation, silent server, store away in four ways, start without the store, lapsed entries, forgotten history, lost answers, malformed entries, settings changed with and without a signal, a frozen instance.

Found: figures were not served at all, as their library imports the TLS module that the start had taken away, and the HTTP server closed such a connection without a word. A handler's fault is now logged and answered with 500; both have a test.

--- a/packages/sapphirerail-node/src/sapphirerail_node/platform/__main__.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/platform/__main__.py
@@ -8,6 +8,9 @@
 
 import asyncio  # noqa: E402
 
+# What is imported later, by the first request for figures, may use it.
+del sys.modules["ssl"]
+
 from sapphirerail_core.errors import InputError  # noqa: E402
 
 from ..exit_code import ExitCode  # noqa: E402
--- a/packages/sapphirerail-node/src/sapphirerail_node/platform/settings.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/platform/settings.py
@@ -14,6 +14,8 @@
 __all__ = ["SETTINGS_VARIABLE", "read_settings"]
 
 SETTINGS_VARIABLE = "SAPPHIRERAIL_NODE_FILE"
+# The platform's file has no place for it; the deploy file sets both.
+METRICS_PORT_VARIABLE = "SAPPHIRERAIL_METRICS_PORT"
 
 
 class _Listen(msgspec.Struct, rename="camel"):
@@ -56,20 +58,25 @@
     try:
         with open(name, "rb") as file:
             table = tomllib.load(file)
-        return _translate(msgspec.convert(table, _File))
+        metrics_port = variables.get(METRICS_PORT_VARIABLE)
+        return _translate(
+            msgspec.convert(table, _File),
+            None if metrics_port is None else int(metrics_port),
+        )
     except OSError as error:
         raise InputError("settings.missing", f"{name}: {error.strerror}") from error
     except (ValueError, msgspec.MsgspecError) as error:
         raise InputError("settings.invalid", f"{name}: {error}") from error
 
 
-def _translate(file: _File) -> SteeringSettings:
+def _translate(file: _File, metrics_port: int | None) -> SteeringSettings:
     return SteeringSettings(
         instance=InstanceId(file.node_name),
         data_centre=DataCentreId(file.zone),
         packet_address=parse_address(file.listen.datagram_addr),
         ready_address=parse_address(file.listen.ready),
         state_address=parse_address(file.listen.control),
+        metrics_address=None if metrics_port is None else (file.ip, metrics_port),
         peer_address=(file.ip, file.internal_port_range[0]),
         store_address=parse_address(file.platform.address),
         seeds=_seeds(file.seeds),
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/application.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/application.py
@@ -101,7 +101,9 @@
             store, self.engine, self.peers, self.log, self.metrics
         )
         self._ready_server = HttpServer(self._answer_ready)
-        self._state_server = HttpServer(StateApi(self.engine, self.metrics).handle)
+        state_api = StateApi(self.engine, self.metrics)
+        self._state_server = HttpServer(state_api.handle)
+        self._metrics_server = HttpServer(state_api.handle_metrics)
         self._ticker = Ticker()
         self._stop = asyncio.Event()
 
@@ -144,6 +146,9 @@
         await self._ready_server.start(settings.ready_address)
         self.life.on_close("state", self._state_server.close)
         await self._state_server.start(settings.state_address)
+        if settings.metrics_address is not None:
+            self.life.on_close("metrics", self._metrics_server.close)
+            await self._metrics_server.start(settings.metrics_address)
         self.life.on_close("store", self.store.close)
         self.store.start()
         self._ticker.every(
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/settings.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/settings.py
@@ -23,6 +23,8 @@
         Answers whether it can take packets.
     state_address : Address
         Serves its state and figures to others.
+    metrics_address : Address or None
+        Serves its figures alone; None for no such socket.
     peer_address : Address
         Takes the messages of other instances.
     store_address : Address
@@ -38,6 +40,7 @@
     packet_address: Address
     ready_address: Address
     state_address: Address
+    metrics_address: Address | None
     peer_address: Address
     store_address: Address
     seeds: tuple[Address, ...]
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/state_api.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/state_api.py
@@ -31,11 +31,15 @@
         self._metrics = metrics
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
-        """Answer one request."""
+        """Answer a request for the state or the figures."""
         if request.path == STATE_PATH:
             return HttpResponse(self._snapshot())
+        return await self.handle_metrics(request)
+
+    async def handle_metrics(self, request: HttpRequest) -> HttpResponse:
+        """Answer a request for the figures."""
         if request.path == METRICS_PATH:
-            return HttpResponse(self._metrics.exposition().decode())
+            return HttpResponse(self._metrics.exposition())
         raise HttpError(404, "http.no_such_path", f"{request.path} does not exist")
 
     def _snapshot(self) -> StateSnapshot:
--- /dev/null
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/platform_store.py
@@ -0,0 +1,259 @@
+"""A stand-in of the platform's store: keys, leases, watches, and its ways to fail."""
+
+import asyncio
+import base64
+import contextlib
+from collections import deque
+from collections.abc import Iterable
+from enum import Enum
+
+import msgspec
+
+from sapphirerail_transport.http import (
+    HttpError,
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+)
+from sapphirerail_transport.udp import Address
+
+__all__ = ["PlatformStoreStandIn", "StoreFault"]
+
+N_HISTORY = 1_000
+PAGE_ITEMS = 500
+SILENCE_S = 60
+SLOW_MS = 300
+
+
+class StoreFault(Enum):
+    """How the store fails."""
+
+    NONE = "none"
+    SILENT = "silent"
+    BUSY = "busy"
+    MANY = "many"
+    SLOW = "slow"
+    LOST = "lost"
+
+
+class _Item(msgspec.Struct, rename="camel"):
+    key: str
+    value: str
+    revision: int
+    created_rev: int
+    lease: int = 0
+
+
+class _Event(msgspec.Struct):
+    key: str
+    revision: int
+    value: str = ""
+    deleted: bool = False
+
+
+class _Put(msgspec.Struct):
+    key: str
+    value: str
+    lease: int = 0
+
+
+class _Expected(msgspec.Struct):
+    key: str
+    revision: int
+
+
+class _Transaction(msgspec.Struct, rename="camel"):
+    expected_rev: list[_Expected] = []
+    puts: list[_Put] = []
+    remove: list[str] = []
+
+
+class _LeaseBody(msgspec.Struct, rename="camel"):
+    ttl_ms: int
+
+
+class PlatformStoreStandIn:
+    """The store in memory; serves HTTP, and tests write to it directly.
+
+    Attributes
+    ----------
+    fault : StoreFault
+        How calls fail now.
+    n_calls : int
+        Calls that arrived.
+    """
+
+    def __init__(self) -> None:
+        self.fault = StoreFault.NONE
+        self.n_calls = 0
+        self.revision = 1
+        self._items: dict[str, _Item] = {}
+        self._history: deque[_Event] = deque(maxlen=N_HISTORY)
+        self._forgotten_to = 0
+        self._leases: dict[int, tuple[float, int]] = {}
+        self._changed = asyncio.Condition()
+        self._server = HttpServer(self._handle)
+        self._timer: asyncio.Task[None] | None = None
+
+    async def start(self, address: Address) -> Address:
+        """Serve on an address and return the one that was bound."""
+        self._timer = asyncio.create_task(self._expire_leases())
+        return await self._server.start(address)
+
+    async def close(self) -> None:
+        """Stop serving."""
+        if self._timer is not None:
+            self._timer.cancel()
+        await self._server.close()
+
+    # What operators and servers do.
+
+    async def put(self, key: str, value: bytes | dict, lease: int = 0) -> None:
+        """Write a key as its owner would."""
+        raw = value if isinstance(value, bytes) else msgspec.json.encode(value)
+        self._put(key, base64.b64encode(raw).decode(), lease)
+        await self._notify()
+
+    async def remove(self, key: str) -> None:
+        """Delete a key; an absent one is no error."""
+        self._remove([key])
+        await self._notify()
+
+    async def forget_history(self) -> None:
+        """Drop the history that watches continue from, and cut them."""
+        self._forgotten_to = self.revision
+        self._history.clear()
+        await self._notify()
+
+    def keys(self, prefix: str) -> list[str]:
+        """Return the keys with a prefix."""
+        return sorted(key for key in self._items if key.startswith(prefix))
+
+    def _put(self, key: str, value: str, lease: int) -> None:
+        self.revision += 1
+        known = self._items.get(key)
+        created = self.revision if known is None else known.created_rev
+        self._items[key] = _Item(key, value, self.revision, created, lease)
+        self._history.append(_Event(key, self.revision, value))
+
+    def _remove(self, keys: Iterable[str]) -> None:
+        for key in keys:
+            if self._items.pop(key, None) is not None:
+                self.revision += 1
+                self._history.append(_Event(key, self.revision, deleted=True))
+
+    async def _notify(self) -> None:
+        async with self._changed:
+            self._changed.notify_all()
+
+    async def _expire_leases(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(0.05)
+            for lease, (until, _) in list(self._leases.items()):
+                if loop.time() > until:
+                    await self._end_lease(lease)
+
+    async def _end_lease(self, lease: int) -> None:
+        if self._leases.pop(lease, None) is None:
+            raise HttpError(404, "lease", "no such lease")
+        self._remove([k for k, item in self._items.items() if item.lease == lease])
+        await self._notify()
+
+    # Calls.
+
+    async def _handle(self, request: HttpRequest) -> HttpResponse:
+        self.n_calls += 1
+        if self.fault is StoreFault.SILENT:
+            await asyncio.sleep(SILENCE_S)
+        if self.fault is StoreFault.BUSY:
+            raise HttpError(503, "busy", "nothing was done")
+        if self.fault is StoreFault.MANY:
+            raise HttpError(429, "many", "too many calls")
+        if self.fault is StoreFault.SLOW:
+            await asyncio.sleep(SLOW_MS / 1000)
+        response = await self._answer(request)
+        if self.fault is StoreFault.LOST and request.method != "GET":
+            await asyncio.sleep(SILENCE_S)
+        return response
+
+    async def _answer(self, request: HttpRequest) -> HttpResponse:
+        name, _, rest = request.path.removeprefix("/").partition("/")
+        if name == "kv-range":
+            return self._range(request.query)
+        if name == "kv-watch":
+            return await self._watch(request.query)
+        if name == "kv-txn":
+            return await self._transact(request.json(_Transaction))
+        if name == "kv-lease":
+            return self._grant(request.json(_LeaseBody).ttl_ms)
+        if name == "kv-keep":
+            return self._keep(int(rest))
+        if name == "kv-lease-end":
+            await self._end_lease(int(rest))
+            return HttpResponse({})
+        raise HttpError(400, "path", f"{request.path} is not spoken here")
+
+    def _range(self, query: dict[str, str]) -> HttpResponse:
+        after = query.get("after", "")
+        keys = [key for key in self.keys(query["prefix"]) if key > after]
+        items = [self._items[key] for key in keys[:PAGE_ITEMS]]
+        return HttpResponse(
+            {
+                "items": items,
+                "hasMore": len(keys) > PAGE_ITEMS,
+                "storeRevision": self.revision,
+            }
+        )
+
+    async def _watch(self, query: dict[str, str]) -> HttpResponse:
+        after, prefix = int(query["after"]), query["prefix"]
+
+        def events() -> list[_Event]:
+            return [
+                event
+                for event in self._history
+                if event.revision > after and event.key.startswith(prefix)
+            ]
+
+        async with self._changed:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(
+                    self._changed.wait_for(
+                        lambda: bool(events()) or after < self._forgotten_to
+                    ),
+                    int(query["waitMs"]) / 1000,
+                )
+        if after < self._forgotten_to:
+            raise HttpError(410, "gone", "this history is forgotten")
+        return HttpResponse({"events": events(), "storeRevision": self.revision})
+
+    async def _transact(self, body: _Transaction) -> HttpResponse:
+        for row in body.expected_rev:
+            known = self._items.get(row.key)
+            if row.revision != (0 if known is None else known.revision):
+                raise HttpError(412, "condition", f"{row.key} has changed")
+        for put in body.puts:
+            if put.key.startswith(("op/", "servers/")):
+                raise HttpError(403, "forbidden", f"{put.key} is not yours")
+            if put.lease and put.lease not in self._leases:
+                raise HttpError(404, "lease", "no such lease")
+        for put in body.puts:
+            self._put(put.key, put.value, put.lease)
+        self._remove(body.remove)
+        await self._notify()
+        return HttpResponse({"revision": self.revision})
+
+    def _grant(self, ttl_ms: int) -> HttpResponse:
+        lease = 1_000 + self.n_calls
+        until = asyncio.get_running_loop().time() + ttl_ms / 1000
+        self._leases[lease] = (until, ttl_ms)
+        return HttpResponse({"lease": lease, "ttlMs": ttl_ms})
+
+    def _keep(self, lease: int) -> HttpResponse:
+        if lease not in self._leases:
+            raise HttpError(404, "lease", "no such lease")
+        _, ttl_ms = self._leases[lease]
+        until = asyncio.get_running_loop().time() + ttl_ms / 1000
+        self._leases[lease] = (until, ttl_ms)
+        return HttpResponse({"ttlMs": ttl_ms})
--- /dev/null
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/platform_system.py
@@ -0,0 +1,253 @@
+"""Entry instances as real processes on loopback, in front of stand-in servers."""
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from sapphirerail_transport.http import HttpClient, HttpError
+from sapphirerail_transport.udp import Address
+
+from .packet_peers import PacketCaller, PacketServer
+from .platform_store import PlatformStoreStandIn
+from .waiting import wait_until
+
+__all__ = ["ROUTE_HOST", "ROUTE_PORT", "EntryProcess", "PlatformSystem"]
+
+ROUTE_HOST = "198.18.0.1"
+ROUTE_PORT = 8443
+SERVICE = "bookings"
+DATA_CENTRE = "osu"
+STORE_HOST = "127.0.4.1"
+CALLER_HOST = "127.0.3.1"
+STATE_PATH = "/state"
+STOP_TIMEOUT_MS = 10_000
+
+_SETTINGS = """
+nodeName = "{name}"
+zone = "{data_centre}"
+ip = "{host}"
+internalPortRange = [{peer_port}, {peer_port}]
+seeds = [{seeds}]
+[listen]
+datagramAddr = "{host}:{packet_port}"
+ready = "{host}:{ready_port}"
+control = "{host}:{state_port}"
+[platform]
+address = "{store}"
+[bounds]
+graceS = 6
+"""
+
+
+def _free_port() -> int:
+    """Return a port that is free for both protocols on every loopback address."""
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
+        probe.bind(("0.0.0.0", 0))
+        return int(probe.getsockname()[1])
+
+
+class EntryProcess:
+    """One running entry instance."""
+
+    def __init__(self, name: str, host: str, settings: Path, log: Path) -> None:
+        self.name = name
+        self.host = host
+        self.settings = settings
+        self.log = log
+        self.process: asyncio.subprocess.Process | None = None
+
+    async def start(self) -> None:
+        """Start the process anew; its log goes on."""
+        with self.log.open("ab") as out:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "sapphirerail_node.platform",
+                stdout=out,
+                stderr=out,
+                env={**os.environ, "SAPPHIRERAIL_NODE_FILE": str(self.settings)},
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process."""
+        assert self.process is not None
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def wait(self) -> int:
+        """Wait for the end of the process and return its exit code."""
+        assert self.process is not None
+        return await asyncio.wait_for(self.process.wait(), STOP_TIMEOUT_MS / 1000)
+
+    def lines(self, message: str | None = None) -> list[dict[str, Any]]:
+        """Return the log's lines, or those of one message."""
+        found = []
+        for line in self.log.read_bytes().splitlines():
+            try:
+                record = msgspec.json.decode(line)
+            except msgspec.DecodeError:
+                continue
+            if message is None or record.get("message") == message:
+                found.append(record)
+        return found
+
+
+class PlatformSystem:
+    """A store, servers, callers and entry instances that a test drives.
+
+    Parameters
+    ----------
+    n_instances : int
+        Entry instances.
+    n_servers : int
+        Backend servers of the one service.
+    """
+
+    def __init__(self, n_instances: int = 2, n_servers: int = 2) -> None:
+        self.store = PlatformStoreStandIn()
+        self.servers: list[PacketServer] = []
+        self.instances: list[EntryProcess] = []
+        self.in_rotation: list[EntryProcess] = []
+        self._n_instances = n_instances
+        self._n_servers = n_servers
+        self._folder = tempfile.TemporaryDirectory(prefix="sapphirerail-")
+        self.packet_port = _free_port()
+        self._ready_port = _free_port()
+        self._state_port = _free_port()
+        self._peer_port = _free_port()
+        self.caller = PacketCaller(self._route)
+        self._addresses: dict[str, str] = {}
+
+    async def __aenter__(self) -> "PlatformSystem":
+        store = await self.store.start((STORE_HOST, 0))
+        await self.caller.start((CALLER_HOST, self.packet_port))
+        for number in range(1, self._n_servers + 1):
+            await self.add_server(number)
+        await self.configure(1)
+        for number in range(1, self._n_instances + 1):
+            self.instances.append(self._instance(number, store))
+        await asyncio.gather(*(entry.start() for entry in self.instances))
+        self.in_rotation = list(self.instances)
+        await wait_until("instances are ready", self.all_ready)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for entry in self.instances:
+            entry.send(signal.SIGCONT)
+            entry.send(signal.SIGKILL)
+        for entry in self.instances:
+            await entry.wait()
+        for server in self.servers:
+            server.close()
+        self.caller.close()
+        await self.store.close()
+        self._folder.cleanup()
+
+    def _instance(self, number: int, store: Address) -> EntryProcess:
+        name, host = f"{DATA_CENTRE}-{number}", f"127.0.1.{number}"
+        seeds = [
+            f'"127.0.1.{n}:{self._state_port}"' for n in range(1, self._n_instances + 1)
+        ]
+        settings = Path(self._folder.name) / f"{name}.toml"
+        settings.write_text(
+            _SETTINGS.format(
+                name=name,
+                data_centre=DATA_CENTRE,
+                host=host,
+                peer_port=self._peer_port,
+                packet_port=self.packet_port,
+                ready_port=self._ready_port,
+                state_port=self._state_port,
+                seeds=", ".join(seeds),
+                store=f"{store[0]}:{store[1]}",
+            )
+        )
+        return EntryProcess(name, host, settings, settings.with_suffix(".log"))
+
+    def _route(self, port: int) -> Address:
+        """Return the instance that gets a port's packets, as a router would."""
+        chosen = self.in_rotation[port % len(self.in_rotation)]
+        return chosen.host, self.packet_port
+
+    async def configure(self, version: int, *, has_route: bool = True) -> None:
+        """Write a configuration as operators do."""
+        route = {
+            "name": "feed",
+            "host": ROUTE_HOST,
+            "prefix": f"/{ROUTE_PORT}/",
+            "kind": "safe",
+            "service": SERVICE,
+        }
+        await self.store.put(
+            "op/config",
+            {
+                "version": version,
+                "routes": [route] if has_route else [],
+                "services": [{"name": SERVICE, "warmupS": 2.0, "warmupPerS": 0.0}],
+                "limits": {"idleTimeoutMs": 15_000},
+            },
+        )
+
+    async def add_server(self, number: int, **fields: object) -> PacketServer:
+        """Start a server and announce it."""
+        server = PacketServer(f"server-{number}", number, self.packet_port)
+        host, port = await server.start((f"127.0.2.{number}", 0))
+        self.servers.append(server)
+        self._addresses[server.name] = f"{host}:{port}"
+        await self.announce(server, **fields)
+        return server
+
+    async def announce(self, server: PacketServer, **fields: object) -> None:
+        """Write a server's entry, as it does itself."""
+        entry = {
+            "service": SERVICE,
+            "address": self._addresses[server.name],
+            "zone": DATA_CENTRE,
+            "version": "v1",
+            "slots": 2,
+            "state": "ready",
+            "warmupLeftMs": 0,
+            "seqNo": 1,
+            "born": int(time.time() * 1000) - 60_000,
+        }
+        key = f"servers/i-{server.identity:08x}"
+        await self.store.put(key, entry | fields)
+
+    async def withdraw(self, server: PacketServer) -> None:
+        """Delete a server's entry."""
+        await self.store.remove(f"servers/i-{server.identity:08x}")
+
+    async def is_ready(self, entry: EntryProcess) -> bool:
+        """Return whether an instance answers that it can take packets."""
+        client = HttpClient((entry.host, self._ready_port))
+        try:
+            await client.call("GET", "/readiness", timeout_ms=500)
+        except HttpError:
+            return False
+        return True
+
+    async def all_ready(self) -> bool:
+        """Return whether all instances are ready."""
+        return all([await self.is_ready(entry) for entry in self.instances])
+
+    async def state(self, entry: EntryProcess) -> dict[str, Any]:
+        """Return what an instance knows."""
+        client = HttpClient((entry.host, self._state_port))
+        return msgspec.json.decode(await client.call("GET", STATE_PATH))
+
+    async def figures(self, entry: EntryProcess) -> str:
+        """Return an instance's counters and histograms as text."""
+        client = HttpClient((entry.host, self._state_port))
+        return (await client.call("GET", "/metrics")).decode()
+
+    async def open(self) -> Any:
+        """Open a flow to the one route."""
+        return await self.caller.open(ROUTE_HOST, ROUTE_PORT)
--- a/packages/sapphirerail-transport/src/sapphirerail_transport/http.py
+++ b/packages/sapphirerail-transport/src/sapphirerail_transport/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import socket
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Any
@@ -28,6 +29,8 @@
     "HttpServer",
 ]
 
+_log = logging.getLogger(__name__)
+
 SIGNATURE_HEADER = "x-sapphirerail-signature"
 BODY_MAX_BYTES = 16 * 1024 * 1024
 READ_BYTES = 65536
@@ -68,7 +71,7 @@
 
 
 class HttpResponse(msgspec.Struct, frozen=True):
-    """An answer: a status and a value to encode as JSON."""
+    """An answer: a status, and a value to encode as JSON or bytes of plain text."""
 
     value: Any = None
     status: int = 200
@@ -195,6 +198,9 @@
             return _refusal(error)
         except SapphirerailError as error:
             return _refusal(HttpError(422, error.code, error.message))
+        except Exception:
+            _log.exception("a handler failed at %s", head.target.decode())
+            return _refusal(HttpError(500, "http.failed", "the handler failed"))
 
     def _check_signature(self, head: h11.Request, body: bytes) -> None:
         if self._signer is None:
@@ -216,9 +222,10 @@
 
 
 def _encode_response(connection: h11.Connection, response: HttpResponse) -> bytes:
-    body = msgspec.json.encode(response.value)
+    is_text = isinstance(response.value, bytes)
+    body = response.value if is_text else msgspec.json.encode(response.value)
     headers = [
-        ("content-type", "application/json"),
+        ("content-type", "text/plain" if is_text else "application/json"),
         ("content-length", str(len(body))),
     ]
     head = connection.send(h11.Response(status_code=response.status, headers=headers))
--- a/packages/sapphirerail-transport/tests/test_http.py
+++ b/packages/sapphirerail-transport/tests/test_http.py
@@ -17,6 +17,10 @@
         raise HttpError(409, "test.conflict", "always")
     if request.path == "/json":
         return HttpResponse(request.json(dict[str, int]))
+    if request.path == "/text":
+        return HttpResponse(b"plain")
+    if request.path == "/bug":
+        raise KeyError("a fault of the handler")
     return HttpResponse({"path": request.path, "query": request.query})
 
 
@@ -38,6 +42,17 @@
     assert _call("/a?b=c") == b'{"path":"/a","query":{"b":"c"}}'
 
 
+def test_bytes_are_answered_as_they_are():
+    assert _call("/text") == b"plain"
+
+
+def test_a_fault_of_the_handler_is_answered_and_logged(caplog):
+    with pytest.raises(HttpError) as caught:
+        _call("/bug")
+    assert (caught.value.status, caught.value.code) == (500, "http.failed")
+    assert "a fault of the handler" in caplog.text
+
+
 def test_signed_request_is_served():
     assert _call("/a", server_key="k", client_key="k")
 
--- /dev/null
+++ b/tests/test_platform_path.py
@@ -0,0 +1,283 @@
+"""Real entry processes on the platform's forms, with stand-ins around them."""
+
+import asyncio
+import signal
+
+import pytest
+
+from sapphirerail_standins.platform_store import StoreFault
+from sapphirerail_standins.platform_system import PlatformSystem
+from sapphirerail_standins.waiting import wait_until
+
+# What operators change is in force within this time.
+IN_FORCE_MS = 3_000
+
+
+def play(scenario, **sizes):
+    async def run():
+        async with PlatformSystem(**sizes) as system:
+            await scenario(system)
+
+    asyncio.run(run())
+
+
+async def ask_all(flows, text=b"hello"):
+    return await asyncio.gather(*(flow.ask(text) for flow in flows))
+
+
+async def refused(system) -> bool:
+    try:
+        await system.open()
+    except ConnectionResetError:
+        return True
+    return False
+
+
+def test_requests_of_many_flows_get_their_own_answers():
+    async def scenario(system):
+        flows = await asyncio.gather(*(system.open() for _ in range(40)))
+        answers = await ask_all(flows)
+        assert {answer.split(b":")[0] for answer in answers} == {
+            b"server-1",
+            b"server-2",
+        }
+        assert all(answer.endswith(b":hello") for answer in answers)
+        assert all(server.n_misdirected == 0 for server in system.servers)
+
+    play(scenario)
+
+
+def test_flows_go_on_through_another_instance_when_theirs_is_killed():
+    async def scenario(system):
+        flows = [await system.open() for _ in range(20)]
+        before = await ask_all(flows)
+        victim = system.instances[0]
+        victim.send(signal.SIGKILL)
+        system.in_rotation.remove(victim)
+        assert await ask_all(flows) == before
+        await victim.start()
+        await wait_until("back", lambda: system.is_ready(victim))
+        system.in_rotation = [victim]
+        assert await ask_all(flows) == before
+
+    play(scenario)
+
+
+def test_a_planned_stop_leaves_the_rotation_first_and_cuts_nothing():
+    async def scenario(system):
+        leaving = system.instances[0]
+        flows = [await system.open() for _ in range(20)]
+        before = await ask_all(flows)
+        leaving.send(signal.SIGTERM)
+        await asyncio.sleep(0.3)
+        assert not await system.is_ready(leaving)
+        # Routers notice later; until then it still forwards.
+        assert await ask_all(flows) == before
+        system.in_rotation.remove(leaving)
+        assert await leaving.wait() == 0
+        assert await ask_all(flows) == before
+        assert system.store.keys("sapphirerail/instances/") == [
+            "sapphirerail/instances/osu-2"
+        ]
+
+    play(scenario)
+
+
+def test_a_removed_route_is_refused_in_time_and_never_comes_back():
+    async def scenario(system):
+        flow = await system.open()
+        await system.configure(5, has_route=False)
+        await wait_until("refused", lambda: refused(system), IN_FORCE_MS)
+        with pytest.raises(ConnectionResetError):
+            await flow.ask(b"x")
+        await system.configure(4, has_route=True)
+        await asyncio.sleep(1.0)
+        assert await refused(system)
+
+    play(scenario)
+
+
+def test_a_draining_server_keeps_its_flows_and_gets_no_new_ones():
+    async def scenario(system):
+        leaving = system.servers[0]
+        flows = [await system.open() for _ in range(20)]
+        before = await ask_all(flows)
+        await system.announce(leaving, state="draining")
+        await asyncio.sleep(IN_FORCE_MS / 1000)
+        n_openings = leaving.n_openings
+        later = [await system.open() for _ in range(20)]
+        await ask_all(later)
+        assert leaving.n_openings == n_openings
+        assert await ask_all(flows) == before
+
+    play(scenario)
+
+
+def test_an_evacuated_data_centre_gets_no_new_flow_until_it_is_back():
+    async def scenario(system):
+        await system.store.put("op/evacuate/osu", {})
+        await wait_until("refused", lambda: refused(system), IN_FORCE_MS)
+        await system.store.remove("op/evacuate/osu")
+
+        async def is_open():
+            return not await refused(system)
+
+        await wait_until("open again", is_open, IN_FORCE_MS)
+
+    play(scenario)
+
+
+def test_a_silent_server_costs_new_flows_a_moment_only():
+    async def scenario(system):
+        system.servers[0].is_silent = True
+        flows = [await asyncio.wait_for(system.open(), 0.2) for _ in range(20)]
+        answers = await ask_all(flows)
+        assert {answer.split(b":")[0] for answer in answers} == {b"server-2"}
+
+    play(scenario)
+
+
+@pytest.mark.parametrize(
+    "fault", [StoreFault.SILENT, StoreFault.BUSY, StoreFault.MANY, StoreFault.SLOW]
+)
+def test_without_the_store_flows_open_and_go_on(fault):
+    async def scenario(system):
+        flows = [await system.open() for _ in range(10)]
+        before = await ask_all(flows)
+        system.store.fault = fault
+        await asyncio.sleep(2.5)
+        assert await ask_all(flows) == before
+        await ask_all([await system.open() for _ in range(10)])
+        system.store.fault = StoreFault.NONE
+        await system.configure(9, has_route=False)
+        await wait_until("refused", lambda: refused(system), IN_FORCE_MS)
+
+    play(scenario)
+
+
+def test_an_instance_that_starts_without_the_store_asks_the_others():
+    async def scenario(system):
+        flows = [await system.open() for _ in range(10)]
+        before = await ask_all(flows)
+        system.store.fault = StoreFault.BUSY
+        victim = system.instances[0]
+        victim.send(signal.SIGKILL)
+        await victim.wait()
+        await victim.start()
+        await wait_until("ready", lambda: system.is_ready(victim), IN_FORCE_MS)
+        system.in_rotation = [victim]
+        assert await ask_all(flows) == before
+
+    play(scenario)
+
+
+def test_entries_that_lapse_with_the_store_away_cost_no_flow():
+    async def scenario(system):
+        flows = [await system.open() for _ in range(10)]
+        before = await ask_all(flows)
+        system.store.fault = StoreFault.BUSY
+        await asyncio.sleep(2.5)
+        for server in system.servers:
+            await system.withdraw(server)
+        system.store.fault = StoreFault.NONE
+        await asyncio.sleep(1.5)
+        assert await ask_all(flows) == before
+        for server in system.servers:
+            await system.announce(server)
+        await asyncio.sleep(1.0)
+        assert await ask_all(flows) == before
+
+    play(scenario)
+
+
+def test_a_forgotten_history_hides_no_change():
+    async def scenario(system):
+        await system.store.forget_history()
+        await system.configure(7, has_route=False)
+        await system.store.forget_history()
+        await wait_until("refused", lambda: refused(system), IN_FORCE_MS)
+
+    play(scenario)
+
+
+def test_a_registration_whose_answer_was_lost_is_made_again():
+    async def scenario(system):
+        system.store.fault = StoreFault.LOST
+        system.instances[0].send(signal.SIGKILL)
+        await system.instances[0].wait()
+        await system.instances[0].start()
+        await wait_until("ready", lambda: system.is_ready(system.instances[0]))
+        system.store.fault = StoreFault.NONE
+
+        def both() -> bool:
+            return len(system.store.keys("sapphirerail/instances/")) == 2
+
+        await wait_until("registered", both)
+        await ask_all([await system.open() for _ in range(4)])
+
+    play(scenario)
+
+
+def test_malformed_entries_are_skipped_and_the_others_hold():
+    async def scenario(system):
+        await system.store.put("servers/i-zz", b"\xff\x00 not an entry")
+        await system.store.put("servers/i-00000077", {"service": 7})
+        await system.store.put("op/note", b"[")
+        await asyncio.sleep(1.0)
+        await ask_all([await system.open() for _ in range(10)])
+        for entry in system.instances:
+            state = await system.state(entry)
+            assert len(state["servers"]) == 2
+
+    play(scenario)
+
+
+def test_changed_settings_are_noticed_with_and_without_a_signal():
+    async def scenario(system):
+        entry = system.instances[0]
+        text = entry.settings.read_text()
+        entry.settings.write_text(text.replace("graceS = 6", "graceS = 5"))
+        entry.send(signal.SIGHUP)
+        await wait_until("reloaded", lambda: bool(entry.lines("reloaded")), 1_500)
+        entry.settings.write_text("broken = [")
+        await wait_until("refused", lambda: bool(entry.lines("reload_refused")))
+        entry.settings.write_text(text)
+        await wait_until("reloaded", lambda: len(entry.lines("reloaded")) >= 2)
+        await ask_all([await system.open() for _ in range(4)])
+
+    play(scenario)
+
+
+def test_logs_and_figures_tell_what_was_done_with_a_flow():
+    async def scenario(system):
+        flow = await system.open()
+        await flow.ask(b"x")
+        openings = [
+            line for entry in system.instances for line in entry.lines("flow_opening")
+        ]
+        (opening,) = openings
+        assert opening["reason"] == "new_flow"
+        assert opening["configuration"] == 1
+        assert opening["directory_age_ms"] < IN_FORCE_MS
+        figures = [await system.figures(entry) for entry in system.instances]
+        assert any('label="new_flow"' in text for text in figures)
+
+    play(scenario)
+
+
+def test_a_frozen_instance_goes_on_where_it_was():
+    async def scenario(system):
+        flows = [await system.open() for _ in range(10)]
+        before = await ask_all(flows)
+        frozen = system.instances[0]
+        frozen.send(signal.SIGSTOP)
+        system.in_rotation.remove(frozen)
+        await system.configure(3)
+        await asyncio.sleep(1.5)
+        assert await ask_all(flows) == before
+        frozen.send(signal.SIGCONT)
+        await wait_until("ready", lambda: system.is_ready(frozen))
+        system.in_rotation = [frozen]
+        assert await ask_all(flows) == before
+
+    play(scenario)
