--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/store_service.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/store_service.py
@@ -80,25 +80,32 @@
 
     def start(self) -> None:
         """Start all loops."""
+        self._staying = asyncio.create_task(self._stay_registered())
+        self._tasks.append(self._staying)
         for loop in (
             self._refresh_servers,
             self._follow_operators,
-            self._stay_registered,
             self._list_instances,
         ):
             self._tasks.append(asyncio.create_task(loop()))
 
+    def leave(self) -> None:
+        """End the registration in the background; everything else goes on."""
+        if self._staying is not None:
+            self._staying.cancel()
+        if self._registration is not None:
+            self._tasks.append(asyncio.create_task(self._unregister()))
+
     async def close(self) -> None:
-        """Stop all loops and end the registration."""
+        """Stop all loops."""
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        if self._registration is not None:
-            with contextlib.suppress(StoreCallError):
-                # The lease runs out by itself if the store cannot be reached.
-                await self._call(
-                    "unregister", self.store.unregister, self._registration
-                )
+
+    async def _unregister(self) -> None:
+        with contextlib.suppress(StoreCallError):
+            # The lease runs out by itself if the store cannot be reached.
+            await self._call("unregister", self.store.unregister, self._registration)
 
     def is_reader(self) -> bool:
         """Return whether this instance reads the store for others."""
