Refuse at once what only dead servers could take, and restart watches after an outage

They are reset at once now, and dead servers that callers wait for are probed every 250 ms. (2) The 30 s watch: the test of a silent store failed once the watch was that long, as a watch that began in the outage waits for good. Whoever sees the store again, or hears of a reader that does, reads the operators' state anew. (3) An instance that restarts while its data centre is cut off knew the seeds only; it now asks the peers that it hears (test without seeds).

--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/choice.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/choice.py
@@ -56,7 +56,7 @@
     def pick(
         self, service: ServiceId, tried: Sequence[KnownServer], now_ms: int
     ) -> KnownServer | None:
-        """Return the server for an opening and count it; None if none may get it.
+        """Return the server for an opening; None if none may get it now.
 
         Parameters
         ----------
@@ -67,25 +67,23 @@
         now_ms : int
             Time of the opening.
         """
-        usable = [
-            server
-            for server in self._directory.of_service(service)
-            if not self._routes.is_out(server.entry.data_centre)
-        ]
-        fresh = [server for server in usable if server not in tried]
+        usable = self.usable(service)
+        alive = [server for server in usable if not server.is_dead(now_ms)]
+        fresh = [server for server in alive if server not in tried]
         answering = [server for server in fresh if not server.is_avoided(now_ms)]
-        for candidates in (answering, fresh, usable):
+        for candidates in (answering, fresh, alive):
             found = self._least(candidates, now_ms)
             if found is not None:
                 return found
         return None
 
-    def has_usable(self, service: ServiceId) -> bool:
-        """Return whether a service has any server that may get flows, if not cold."""
-        return any(
-            not self._routes.is_out(server.entry.data_centre)
+    def usable(self, service: ServiceId) -> list[KnownServer]:
+        """Return the servers of a service that may get flows, dead or cold or not."""
+        return [
+            server
             for server in self._directory.of_service(service)
-        )
+            if not self._routes.is_out(server.entry.data_centre)
+        ]
 
     def _least(
         self, candidates: Iterable[KnownServer], now_ms: int
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/config.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/config.py
@@ -17,6 +17,8 @@
         How often one opening is repeated by the instance.
     probe_ms, probe_max_ms : int
         First and longest wait before a dead server is probed again.
+    probe_hurried_ms : int
+        Wait before the next probe while callers are refused for want of a server.
     probe_timeout_ms : int
         Time in which a probe must connect; a hundred round trips between data centres.
     probe_repeat_ms : int
@@ -61,6 +63,7 @@
     n_opening_repeats: int = 2
     probe_ms: int = 1_000
     probe_max_ms: int = 2_000
+    probe_hurried_ms: int = 250
     probe_timeout_ms: int = 250
     probe_repeat_ms: int = 100
     retransmission_ms: int = 150
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ..types import DataCentreId
+from ..types import DataCentreId, ServiceId
 from .actions import Action, Drop, Forward, Open, Reset
 from .choice import Choice
 from .config import SteeringConfig
@@ -163,14 +163,23 @@
         service = pick_service(route, self._rng)
         server = self.choice.pick(service, (), now_ms)
         if server is None:
-            is_cold = self.choice.has_usable(service)
-            return Reset(Reason.SERVERS_COLD if is_cold else Reason.NO_SERVER)
+            return Reset(self._why_refused(service, now_ms))
         flow = Flow(server, packet.sequence, now_ms)
         flow.is_repeatable = route.kind is RequestKind.SAFE
         self.flows.add(packet.flow, flow)
         self._await(packet, flow, 0, now_ms)
         return Open(server, Reason.NEW_FLOW)
 
+    def _why_refused(self, service: ServiceId, now_ms: int) -> Reason:
+        usable = self.choice.usable(service)
+        if not usable:
+            return Reason.NO_SERVER
+        if any(not server.is_dead(now_ms) for server in usable):
+            return Reason.SERVERS_COLD
+        for server in usable:
+            server.hurry_probe()
+        return Reason.SERVERS_DEAD
+
     def _on_repeated_opening(
         self, packet: Packet, flow: Flow, route: Route, now_ms: int
     ) -> Action:
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/events.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/events.py
@@ -37,6 +37,7 @@
     ROUTE_REMOVED = "route_removed"
     NO_SERVER = "no_server"
     SERVERS_COLD = "servers_cold"
+    SERVERS_DEAD = "servers_dead"
     NO_TAG = "no_tag"
     UNKNOWN_TAG = "unknown_tag"
     UNCONFIRMED_TAG = "unconfirmed_tag"
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/server_state.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/server_state.py
@@ -40,6 +40,7 @@
     __slots__ = (
         "_config",
         "_n_failed_probes",
+        "_probe_ended_ms",
         "_probe_at_ms",
         "_silent_since_ms",
         "cold_until_ms",
@@ -77,6 +78,7 @@
         self._silent_since_ms = 0
         self._probe_at_ms = 0
         self._n_failed_probes = 0
+        self._probe_ended_ms = 0
 
     def update(self, entry: ServerEntry, now_ms: int) -> None:
         """Take in a newer announcement of the same incarnation."""
@@ -151,6 +153,7 @@
             The new state if it changed.
         """
         self.is_probed = False
+        self._probe_ended_ms = now_ms
         if self.health is Health.ANSWERING:
             return None
         if is_reached:
@@ -166,6 +169,11 @@
         self.health = Health.DEAD
         return Health.DEAD
 
+    def hurry_probe(self) -> None:
+        """Have a dead server probed soon, as callers wait for it."""
+        soon_ms = self._probe_ended_ms + self._config.probe_hurried_ms
+        self._probe_at_ms = min(self._probe_at_ms, soon_ms)
+
     def _recover(self) -> None:
         self.health = Health.ANSWERING
         self._n_failed_probes = 0
--- a/packages/sapphirerail-core/tests/steering/test_engine.py
+++ b/packages/sapphirerail-core/tests/steering/test_engine.py
@@ -228,6 +228,16 @@
     assert fleet.send(packet, "osu-2") == Reset(Reason.SERVER_DEAD)
 
 
+def test_what_only_dead_servers_could_take_is_refused_at_once(fleet):
+    dead_server(fleet)
+    assert fleet.send(opening(80, HOLD)) == Reset(Reason.SERVERS_DEAD)
+    # Callers wait, so the next probe does not.
+    fleet.advance(CONFIG.probe_hurried_ms)
+    (server,) = fleet.engine.take_probes(fleet.now_ms)
+    fleet.engine.on_probe(server, True, fleet.now_ms)
+    assert isinstance(fleet.send(opening(81, HOLD)), Open)
+
+
 def test_a_dead_server_elsewhere_has_its_neighbours_probed_at_once(fleet):
     far = [server_entry(n, data_centre="tema") for n in (4, 5, 6)]
     near = [server_entry(n) for n in (1, 2)]
@@ -267,10 +277,9 @@
 def test_a_server_that_answers_again_gets_its_flows_back(fleet):
     tag = dead_server(fleet)
     fleet.engine.take_events()
-    fleet.advance(500)
-    fleet.send(opening(9))
-    fleet.advance(7)
-    fleet.send(later_packet(9, tag))
+    fleet.advance(CONFIG.probe_ms)
+    (server,) = fleet.engine.take_probes(fleet.now_ms)
+    fleet.engine.on_probe(server, True, fleet.now_ms)
     beliefs = [event.belief for event in fleet.engine.take_events()]
     assert Belief.SERVER_RECOVERED in beliefs
     packet = later_packet(1, tag, sequence=2_000, n_data_bytes=10)
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/application.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/application.py
@@ -20,7 +20,7 @@
     HttpResponse,
     HttpServer,
 )
-from sapphirerail_transport.udp import format_address
+from sapphirerail_transport.udp import Address, format_address, parse_address
 
 from ..clock import monotonic_ms
 from ..exit_code import ExitCode
@@ -170,15 +170,24 @@
         """Ask other instances for the state while the store has not answered."""
         while not self.engine.is_ready() and not self._stop.is_set():
             await self._await_ready()
-            for seed in self.settings.seeds:
+            for address in self._state_addresses():
                 if self.engine.is_ready():
                     break
-                if seed != self.settings.state_address:
-                    await self._fetch(seed)
+                await self._fetch(address)
         self.packets.log_events()
         if self.engine.is_ready():
             self.log.write(LogClass.LIFE, "ready", after_ms=self._age_ms())
 
+    def _state_addresses(self) -> list[Address]:
+        """Return where the state can be asked for: peers that were heard, and seeds."""
+        own = self.settings.state_address
+        # Ports are the same on all machines.
+        near = [
+            (parse_address(peer.entry.address)[0], own[1])
+            for peer in self.engine.peers.near()
+        ]
+        return [a for a in dict.fromkeys((*near, *self.settings.seeds)) if a != own]
+
     async def _await_ready(self) -> None:
         """Wait for the store's first answers, but not for long."""
         for _ in range(SNAPSHOT_RETRY_MS // READY_CHECK_MS):
@@ -186,14 +195,14 @@
                 return
             await asyncio.sleep(READY_CHECK_MS / 1000)
 
-    async def _fetch(self, seed: tuple[str, int]) -> None:
+    async def _fetch(self, address: Address) -> None:
         try:
-            snapshot = await fetch_snapshot(seed)
+            snapshot = await fetch_snapshot(address)
         except HttpError as error:
             self.log.write(
                 LogClass.LIFE,
                 "snapshot_failed",
-                seed=format_address(seed),
+                address=format_address(address),
                 code=error.code,
                 why=error.message,
             )
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/peer_service.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/peer_service.py
@@ -27,6 +27,8 @@
 # Updates after a change that carry all entries, so that one lost datagram costs none
 # of the receivers a read of its own.
 N_FULL_UPDATES = 3
+# Differences in what two readers saw of the store's failures; outages last seconds.
+OUTAGE_MS = 500
 
 
 class PeerService:
@@ -136,11 +138,16 @@
             if message.store_revision >= self._engine.refresh.store_revision:
                 self._engine.refresh.want()
             return
-        is_newer = self._engine.refresh.on_update(
+        refresh = self._engine.refresh
+        steady_before_ms = refresh.steady_ms(now_ms)
+        is_newer = refresh.on_update(
             message.store_revision, message.age_ms, message.steady_ms, now_ms
         )
         if not is_newer:
             return
+        if refresh.steady_ms(now_ms) < steady_before_ms - OUTAGE_MS:
+            # The store was away, and a watch that began then may wait for good.
+            self.on_behind.set()
         entries = message.entries
         if entries is None:
             entries = self._engine.directory.entries
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/store_service.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/store_service.py
@@ -144,6 +144,8 @@
         if self._lost_at_ms is not None:
             away_ms = monotonic_ms() - self._lost_at_ms
             self._lost_at_ms = None
+            # A watch that began in the outage may wait for good.
+            self._peers.on_behind.set()
             self._log.write(LogClass.LIFE, "store_regained", call=name, away_ms=away_ms)
 
     async def _refresh_servers(self) -> None:
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/platform_system.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/platform_system.py
@@ -137,6 +137,7 @@
         await asyncio.gather(*(entry.start() for entry in self.instances))
         self.in_rotation = list(self.instances)
         await wait_until("instances are ready", self.all_ready)
+        await wait_until("instances know each other", self._all_known)
         return self
 
     async def __aexit__(self, *_: object) -> None:
@@ -238,6 +239,10 @@
         """Return whether all instances are ready."""
         return all([await self.is_ready(entry) for entry in self.instances])
 
+    async def _all_known(self) -> bool:
+        states = [await self.state(entry) for entry in self.instances]
+        return all(len(s["instances"]) == len(self.instances) for s in states)
+
     async def state(self, entry: EntryProcess) -> dict[str, Any]:
         """Return what an instance knows."""
         client = HttpClient((entry.host, self._state_port))
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -171,6 +171,25 @@
     play(scenario)
 
 
+def test_without_seeds_an_instance_asks_those_that_it_hears():
+    async def scenario(system):
+        flows = [await system.open() for _ in range(10)]
+        before = await ask_all(flows)
+        system.store.fault = StoreFault.BUSY
+        victim = system.instances[0]
+        victim.send(signal.SIGKILL)
+        await victim.wait()
+        text = victim.settings.read_text()
+        lines = [line for line in text.splitlines() if not line.startswith("seeds")]
+        victim.settings.write_text("\n".join(lines))
+        await victim.start()
+        await wait_until("ready", lambda: system.is_ready(victim), IN_FORCE_MS)
+        system.in_rotation = [victim]
+        assert await ask_all(flows) == before
+
+    play(scenario)
+
+
 def test_entries_that_lapse_with_the_store_away_cost_no_flow():
     async def scenario(system):
         flows = [await system.open() for _ in range(10)]
