--- a/packages/sapphirerail-cli/src/sapphirerail_cli/fleet_commands.py
+++ b/packages/sapphirerail-cli/src/sapphirerail_cli/fleet_commands.py
@@ -7,6 +7,7 @@
 from sapphirerail_core.errors import InputError
 from sapphirerail_core.explain import Query
 from sapphirerail_core.explain import render as render_explanation
+from sapphirerail_core.log_story import read_log, render_story, tell
 from sapphirerail_core.types import InstanceId, Revision
 
 from . import render
@@ -17,6 +18,7 @@
 __all__ = ["debug", "explain", "status", "wait"]
 
 DEFAULT_TIMEOUT_S = 30.0
+LOG_SUBJECT = "log"
 
 
 def status(platform: PlatformOption = "", json: JsonOption = False) -> None:
@@ -45,14 +47,28 @@
 
 
 def explain(
-    subject: Annotated[str, typer.Argument(help="flow, request, server or revision.")],
+    subject: Annotated[
+        str, typer.Argument(help="flow, request, server or revision; or log.")
+    ],
     identifier: Annotated[
-        str, typer.Argument(metavar="ID", help="Its number, FLOW/REQUEST, or name.")
+        str,
+        typer.Argument(
+            metavar="ID", help="Its number, FLOW/REQUEST, or name; a log's path or -."
+        ),
     ],
     platform: PlatformOption = "",
     json: JsonOption = False,
+    flow: Annotated[
+        str | None, typer.Option("--flow", help="With log: a part of a flow's name.")
+    ] = None,
+    server: Annotated[
+        str | None, typer.Option("--server", help="With log: a server's name.")
+    ] = None,
 ) -> None:
     """Tell what was decided about something, where, when, and for which reason."""
+    if subject == LOG_SUBJECT:
+        _explain_log(identifier, flow, server, json)
+        return
     try:
         query = Query.from_text(subject, identifier)
     except InputError as error:
@@ -63,6 +79,20 @@
     typer.echo(render.as_json(found) if json else render_explanation(found))
 
 
+def _explain_log(path: str, flow: str | None, server: str | None, json: bool) -> None:
+    """Tell what decision logs say of a flow or a server."""
+    if (flow is None) == (server is None):
+        typer.echo("explain.one_subject: give either --flow or --server", err=True)
+        raise typer.Exit(ExitCode.USAGE)
+    try:
+        with typer.open_file(path, encoding="utf-8", errors="replace") as file:
+            story = tell(read_log(file), flow=flow, server=server)
+    except OSError as error:
+        typer.echo(f"explain.no_log: {path}: {error.strerror}", err=True)
+        raise typer.Exit(ExitCode.USAGE) from error
+    typer.echo(render.as_json(story) if json else render_story(story))
+
+
 def debug(
     instance: Annotated[str, typer.Argument(metavar="INSTANCE", help="Its name.")],
     platform: PlatformOption = "",
--- a/packages/sapphirerail-cli/tests/test_fleet_commands.py
+++ b/packages/sapphirerail-cli/tests/test_fleet_commands.py
@@ -121,3 +121,29 @@
         assert "i0, i1" in result.stderr
 
     play(scenario)
+
+
+LOG_LINE = (
+    '{"time": "2026-12-04 14:00:01,000", "mono_ms": 1, "instance": "osu-1", '
+    '"message": "flow_reset", "class": "flow", "flow": "a:1>b:2", '
+    '"reason": "no_route"}'
+)
+
+
+def test_explain_reads_decision_logs_from_a_file_or_standard_input(tmp_path):
+    path = tmp_path / "osu-1.log"
+    path.write_text(LOG_LINE)
+    run = CliRunner().invoke
+    told = run(command, ["explain", "log", str(path), "--flow", "a:1"])
+    assert told.exit_code == ExitCode.OK
+    assert "cause: the configuration in force has no route" in told.stdout
+    piped = run(command, ["explain", "log", "-", "--flow", "a:1"], input=LOG_LINE)
+    assert piped.stdout == told.stdout
+
+
+@pytest.mark.parametrize(
+    "arguments", [[], ["--flow", "a", "--server", "b"], ["--flow", "a"]]
+)
+def test_explain_of_logs_refuses_what_it_cannot_use(arguments):
+    result = CliRunner().invoke(command, ["explain", "log", "/no/log", *arguments])
+    assert result.exit_code == ExitCode.USAGE
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/log_story.py
@@ -0,0 +1,214 @@
+"""What the decision logs of many instances say of one flow or server, in order."""
+
+import statistics
+from collections.abc import Iterable, Sequence
+from datetime import UTC, datetime
+from typing import Any
+
+import msgspec
+
+__all__ = ["LogLine", "Story", "read_log", "render_story", "tell"]
+
+# Beliefs of an instance that are shown beside its decisions on a flow.
+BELIEF_WINDOW_MS = 5_000
+# Fields that every line has; the rest are the inputs of its decision.
+_COMMON = frozenset(
+    {"time", "level", "message", "instance", "class", "mono_ms", "flow", "reason"}
+)
+_TIME_FORM = "%Y-%m-%d %H:%M:%S,%f"
+
+CAUSES = {
+    "no_configuration": "the instance had no configuration yet",
+    "no_route": "the configuration in force has no route for this address",
+    "route_removed": "the configuration in force has removed the route",
+    "no_server": "no server of the service may get flows: none is announced, or its "
+    "data centre is out",
+    "servers_cold": "only cold servers are left, and they had what they bear",
+    "servers_dead": "probes show that no server of the service can be reached",
+    "server_departed": "the server's entry is gone, and it was not lost in an outage",
+    "server_dead": "probes show that the server of the flow cannot be reached",
+    "unknown_tag": "no server has the flow's tag, by a read later than the packet",
+    "unconfirmed_tag": "the flow's tag is not known yet; a read was asked for",
+    "no_tag": "the caller has not learned a server yet",
+    "unanswered_opening": "the server before did not answer in time, so another one "
+    "got the opening",
+}
+
+
+class LogLine(msgspec.Struct, frozen=True):
+    """One line of a decision log.
+
+    Parameters
+    ----------
+    at_ms : float
+        Unix time, by the instance's monotonic clock and the usual offset of its wall
+        clock, so that a wall clock that jumps does not reorder lines.
+    instance : str
+        Who wrote it.
+    message : str
+        Name of the decision or belief.
+    fields : dict of str to object
+        All fields of the line.
+    """
+
+    at_ms: float
+    instance: str
+    message: str
+    fields: dict[str, Any]
+
+
+class Story(msgspec.Struct, frozen=True):
+    """The lines that bear on a subject, and the cause that the last decision names."""
+
+    lines: tuple[LogLine, ...]
+    cause: str | None
+    n_left_out: int
+
+
+def read_log(lines: Iterable[str]) -> list[LogLine]:
+    """Return the lines of any number of instances in the order of their times.
+
+    Parameters
+    ----------
+    lines : iterable of str
+        Lines of logs, in the order in which each instance wrote them; what precedes a
+        line's first brace is ignored, and so are lines that hold no JSON object.
+
+    Returns
+    -------
+    list of LogLine
+        Ordered by corrected time.
+    """
+    decoded: dict[tuple[str, int], list[dict[str, Any]]] = {}
+    runs: dict[str, int] = {}
+    for line in lines:
+        fields = _decode(line)
+        if fields is None:
+            continue
+        instance = str(fields["instance"])
+        if fields["message"] == "started":
+            runs[instance] = runs.get(instance, 0) + 1
+        decoded.setdefault((instance, runs.get(instance, 0)), []).append(fields)
+    found = [line for run in decoded.values() for line in _correct(run)]
+    return sorted(found, key=lambda line: line.at_ms)
+
+
+def _decode(line: str) -> dict[str, Any] | None:
+    begin = line.find("{")
+    if begin < 0:
+        return None
+    try:
+        fields = msgspec.json.decode(line[begin:])
+    except msgspec.DecodeError:
+        return None
+    needed = {"time", "instance", "message", "mono_ms"}
+    if not isinstance(fields, dict) or not needed <= fields.keys():
+        return None
+    return fields
+
+
+def _correct(run: list[dict[str, Any]]) -> list[LogLine]:
+    """Return the lines of one process by its monotonic clock."""
+    offset_ms = statistics.median(
+        _wall_ms(fields["time"]) - fields["mono_ms"] for fields in run
+    )
+    return [
+        LogLine(
+            at_ms=fields["mono_ms"] + offset_ms,
+            instance=fields["instance"],
+            message=fields["message"],
+            fields=fields,
+        )
+        for fields in run
+    ]
+
+
+def _wall_ms(text: str) -> float:
+    return datetime.strptime(text, _TIME_FORM).replace(tzinfo=UTC).timestamp() * 1000
+
+
+def tell(
+    lines: Sequence[LogLine], *, flow: str | None = None, server: str | None = None
+) -> Story:
+    """Return what bears on a flow or a server.
+
+    Parameters
+    ----------
+    lines : sequence of LogLine
+        Logs in order, as from `read_log`.
+    flow : str or None
+        Part of a flow's name, such as ``100.64.0.7:40001``.
+    server : str or None
+        Name of a server.
+
+    Returns
+    -------
+    Story
+        The decisions, the beliefs about the servers involved that the deciding
+        instances came to shortly before, and the cause.
+
+    Examples
+    --------
+    >>> line = LogLine(1.0, "osu-1", "flow_reset", {"flow": "a:1>b:2", "reason":
+    ... "no_route"})
+    >>> tell([line], flow="a:1").cause
+    'the configuration in force has no route for this address'
+    """
+    decisions = [line for line in lines if _is_about(line, flow, server)]
+    servers = {str(d.fields["server"]) for d in decisions if "server" in d.fields}
+    beliefs = [
+        line
+        for line in lines
+        if line not in decisions
+        and any(_explains(line, decision, servers) for decision in decisions)
+    ]
+    told = sorted((*decisions, *beliefs), key=lambda line: line.at_ms)
+    n_left_out = sum(int(line.fields.get("n_left_out", 0)) for line in told)
+    return Story(tuple(told), _cause(decisions), n_left_out)
+
+
+def _is_about(line: LogLine, flow: str | None, server: str | None) -> bool:
+    if flow is not None:
+        return flow in str(line.fields.get("flow", ""))
+    return server in (line.fields.get("server"), line.fields.get("subject"))
+
+
+def _explains(line: LogLine, decision: LogLine, servers: set[str]) -> bool:
+    if line.instance != decision.instance:
+        return False
+    if not 0 <= decision.at_ms - line.at_ms <= BELIEF_WINDOW_MS:
+        return False
+    if line.fields.get("class") == "life":
+        return True
+    return str(line.fields.get("subject")) in servers
+
+
+def _cause(decisions: Sequence[LogLine]) -> str | None:
+    for line in reversed(decisions):
+        cause = CAUSES.get(str(line.fields.get("reason")))
+        if cause is not None:
+            return cause
+    return None
+
+
+def render_story(story: Story) -> str:
+    """Return a story as text, one decision a line."""
+    if not story.lines:
+        return "no line bears on it; was the log of its instance given?"
+    begin_ms = story.lines[0].at_ms
+    rows = [_row(line, begin_ms) for line in story.lines]
+    if story.n_left_out:
+        rows.append(f"{story.n_left_out} lines were left out by the bound of the log")
+    rows.append(f"cause: {story.cause or 'none of the lines refuses or resets it'}")
+    return "\n".join(rows)
+
+
+def _row(line: LogLine, begin_ms: float) -> str:
+    inputs = [
+        f"{name}={value}"
+        for name, value in line.fields.items()
+        if name not in _COMMON and name != "data_centre"
+    ]
+    what = str(line.fields.get("reason", ""))
+    head = f"{line.at_ms - begin_ms:+9.0f} ms  {line.instance}  {line.message}"
+    return " ".join(part for part in (head, what, *inputs) if part)
--- /dev/null
+++ b/packages/sapphirerail-core/tests/test_log_story.py
@@ -0,0 +1,94 @@
+import json
+
+from sapphirerail_core.log_story import read_log, render_story, tell
+
+
+def line(second, mono_ms, instance, message, **fields):
+    time = f"2026-12-04 14:00:{second:06.3f}".replace(".", ",")
+    return json.dumps(
+        {"time": time, "mono_ms": mono_ms, "instance": instance, "message": message}
+        | {"class": "flow"}
+        | fields
+    )
+
+
+def test_lines_of_instances_are_merged_by_time():
+    lines = read_log(
+        [
+            line(5, 5_000, "a", "flow_opening", flow="x"),
+            line(4, 90_000, "b", "flow_opening", flow="x"),
+            line(6, 92_000, "b", "flow_reset", flow="x"),
+        ]
+    )
+    assert [(entry.instance, entry.message) for entry in lines] == [
+        ("b", "flow_opening"),
+        ("a", "flow_opening"),
+        ("b", "flow_reset"),
+    ]
+
+
+def test_a_wall_clock_that_jumps_does_not_reorder_lines():
+    jumped = [line(s, 1_000 * s, "a", f"m{s}") for s in (1, 2, 3, 4)]
+    jumped[2] = line(33, 3_000, "a", "m3")
+    assert [entry.message for entry in read_log(jumped)] == ["m1", "m2", "m3", "m4"]
+
+
+def test_a_restart_begins_a_new_clock():
+    lines = read_log(
+        [
+            line(1, 800_000, "a", "started"),
+            line(2, 801_000, "a", "m1"),
+            line(8, 10, "a", "started"),
+            line(9, 1_010, "a", "m2"),
+        ]
+    )
+    assert [entry.message for entry in lines] == ["started", "m1", "started", "m2"]
+
+
+def test_text_around_lines_and_other_text_are_ignored():
+    lines = read_log(
+        ["  1.02 front-a " + line(1, 1, "a", "m"), "Traceback", "{broken", "{}", ""]
+    )
+    assert [entry.message for entry in lines] == ["m"]
+
+
+def test_a_reset_is_told_with_the_beliefs_that_led_to_it():
+    lines = read_log(
+        [
+            line(1, 1_000, "a", "flow_opening", flow="c:1>s:2", server="i-1"),
+            line(2, 2_000, "a", "server_dead", subject="i-1", silence_ms=300).replace(
+                '"class": "flow"', '"class": "belief"'
+            ),
+            line(2, 2_000, "b", "server_dead", subject="i-1"),
+            line(2.2, 2_200, "a", "server_dead", subject="i-9"),
+            line(2.5, 2_500, "a", "flow_reset", flow="c:1>s:2", reason="server_dead"),
+            line(2.6, 2_600, "a", "flow_reset", flow="c:9>s:2", reason="no_route"),
+        ]
+    )
+    story = tell(lines, flow="c:1>")
+    assert [entry.message for entry in story.lines] == [
+        "flow_opening",
+        "server_dead",
+        "flow_reset",
+    ]
+    assert "cannot be reached" in story.cause
+    text = render_story(story)
+    assert "silence_ms=300" in text
+    assert text.splitlines()[-1].startswith("cause: probes show")
+
+
+def test_a_server_is_told_by_its_beliefs_and_its_openings():
+    lines = read_log(
+        [
+            line(1, 1_000, "a", "server_added", subject="i-1"),
+            line(2, 2_000, "a", "flow_opening", flow="f", server="i-1"),
+            line(3, 3_000, "a", "server_added", subject="i-2"),
+        ]
+    )
+    story = tell(lines, server="i-1")
+    assert [entry.message for entry in story.lines] == ["server_added", "flow_opening"]
+    assert story.cause is None
+
+
+def test_what_is_not_in_the_logs_is_said():
+    assert "no line bears on it" in render_story(tell([], flow="x"))
--- a/packages/sapphirerail-transport/src/sapphirerail_transport/http.py
+++ b/packages/sapphirerail-transport/src/sapphirerail_transport/http.py
@@ -198,6 +198,9 @@
             return _refusal(error)
         except SapphirerailError as error:
             return _refusal(HttpError(422, error.code, error.message))
+        except ConnectionError:
+            # The handler cuts the connection on purpose.
+            raise
         except Exception:
             _log.exception("a handler failed at %s", head.target.decode())
             return _refusal(HttpError(500, "http.failed", "the handler failed"))
