Bound the reads that unknown tags ask for

Cause: found by reading: each packet with a tag that was never seen asked for a read of the store at once, so a sender of random tags could have had it read 250 times a second.

--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/refresh.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/refresh.py
@@ -18,6 +18,8 @@
         Added for each rank within the data centre.
     max_ms : int
         Longest age before any instance reads; below the 3 s of a drain.
+    wanted_ms : int
+        Least time between two reads, however much a read is wanted.
     retry_ms, retry_max_ms : int
         First and longest wait after a failed read.
     """
@@ -26,6 +28,7 @@
     data_centre_step_ms: int = 250
     rank_step_ms: int = 250
     max_ms: int = 1_600
+    wanted_ms: int = 200
     retry_ms: int = 200
     retry_max_ms: int = 1_000
 
@@ -46,7 +49,7 @@
     """
 
     def __init__(self, config: RefreshConfig, now_ms: int) -> None:
-        self._config = config
+        self.config = config
         self._read_at_ms: int | None = None
         self._steady_since_ms = now_ms
         self._failed_at_ms: int | None = None
@@ -72,7 +75,7 @@
 
     def delay_ms(self, data_centre_rank: int, rank: int) -> int:
         """Return the age at which an instance of a rank reads."""
-        config = self._config
+        config = self.config
         delay_ms = (
             config.interval_ms
             + config.data_centre_step_ms * min(data_centre_rank, 1)
@@ -84,13 +87,16 @@
         """Return the time until this instance should read; 0 for now."""
         if self._failed_at_ms is not None:
             backoff_ms = min(
-                self._config.retry_ms << min(self._n_failures - 1, 8),
-                self._config.retry_max_ms,
+                self.config.retry_ms << min(self._n_failures - 1, 8),
+                self.config.retry_max_ms,
             )
             return max(0, self._failed_at_ms + backoff_ms - now_ms)
-        if self._is_wanted or self._read_at_ms is None:
+        if self._read_at_ms is None:
             return 0
-        due_ms = self._read_at_ms + self.delay_ms(data_centre_rank, rank)
+        delay_ms = self.delay_ms(data_centre_rank, rank)
+        if self._is_wanted:
+            delay_ms = self.config.wanted_ms
+        due_ms = self._read_at_ms + delay_ms
         return max(0, due_ms - now_ms)
 
     def want(self) -> None:
