Hold packets until the state is read, and name the server and peer behind a reset

Before both are read nothing is refused now. (2) Packets that came while a process imported its modules were lost, and callers repeat an opening only after 200 ms. The socket is bound first and read once the state is there. (3) sapphirerail explain could not tell why a flow was reset by a peer's proof: resets name the server now, and the peer's proof is a belief of its own.

--- a/packages/sapphirerail-core/src/sapphirerail_core/log_story.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/log_story.py
@@ -18,7 +18,7 @@
 _TIME_FORM = "%Y-%m-%d %H:%M:%S,%f"
 
 CAUSES = {
-    "no_configuration": "the instance had no configuration yet",
+    "not_ready": "the instance had read no configuration or no servers yet",
     "no_route": "the configuration in force has no route for this address",
     "route_removed": "the configuration in force has removed the route",
     "no_server": "no server of the service may get flows: none is announced, or its "
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/actions.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/actions.py
@@ -22,9 +22,10 @@
 
 
 class Reset(msgspec.Struct, gc=False):
-    """Tell the caller that the flow has ended."""
+    """Tell the caller that the flow has ended; names its server if it is known."""
 
     reason: Reason
+    server: KnownServer | None = None
 
 
 class Drop(msgspec.Struct, gc=False):
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
@@ -117,8 +117,8 @@
             server = self.directory.by_tag(load.tag)
             if server is None:
                 continue
-            if load.silence_ms:
-                server.on_peer_silence(load.silence_ms, now_ms, is_dead=load.is_dead)
+            if load.is_dead and server.on_peer_death(load.silence_ms, now_ms):
+                self._note_peer_death(server, report, load)
         self._sum_peer_loads(now_ms)
 
     def report_loads(self, now_ms: int) -> tuple[ServerLoad, ...]:
@@ -144,13 +144,13 @@
 
     def on_packet(self, packet: Packet, now_ms: int) -> Action:
         """Return what is to be done with a caller's packet."""
+        if not self.is_ready():
+            return Drop(Reason.NOT_READY)
         if packet.is_opening:
             return self._on_opening(packet, now_ms)
         return self._on_later_packet(packet, now_ms)
 
     def _on_opening(self, packet: Packet, now_ms: int) -> Action:
-        if self.routes.state.configuration is None:
-            return Drop(Reason.NO_CONFIGURATION)
         route = self.routes.route(packet.destination)
         if route is None:
             return Reset(Reason.NO_ROUTE)
@@ -252,10 +252,10 @@
         departed_ms = server.departed_at_ms
         if departed_ms is not None:
             if now_ms - departed_ms >= self.config.departed_grace_ms:
-                return Reset(Reason.SERVER_DEPARTED)
+                return Reset(Reason.SERVER_DEPARTED, server)
         elif flow.is_repeatable and server.is_dead(now_ms):
             # A caller that may repeat its request gains the rest of its deadline.
-            return Reset(Reason.SERVER_DEAD)
+            return Reset(Reason.SERVER_DEAD, server)
         return Forward(server)
 
     def _on_unknown_tag(self, packet: Packet, now_ms: int) -> Action:
@@ -371,6 +371,16 @@
             if server is not dead:
                 self._on_silence(server, since_ms, now_ms)
 
+    def _note_peer_death(
+        self, server: KnownServer, report: LoadReport, load: ServerLoad
+    ) -> None:
+        detail: dict[str, object] = {
+            "peer": report.sender.instance,
+            "silence_ms": load.silence_ms,
+        }
+        name = server.entry.server
+        self._events.append(Event(Belief.SERVER_DEAD_BY_PEER, name, detail))
+
     def _note(
         self, belief: Belief, server: KnownServer, silence_ms: int, now_ms: int
     ) -> None:
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/events.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/events.py
@@ -21,6 +21,7 @@
     SERVER_DEPARTED = "server_departed"
     SERVER_SUSPECTED = "server_suspected"
     SERVER_DEAD = "server_dead"
+    SERVER_DEAD_BY_PEER = "server_dead_by_peer"
     SERVER_RECOVERED = "server_recovered"
     TAG_COLLISION = "tag_collision"
 
@@ -32,7 +33,7 @@
     REPEATED_OPENING = "repeated_opening"
     UNANSWERED_OPENING = "unanswered_opening"
     KNOWN_TAG = "known_tag"
-    NO_CONFIGURATION = "no_configuration"
+    NOT_READY = "not_ready"
     NO_ROUTE = "no_route"
     ROUTE_REMOVED = "route_removed"
     NO_SERVER = "no_server"
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/server_state.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/server_state.py
@@ -54,7 +54,7 @@
         "n_in_flight",
         "peer_dead_since_ms",
         "peer_load",
-        "peer_suspected_at_ms",
+        "peer_told_at_ms",
         "progress_at_ms",
         "tag",
     )
@@ -71,7 +71,7 @@
         self.n_in_flight = 0
         self.peer_load = 0.0
         self.peer_dead_since_ms = _NEVER_MS
-        self.peer_suspected_at_ms = _NEVER_MS
+        self.peer_told_at_ms = _NEVER_MS
         self.progress_at_ms = _NEVER_MS
         self.is_probed = False
         self._config = config
@@ -94,19 +94,15 @@
         """Return whether new flows go elsewhere if they can."""
         if self.health is not Health.ANSWERING:
             return True
-        return self._is_suspected_by_peer(now_ms)
+        return self.is_dead(now_ms)
 
     def is_dead(self, now_ms: int) -> bool:
         """Return whether the server is dead, by own evidence or by a live peer's."""
         if self.health is Health.DEAD:
             return True
-        is_told = self.peer_dead_since_ms > self.progress_at_ms
-        return is_told and self._is_suspected_by_peer(now_ms)
-
-    def _is_suspected_by_peer(self, now_ms: int) -> bool:
-        if self.progress_at_ms >= self.peer_suspected_at_ms:
+        if self.progress_at_ms >= self.peer_dead_since_ms:
             return False
-        return now_ms - self.peer_suspected_at_ms < self._config.peer_suspicion_ms
+        return now_ms - self.peer_told_at_ms < self._config.peer_suspicion_ms
 
     def on_progress(self, since_ms: int, now_ms: int) -> bool:
         """Take in an answer to something that was sent at a time.
@@ -178,11 +174,18 @@
         self.health = Health.ANSWERING
         self._n_failed_probes = 0
 
-    def on_peer_silence(self, silence_ms: int, now_ms: int, *, is_dead: bool) -> None:
-        """Take in that a peer of the own data centre finds the server silent."""
-        if is_dead:
-            self.peer_suspected_at_ms = now_ms
-            self.peer_dead_since_ms = now_ms - silence_ms
+    def on_peer_death(self, silence_ms: int, now_ms: int) -> bool:
+        """Take in that a peer of the own data centre has found the server dead.
+
+        Returns
+        -------
+        bool
+            Whether the server counts as dead from now on and did not before.
+        """
+        was_dead = self.is_dead(now_ms)
+        self.peer_told_at_ms = now_ms
+        self.peer_dead_since_ms = now_ms - silence_ms
+        return not was_dead and self.is_dead(now_ms)
 
     def silence_ms(self, now_ms: int) -> int:
         """Return for how long the server has been silent; 0 if it answers."""
--- a/packages/sapphirerail-core/tests/steering/test_engine.py
+++ b/packages/sapphirerail-core/tests/steering/test_engine.py
@@ -28,6 +28,11 @@
 CONFIG = SteeringConfig()
 
 
+def why_reset(action) -> Reason:
+    assert isinstance(action, Reset), action
+    return action.reason
+
+
 def test_an_opening_is_marked_with_the_tag_of_a_server_of_its_service(fleet):
     action = fleet.send(opening(1))
     assert isinstance(action, Open)
@@ -49,8 +54,14 @@
     assert fleet.send(opening(1, 77 << 16)) == Reset(Reason.NO_ROUTE)
 
 
-def test_without_a_configuration_nothing_is_refused():
-    assert SteeringFleet().send(opening(1)) == Drop(Reason.NO_CONFIGURATION)
+def test_before_configuration_and_servers_are_read_nothing_is_refused():
+    fleet = SteeringFleet()
+    assert fleet.send(opening(1)) == Drop(Reason.NOT_READY)
+    # Found by a day on which an instance came back: it refused for want of servers.
+    fleet.configure()
+    assert fleet.send(opening(1)) == Drop(Reason.NOT_READY)
+    fleet.announce(server_entry(1))
+    assert isinstance(fleet.send(opening(1)), Open)
 
 
 def test_without_a_server_an_opening_is_refused_at_once(fleet):
@@ -172,7 +183,7 @@
 def test_flows_of_a_dead_server_are_given_back_if_they_may_be_repeated(fleet):
     tag = dead_server(fleet)
     packet = later_packet(1, tag, sequence=2_000, n_data_bytes=10)
-    assert fleet.send(packet) == Reset(Reason.SERVER_DEAD)
+    assert why_reset(fleet.send(packet)) is Reason.SERVER_DEAD
 
 
 def test_flows_that_must_not_be_repeated_are_left_to_their_server(fleet):
@@ -225,7 +236,7 @@
     assert fleet.engine.has_urgent_report
     fleet.exchange_reports()
     packet = later_packet(5, tag, sequence=2_000, n_data_bytes=10)
-    assert fleet.send(packet, "osu-2") == Reset(Reason.SERVER_DEAD)
+    assert why_reset(fleet.send(packet, "osu-2")) is Reason.SERVER_DEAD
 
 
 def test_what_only_dead_servers_could_take_is_refused_at_once(fleet):
@@ -238,6 +249,15 @@
     assert isinstance(fleet.send(opening(81, HOLD)), Open)
 
 
+def test_a_peers_suspicion_alone_moves_nothing():
+    fleet = SteeringFleet({"osu-1": "osu", "osu-2": "osu"})
+    fleet.configure()
+    suspect_server(fleet)
+    fleet.exchange_reports()
+    (server,) = fleet.engines["osu-2"].directory.servers()
+    assert not server.is_avoided(fleet.now_ms)
+
+
 def test_a_dead_server_elsewhere_has_its_neighbours_probed_at_once(fleet):
     far = [server_entry(n, data_centre="tema") for n in (4, 5, 6)]
     near = [server_entry(n) for n in (1, 2)]
@@ -291,7 +311,7 @@
     fleet.announce()
     assert isinstance(fleet.send(later_packet(1, tag)), Forward)
     fleet.advance(CONFIG.departed_grace_ms)
-    assert fleet.send(later_packet(1, tag)) == Reset(Reason.SERVER_DEPARTED)
+    assert why_reset(fleet.send(later_packet(1, tag))) is Reason.SERVER_DEPARTED
 
 
 def test_a_tag_that_the_directory_does_not_have_yet_is_not_reset(fleet):
--- a/packages/sapphirerail-core/tests/steering/test_server_state.py
+++ b/packages/sapphirerail-core/tests/steering/test_server_state.py
@@ -96,17 +96,12 @@
     assert not server.is_dead(1_400)
 
 
-def test_a_peers_suspicion_alone_moves_nothing():
-    server = answering_server()
-    server.on_peer_silence(300, 2_000, is_dead=False)
-    assert not server.is_avoided(2_000)
-
-
 def test_a_peers_proof_of_death_counts_until_own_progress_or_for_a_while():
     server = answering_server()
-    server.on_peer_silence(1_200, 2_000, is_dead=True)
+    assert not server.on_peer_death(1_200, 2_000)
     assert not server.is_dead(2_000)
-    server.on_peer_silence(300, 2_000, is_dead=True)
+    assert server.on_peer_death(300, 2_000)
+    assert not server.on_peer_death(300, 2_000)
     assert server.is_dead(2_000)
     assert server.is_avoided(2_000)
     assert not server.is_dead(2_000 + CONFIG.peer_suspicion_ms)
--- a/packages/sapphirerail-node/src/sapphirerail_node/platform/__main__.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/platform/__main__.py
@@ -1,7 +1,26 @@
 """Starts an entry instance on the users' platform."""
 
+import os
+import socket
 import sys
 
+# Address and port for callers' packets, as the deploy file passes it on.
+PACKET_ADDRESS_VARIABLE = "SAPPHIRERAIL_PACKET_ADDRESS"
+
+
+def _bind_early() -> socket.socket | None:
+    """Bind the socket for packets; what arrives during the imports waits in it."""
+    host, _, port = os.environ.get(PACKET_ADDRESS_VARIABLE, "").rpartition(":")
+    if not host:
+        return None
+    bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    bound.setblocking(False)
+    bound.bind((host, int(port)))
+    return bound
+
+
+_packet_socket = _bind_early()
+
 # asyncio works without TLS, which this platform does not use; its library would be
 # a fifth of the process's memory.
 sys.modules["ssl"] = None  # type: ignore[assignment]
@@ -27,6 +46,7 @@
         PlatformPacketCodec(settings.packet_address[1]),
         HttpPlatformStore(settings.store_address),
         read_settings,
+        _packet_socket,
     )
     return await application.run()
 
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/application.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/application.py
@@ -3,6 +3,7 @@
 import asyncio
 import gc
 import signal
+import socket
 import time
 from collections.abc import Callable
 
@@ -20,7 +21,12 @@
     HttpResponse,
     HttpServer,
 )
-from sapphirerail_transport.udp import Address, format_address, parse_address
+from sapphirerail_transport.udp import (
+    Address,
+    bind_datagram,
+    format_address,
+    parse_address,
+)
 
 from ..clock import monotonic_ms
 from ..exit_code import ExitCode
@@ -65,6 +71,8 @@
         The platform's store.
     read_settings : callable
         Reads the settings again; raises `InputError` if they cannot be used.
+    packet_socket : socket.socket or None
+        Bound to the address for packets already; None has one bound at the start.
     """
 
     def __init__(
@@ -73,8 +81,10 @@
         codec: PacketCodec,
         store: PlatformStore,
         read_settings: SettingsReader,
+        packet_socket: socket.socket | None = None,
     ) -> None:
         self.settings = settings
+        self._packet_socket = packet_socket
         self._read_settings = read_settings
         self.life = LifeCycle()
         self.metrics = SteeringMetrics()
@@ -114,9 +124,10 @@
         codec: PacketCodec,
         store: PlatformStore,
         read_settings: SettingsReader,
+        packet_socket: socket.socket | None = None,
     ) -> "SteeringApplication":
         """Return an application that is not started yet."""
-        return cls(settings, codec, store, read_settings)
+        return cls(settings, codec, store, read_settings, packet_socket)
 
     async def run(self) -> ExitCode:
         """Serve until a signal asks to stop."""
@@ -139,7 +150,8 @@
     async def _start(self) -> None:
         settings = self.settings
         self.life.on_close("packets", self.packets.close)
-        await self.packets.open(settings.packet_address)
+        bound = self._packet_socket or bind_datagram(settings.packet_address)
+        self.packets.bind(bound)
         self.life.on_close("peers", self.peers.close)
         await self.peers.open(settings.peer_address)
         self.life.on_close("readiness", self._ready_server.close)
@@ -170,10 +182,14 @@
         """Ask other instances for the state while the store has not answered."""
         while not self.engine.is_ready() and not self._stop.is_set():
             await self._await_ready()
+            if not self.engine.is_ready():
+                # Older packets are of no use to anyone.
+                self.packets.read()
             for address in self._state_addresses():
                 if self.engine.is_ready():
                     break
                 await self._fetch(address)
+        self.packets.read()
         self.packets.log_events()
         if self.engine.is_ready():
             self.log.write(LogClass.LIFE, "ready", after_ms=self._age_ms())
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/packet_service.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/packet_service.py
@@ -1,6 +1,7 @@
 """The socket towards callers and backend servers, and what the engine decides."""
 
 import asyncio
+import socket
 from collections.abc import Callable
 from functools import singledispatchmethod
 
@@ -52,6 +53,7 @@
         self._codec = codec
         self._log = log
         self._metrics = metrics
+        self._bound: socket.socket | None = None
         self._socket: UdpSocket | None = None
         self._repeat_timer: asyncio.TimerHandle | None = None
         self.on_urgent_report: Callable[[], None] | None = None
@@ -59,9 +61,14 @@
         self.last_packet_ms = 0
         self.n_forwarded = 0
 
-    async def open(self, address: Address) -> None:
-        """Start to take packets."""
-        self._socket = await UdpSocket.bind(address, self._on_datagram)
+    def bind(self, bound: socket.socket) -> None:
+        """Take over a bound socket; packets wait in it until they are read."""
+        self._bound = bound
+
+    def read(self) -> None:
+        """Start to read packets, if this was not done before."""
+        if self._socket is None and self._bound is not None:
+            self._socket = UdpSocket(self._bound, self._on_datagram)
 
     async def close(self) -> None:
         """Stop taking packets."""
@@ -72,6 +79,8 @@
         await asyncio.gather(*self._probes, return_exceptions=True)
         if self._socket is not None:
             self._socket.close()
+        elif self._bound is not None:
+            self._bound.close()
 
     def log_events(self) -> None:
         """Write, and tell peers, what the engine came to believe."""
@@ -158,7 +167,9 @@
     @_carry_out.register
     def _(self, action: Reset, packet: Packet) -> None:
         self._send(*self._codec.reset(packet))
-        self._note("flow_reset", action.reason, packet)
+        server = action.server
+        fields = {} if server is None else {"server": server.entry.server}
+        self._note("flow_reset", action.reason, packet, **fields)
 
     @_carry_out.register
     def _(self, action: Drop, packet: Packet) -> None:
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/platform_system.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/platform_system.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from sapphirerail_transport.http import HttpClient, HttpError
-from sapphirerail_transport.udp import Address
+from sapphirerail_transport.udp import Address, format_address
 
 from .packet_peers import PacketCaller, PacketServer
 from .platform_store import PlatformStoreStandIn
@@ -57,9 +57,12 @@
 class EntryProcess:
     """One running entry instance."""
 
-    def __init__(self, name: str, host: str, settings: Path, log: Path) -> None:
+    def __init__(
+        self, name: str, packet_address: Address, settings: Path, log: Path
+    ) -> None:
         self.name = name
-        self.host = host
+        self.host = packet_address[0]
+        self._packet_address = packet_address
         self.settings = settings
         self.log = log
         self.process: asyncio.subprocess.Process | None = None
@@ -73,7 +76,11 @@
                 "sapphirerail_node.platform",
                 stdout=out,
                 stderr=out,
-                env={**os.environ, "SAPPHIRERAIL_NODE_FILE": str(self.settings)},
+                env={
+                    **os.environ,
+                    "SAPPHIRERAIL_NODE_FILE": str(self.settings),
+                    "SAPPHIRERAIL_PACKET_ADDRESS": format_address(self._packet_address),
+                },
             )
 
     def send(self, number: signal.Signals) -> None:
@@ -171,7 +178,8 @@
                 store=f"{store[0]}:{store[1]}",
             )
         )
-        return EntryProcess(name, host, settings, settings.with_suffix(".log"))
+        address = (host, self.packet_port)
+        return EntryProcess(name, address, settings, settings.with_suffix(".log"))
 
     def _route(self, port: int) -> Address:
         """Return the instance that gets a port's packets, as a router would."""
--- a/packages/sapphirerail-transport/src/sapphirerail_transport/udp.py
+++ b/packages/sapphirerail-transport/src/sapphirerail_transport/udp.py
@@ -4,7 +4,13 @@
 import socket
 from collections.abc import Callable
 
-__all__ = ["Address", "UdpSocket", "format_address", "parse_address"]
+__all__ = [
+    "Address",
+    "UdpSocket",
+    "bind_datagram",
+    "format_address",
+    "parse_address",
+]
 
 Address = tuple[str, int]
 
@@ -33,6 +39,18 @@
     return f"{address[0]}:{address[1]}"
 
 
+def bind_datagram(address: Address) -> socket.socket:
+    """Return a datagram socket that is bound and does not block."""
+    bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    bound.setblocking(False)
+    try:
+        bound.bind(address)
+    except OSError:
+        bound.close()
+        raise
+    return bound
+
+
 class UdpSocket:
     """Calls back for each datagram; sending never blocks.
 
@@ -57,14 +75,7 @@
         cls, address: Address, on_datagram: Callable[[bytes, Address], None]
     ) -> "UdpSocket":
         """Open a socket on an address; port 0 takes a free one."""
-        bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        bound.setblocking(False)
-        try:
-            bound.bind(address)
-        except OSError:
-            bound.close()
-            raise
-        return cls(bound, on_datagram)
+        return cls(bind_datagram(address), on_datagram)
 
     @property
     def address(self) -> Address:
