Bench the platform's data path against a plain forwarder

Construction by position, an unpacking that skips what no decision reads, no call where a comparison says that nothing changed; and the bench's flows keep their server, as real ones do (they had moved with every packet, which costs two counters).

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -24,6 +24,7 @@
     "requests",
     "peer_traffic",
     "limits",
+    "steering_path",
 )
 KNOWN_RED_PATH = Path(__file__).parent.parent / "KNOWN-RED.txt"
 ENTRY_PREFIX = "figure: "
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/directory.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/directory.py
@@ -25,7 +25,7 @@
         self._config = config
         self._servers: dict[ServerId, KnownServer] = {}
         self._by_service: dict[ServiceId, list[KnownServer]] = {}
-        self._by_tag: dict[ServerTag, KnownServer] = {}
+        self._by_tag: dict[int, KnownServer] = {}
         self.entries: tuple[ServerEntry, ...] = ()
 
     def servers(self) -> Iterable[KnownServer]:
@@ -46,7 +46,7 @@
 
     def by_tag(self, tag: int) -> KnownServer | None:
         """Return the server of a tag, departed ones included."""
-        return self._by_tag.get(ServerTag(tag))
+        return self._by_tag.get(tag)
 
     def apply(
         self, entries: Iterable[ServerEntry], steady_ms: int, now_ms: int
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
@@ -82,6 +82,8 @@
         self._unknown_tags: dict[int, int] = {}
         self._events: list[Event] = []
         self.has_urgent_report = False
+        # What was read once stays known, so that this never turns back.
+        self._is_ready = False
 
     @classmethod
     def from_config(
@@ -94,8 +96,10 @@
 
     def is_ready(self) -> bool:
         """Return whether packets can be steered."""
-        has_configuration = self.routes.state.configuration is not None
-        return has_configuration and self.refresh.read_at_ms() is not None
+        if not self._is_ready:
+            has_configuration = self.routes.state.configuration is not None
+            self._is_ready = has_configuration and self.refresh.read_at_ms() is not None
+        return self._is_ready
 
     def apply_operator_state(self, state: OperatorState, now_ms: int) -> None:
         """Take in what operators wrote."""
@@ -144,7 +148,7 @@
 
     def on_packet(self, packet: Packet, now_ms: int) -> Action:
         """Return what is to be done with a caller's packet."""
-        if not self.is_ready():
+        if not (self._is_ready or self.is_ready()):
             return Drop(Reason.NOT_READY)
         if packet.is_opening:
             return self._on_opening(packet, now_ms)
@@ -282,8 +286,10 @@
         flow.seen_at_ms = now_ms
         if not flow.is_open:
             self._on_opened(flow, server, packet.acknowledged, now_ms)
-        self.flows.move(flow, server)
-        self._observe_answer(packet, flow, now_ms)
+        if flow.server is not server:
+            self.flows.move(flow, server)
+        if packet.acknowledged != flow.acknowledged:
+            self._observe_answer(packet, flow, now_ms)
         if packet.n_data_bytes:
             self._observe_data(packet, flow, now_ms)
         if packet.is_finish or packet.is_reset:
@@ -329,6 +335,9 @@
             self._on_silence(flow.server, flow.sent_at_ms, now_ms)
 
     def _on_progress(self, server: KnownServer, since_ms: int, now_ms: int) -> None:
+        if server.health is Health.ANSWERING:
+            server.progress_at_ms = now_ms
+            return
         silence_ms = server.silence_ms(now_ms)
         if server.on_progress(since_ms, now_ms):
             self._note(Belief.SERVER_RECOVERED, server, silence_ms, now_ms)
--- a/packages/sapphirerail-node/src/sapphirerail_node/platform/packets.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/platform/packets.py
@@ -2,6 +2,7 @@
 
 import struct
 from functools import lru_cache
+from typing import cast
 
 from sapphirerail_core.errors import InputError
 from sapphirerail_core.steering.model import ServerEntry
@@ -17,6 +18,8 @@
 _FIN = 64
 # flags, pad, echo, dst, sport, dport, src, len, seq, ack, sum
 _HEAD = struct.Struct("<BBIIHHIHIII")
+# The same without pad, sport, src and sum, which no decision needs.
+_READ = struct.Struct("<BxII2xH4xHII4x")
 _ECHO = struct.Struct("<I")
 _ECHO_AT = 2
 # dst, sport, dport and src stand side by side and name the flow.
@@ -50,24 +53,23 @@
         if len(datagram) < _HEAD.size:
             raise InputError("packet.short", f"{len(datagram)} bytes are no head")
         # `echo` is the server's tag.
-        flags, _, echo, dst, _, dport, _, length, seq, ack, _ = _HEAD.unpack_from(
-            datagram
-        )
+        flags, echo, dst, dport, length, seq, ack = _READ.unpack_from(datagram)
         if len(datagram) != _HEAD.size + length:
             raise InputError(
                 "packet.length", f"{len(datagram)} bytes, {length} of data"
             )
+        # By position, which is twice as fast on this path as by name.
         return Packet(
-            flow=FlowKey(datagram[_ENDS]),
-            destination=ServiceAddress(dst << 16 | dport),
-            is_opening=flags & (_SYN | _ACK) == _SYN,
-            is_finish=bool(flags & _FIN),
-            is_reset=bool(flags & _RST),
-            tag=echo,
-            sequence=seq,
-            acknowledged=ack,
-            n_data_bytes=length,
-            raw=datagram,
+            cast(FlowKey, datagram[_ENDS]),
+            cast(ServiceAddress, dst << 16 | dport),
+            flags & (_SYN | _ACK) == _SYN,
+            flags & _FIN != 0,
+            flags & _RST != 0,
+            echo,
+            seq,
+            ack,
+            length,
+            datagram,
         )
 
     def for_server(
