--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/directory.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/directory.py
@@ -26,6 +26,9 @@
         self._servers: dict[ServerId, KnownServer] = {}
         self._by_service: dict[ServiceId, list[KnownServer]] = {}
         self._by_tag: dict[int, KnownServer] = {}
+        # Returns the server of a tag, departed ones included, or None; bound here as
+        # each packet calls it.
+        self.by_tag = self._by_tag.get
         self.entries: tuple[ServerEntry, ...] = ()
 
     def servers(self) -> Iterable[KnownServer]:
@@ -44,10 +47,6 @@
             if server.entry.data_centre == data_centre
         ]
 
-    def by_tag(self, tag: int) -> KnownServer | None:
-        """Return the server of a tag, departed ones included."""
-        return self._by_tag.get(tag)
-
     def apply(
         self, entries: Iterable[ServerEntry], steady_ms: int, now_ms: int
     ) -> list[Event]:
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
@@ -240,7 +240,7 @@
     def _on_later_packet(self, packet: Packet, now_ms: int) -> Action:
         if packet.tag == NO_TAG:
             return Drop(Reason.NO_TAG)
-        if self.routes.is_removed(packet.destination):
+        if packet.destination in self.routes.removed:
             return Reset(Reason.ROUTE_REMOVED)
         server = self.directory.by_tag(packet.tag)
         if server is None:
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/flows.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/flows.py
@@ -57,15 +57,13 @@
     def __init__(self, n_flows_max: int) -> None:
         self._n_flows_max = n_flows_max
         self._flows: dict[FlowKey, Flow] = {}
+        # Returns the record of a flow, or None; bound here as each packet calls it.
+        self.get = self._flows.get
         self.n_evicted = 0
 
     def __len__(self) -> int:
         return len(self._flows)
 
-    def get(self, key: FlowKey) -> Flow | None:
-        """Return the record of a flow, or None."""
-        return self._flows.get(key)
-
     def add(self, key: FlowKey, flow: Flow) -> None:
         """Keep a flow in place of an older one of the same key."""
         self.remove(key)
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/routes.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/routes.py
@@ -11,12 +11,18 @@
 
 
 class RouteTable:
-    """Routes, services and data centres that are out, at the newest revision known."""
+    """Routes, services and data centres that are out, at the newest revision known.
+
+    Attributes
+    ----------
+    removed : set of ServiceAddress
+        Addresses whose route a configuration has removed.
+    """
 
     def __init__(self) -> None:
         self.state = OperatorState(0, 0, None, ())
         self._routes: dict[ServiceAddress, Route] = {}
-        self._removed: set[ServiceAddress] = set()
+        self.removed: set[ServiceAddress] = set()
         self._services: dict[ServiceId, ServiceEntry] = {}
         self.out_since_ms: dict[DataCentreId, int] = {}
 
@@ -30,10 +36,6 @@
         """Return the route of an address, or None."""
         return self._routes.get(destination)
 
-    def is_removed(self, destination: ServiceAddress) -> bool:
-        """Return whether a configuration has removed the route of an address."""
-        return destination in self._removed
-
     def service(self, service: ServiceId) -> ServiceEntry | None:
         """Return a service, or None if the configuration has none of that name."""
         return self._services.get(service)
@@ -68,14 +70,14 @@
 
     def _replace(self, configuration: Configuration) -> Event:
         routes = {route.destination: route for route in configuration.routes}
-        self._removed |= self._routes.keys()
-        self._removed -= routes.keys()
+        self.removed |= self._routes.keys()
+        self.removed -= routes.keys()
         self._routes = routes
         self._services = {entry.service: entry for entry in configuration.services}
         detail: dict[str, object] = {
             "n_routes": len(routes),
             "n_services": len(self._services),
-            "n_removed": len(self._removed),
+            "n_removed": len(self.removed),
         }
         return Event(Belief.CONFIGURATION_APPLIED, str(configuration.revision), detail)
 
--- a/packages/sapphirerail-core/tests/steering/test_routes.py
+++ b/packages/sapphirerail-core/tests/steering/test_routes.py
@@ -50,10 +50,10 @@
     table.apply(state(10), 0)
     feed = Route(FEED, "feed", RequestKind.SAFE, (Share(BOOKINGS, 1),))
     table.apply(state(11, revision=2, routes=(feed,)), 0)
-    assert table.is_removed(HOLD)
-    assert not table.is_removed(12345)
+    assert HOLD in table.removed
+    assert 12345 not in table.removed
     table.apply(state(12, revision=3), 0)
-    assert not table.is_removed(HOLD)
+    assert HOLD not in table.removed
 
 
 def test_evacuations_begin_and_end():
