--- a/packages/sapphirerail-core/src/sapphirerail_core/log_story.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/log_story.py
@@ -27,6 +27,7 @@
     "servers_dead": "probes show that no server of the service can be reached",
     "server_departed": "the server's entry is gone, and it was not lost in an outage",
     "server_dead": "probes show that the server of the flow cannot be reached",
+    "data_centre_out": "operators have taken the data centre of the flow's server out",
     "unknown_tag": "no server has the flow's tag, by a read later than the packet",
     "unconfirmed_tag": "the flow's tag is not known yet; a read was asked for",
     "no_tag": "the caller has not learned a server yet",
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/config.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/config.py
@@ -56,7 +56,8 @@
         How long servers of a returned data centre count as cold until their own
         entries tell: a heartbeat, a read and a margin.
     evacuation_grace_ms : int
-        Time in which open flows may end after their data centre was taken out.
+        Time in which open flows may end after their data centre was taken out; the
+        operators' bound of 5 s less the time in which the change arrives.
     """
 
     opening_repeat_ms: int = 25
@@ -81,4 +82,4 @@
     n_cold_slack: int = 5
     n_cold_senders: int = 2
     return_cold_ms: int = 4_000
-    evacuation_grace_ms: int = 2_500
+    evacuation_grace_ms: int = 4_000
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
@@ -257,11 +257,22 @@
         if departed_ms is not None:
             if now_ms - departed_ms >= self.config.departed_grace_ms:
                 return Reset(Reason.SERVER_DEPARTED, server)
+        elif self._is_given_up(server, now_ms):
+            # Operators have asked that nothing more be sent there. Its server lives, and
+            # a reset would tell the caller otherwise.
+            return Drop(Reason.DATA_CENTRE_OUT)
         elif flow.is_repeatable and server.is_dead(now_ms):
             # A caller that may repeat its request gains the rest of its deadline.
             return Reset(Reason.SERVER_DEAD, server)
         return Forward(server)
 
+    def _is_given_up(self, server: KnownServer, now_ms: int) -> bool:
+        """Return whether a server's data centre was taken out some time ago."""
+        out_since_ms = self.routes.out_since_ms.get(server.entry.data_centre)
+        if out_since_ms is None:
+            return False
+        return now_ms - out_since_ms >= self.config.evacuation_grace_ms
+
     def _on_unknown_tag(self, packet: Packet, now_ms: int) -> Action:
         """Reset a flow only if a read that began later does not name its server."""
         seen_ms = self._unknown_tags.get(packet.tag)
--- a/packages/sapphirerail-core/tests/steering/test_engine.py
+++ b/packages/sapphirerail-core/tests/steering/test_engine.py
@@ -355,6 +355,18 @@
     assert fleet.send(opening(99)) == Reset(Reason.NO_SERVER)
 
 
+def test_a_data_centre_that_is_out_gets_no_packet_after_seconds_and_no_reset(fleet):
+    fleet.announce(server_entry(1))
+    tag = fleet.open(1)
+    fleet.configure(evacuated=("osu",))
+    assert isinstance(fleet.send(later_packet(1, tag)), Forward)
+    fleet.advance(CONFIG.evacuation_grace_ms)
+    # The server lives: a reset would be untrue.
+    assert fleet.send(later_packet(1, tag)) == Drop(Reason.DATA_CENTRE_OUT)
+    fleet.configure()
+    assert isinstance(fleet.send(later_packet(1, tag)), Forward)
+
+
 packets = st.builds(
     later_packet,
     st.integers(0, 5),
