--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
@@ -258,8 +258,8 @@
             if now_ms - departed_ms >= self.config.departed_grace_ms:
                 return Reset(Reason.SERVER_DEPARTED, server)
         elif self._is_given_up(server, now_ms):
-            # Operators have asked that nothing more be sent there. Its server lives, and
-            # a reset would tell the caller otherwise.
+            # Operators have asked that nothing more be sent there. The server lives,
+            # and a reset would tell the caller otherwise.
             return Drop(Reason.DATA_CENTRE_OUT)
         elif flow.is_repeatable and server.is_dead(now_ms):
             # A caller that may repeat its request gains the rest of its deadline.
