--- a/packages/sapphirerail-node/src/sapphirerail_node/platform/store.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import logging
+import time
 from collections.abc import Mapping
 from types import MappingProxyType
 from typing import Any, TypeVar
@@ -43,6 +44,9 @@
 SERVER_PREFIX = "servers/"
 INSTANCE_PREFIX = "sapphirerail/instances/"
 NO_OPTIONS: Mapping[str, str] = MappingProxyType({})
+# Malformed entries are logged again after this time, and so many are remembered.
+SKIPPED_INTERVAL_S = 10
+N_SKIPPED_MAX = 1_024
 STATUS_GONE = 410
 STATUS_NOT_FOUND = 404
 
@@ -184,6 +188,21 @@
     return StoreCallError(code, error.message)
 
 
+# When an item was last logged as skipped, by its key.
+_skipped_at_s: dict[str, float] = {}
+
+
+def _log_skipped(message: str, key: str, error: Exception) -> None:
+    """Write why an item is left out, but not at each of two reads a second."""
+    now_s = time.monotonic()
+    if now_s - _skipped_at_s.get(key, -SKIPPED_INTERVAL_S) < SKIPPED_INTERVAL_S:
+        return
+    if len(_skipped_at_s) >= N_SKIPPED_MAX:
+        _skipped_at_s.clear()
+    _skipped_at_s[key] = now_s
+    _log.warning(message, extra={"key": key, "why": str(error)})
+
+
 def _value(item: _Item) -> bytes:
     """Return the bytes of an item, or raise `InputError`."""
     try:
@@ -196,9 +215,7 @@
     try:
         return decode_server(item.key.removeprefix(SERVER_PREFIX), _value(item))
     except InputError as error:
-        _log.warning(
-            "server_entry_skipped", extra={"code": error.code, "why": error.message}
-        )
+        _log_skipped("server_entry_skipped", item.key, error)
         return None
 
 
@@ -206,9 +223,7 @@
     try:
         return msgspec.json.decode(_value(item), type=InstanceEntry)
     except (InputError, msgspec.MsgspecError) as error:
-        _log.warning(
-            "instance_entry_skipped", extra={"key": item.key, "why": str(error)}
-        )
+        _log_skipped("instance_entry_skipped", item.key, error)
         return None
 
 
@@ -216,9 +231,7 @@
     try:
         return decode_configuration(_value(item))
     except InputError as error:
-        _log.error(
-            "configuration_skipped", extra={"code": error.code, "why": error.message}
-        )
+        _log_skipped("configuration_skipped", item.key, error)
         return None
 
 
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -247,6 +247,14 @@
         for entry in system.instances:
             state = await system.state(entry)
             assert len(state["servers"]) == 2
+        await asyncio.sleep(1.5)
+        lines = [
+            line
+            for entry in system.instances
+            for line in entry.lines("server_entry_skipped")
+        ]
+        # Each reader tells each malformed entry once, not at each of its reads.
+        assert 2 <= len(lines) <= 2 * len(system.instances)
 
     play(scenario)
 
