--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
@@ -12,6 +12,7 @@
 from .config import SteeringConfig
 from .directory import Directory, KnownServer
 from .events import Belief, Event, Reason
+from .evidence import Evidence
 from .flows import Flow, FlowTable
 from .messages import LoadReport, ServerLoad
 from .model import OperatorState, RequestKind, Route, ServerEntry
@@ -80,8 +81,8 @@
         self._rng = rng
         self._pending: deque[_Pending] = deque()
         self._unknown_tags: dict[int, int] = {}
+        self.evidence = Evidence(self.directory, peers.own.data_centre)
         self._events: list[Event] = []
-        self.has_urgent_report = False
         # What was read once stays known, so that this never turns back.
         self._is_ready = False
 
@@ -121,13 +122,14 @@
             server = self.directory.by_tag(load.tag)
             if server is None:
                 continue
-            if load.is_dead and server.on_peer_death(load.silence_ms, now_ms):
-                self._note_peer_death(server, report, load)
+            if load.is_dead:
+                peer = report.sender.instance
+                self.evidence.on_peer_death(server, peer, load.silence_ms, now_ms)
         self._sum_peer_loads(now_ms)
 
     def report_loads(self, now_ms: int) -> tuple[ServerLoad, ...]:
         """Return what this instance has at each server that it uses."""
-        self.has_urgent_report = False
+        self.evidence.has_news = False
         loads = []
         for server in self.directory.servers():
             silence_ms = server.silence_ms(now_ms)
@@ -142,7 +144,7 @@
     def take_events(self) -> list[Event]:
         """Return the changes of belief since the last call."""
         events, self._events = self._events, []
-        return events
+        return events + self.evidence.take_events()
 
     # Packets.
 
@@ -227,7 +229,7 @@
 
     def _repeat(self, pending: _Pending, now_ms: int) -> list[Repeat]:
         packet, flow = pending.packet, pending.flow
-        self._on_silence(pending.server, pending.sent_at_ms, now_ms)
+        self.evidence.on_silence(pending.server, pending.sent_at_ms, now_ms)
         route = self.routes.route(packet.destination)
         if self.flows.get(packet.flow) is not flow or route is None:
             return []
@@ -288,7 +290,7 @@
             return Drop(Reason.UNCONFIRMED_TAG)
         return Reset(Reason.UNKNOWN_TAG)
 
-    # Evidence.
+    # What packets show of the servers.
 
     def _observe(self, packet: Packet, server: KnownServer, now_ms: int) -> Flow:
         flow = self.flows.get(packet.flow)
@@ -324,7 +326,7 @@
         flow.acknowledged = acknowledged
         for tried, sent_at_ms in flow.tried:
             if tried is server:
-                self._on_progress(server, sent_at_ms, now_ms)
+                self.evidence.on_progress(server, sent_at_ms, now_ms)
 
     def _observe_answer(self, packet: Packet, flow: Flow, now_ms: int) -> None:
         advance = (packet.acknowledged - flow.acknowledged) & 0xFFFFFFFF
@@ -333,7 +335,7 @@
         flow.acknowledged = packet.acknowledged
         since_ms = flow.sent_at_ms or now_ms
         self.flows.end_request(flow)
-        self._on_progress(flow.server, since_ms, now_ms)
+        self.evidence.on_progress(flow.server, since_ms, now_ms)
 
     def _observe_data(self, packet: Packet, flow: Flow, now_ms: int) -> None:
         end = (packet.sequence + packet.n_data_bytes) & 0xFFFFFFFF
@@ -343,73 +345,7 @@
             self.flows.begin_request(flow, now_ms)
             return
         if now_ms - flow.sent_at_ms >= self.config.retransmission_ms:
-            self._on_silence(flow.server, flow.sent_at_ms, now_ms)
-
-    def _on_progress(self, server: KnownServer, since_ms: int, now_ms: int) -> None:
-        if server.health is Health.ANSWERING:
-            server.progress_at_ms = now_ms
-            return
-        silence_ms = server.silence_ms(now_ms)
-        if server.on_progress(since_ms, now_ms):
-            self._note(Belief.SERVER_RECOVERED, server, silence_ms, now_ms)
-
-    def _on_silence(self, server: KnownServer, since_ms: int, now_ms: int) -> None:
-        if server.on_silence(since_ms):
-            self._note(
-                Belief.SERVER_SUSPECTED, server, server.silence_ms(now_ms), now_ms
-            )
-
-    def take_probes(self, now_ms: int) -> list[KnownServer]:
-        """Return the servers that a probe should be sent to now."""
-        needed = [s for s in self.directory.servers() if s.needs_probe(now_ms)]
-        for server in needed:
-            server.is_probed = True
-        return needed
-
-    def on_probe(self, server: KnownServer, is_reached: bool, now_ms: int) -> None:
-        """Take in whether a probe reached its server."""
-        silence_ms = server.silence_ms(now_ms)
-        health = server.on_probe(is_reached, now_ms)
-        if health is Health.DEAD:
-            self.has_urgent_report = True
-            self._note(Belief.SERVER_DEAD, server, silence_ms, now_ms)
-            self._suspect_data_centre(server, now_ms - silence_ms, now_ms)
-        elif health is Health.ANSWERING:
-            self._note(Belief.SERVER_RECOVERED, server, silence_ms, now_ms)
-
-    def _suspect_data_centre(
-        self, dead: KnownServer, since_ms: int, now_ms: int
-    ) -> None:
-        """Have the other servers of a data centre probed, as the way there may be cut.
-
-        Their flows then need not find out one by one.
-        """
-        data_centre = dead.entry.data_centre
-        if data_centre == self.peers.own.data_centre:
-            return
-        for server in self.directory.of_data_centre(data_centre):
-            if server is not dead:
-                self._on_silence(server, since_ms, now_ms)
-
-    def _note_peer_death(
-        self, server: KnownServer, report: LoadReport, load: ServerLoad
-    ) -> None:
-        detail: dict[str, object] = {
-            "peer": report.sender.instance,
-            "silence_ms": load.silence_ms,
-        }
-        name = server.entry.server
-        self._events.append(Event(Belief.SERVER_DEAD_BY_PEER, name, detail))
-
-    def _note(
-        self, belief: Belief, server: KnownServer, silence_ms: int, now_ms: int
-    ) -> None:
-        detail: dict[str, object] = {
-            "silence_ms": silence_ms,
-            "progress_age_ms": now_ms - server.progress_at_ms,
-            "n_flows": server.n_flows,
-        }
-        self._events.append(Event(belief, server.entry.server, detail))
+            self.evidence.on_silence(flow.server, flow.sent_at_ms, now_ms)
 
     def _sum_peer_loads(self, now_ms: int) -> None:
         totals: dict[int, float] = {}
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/evidence.py
@@ -0,0 +1,111 @@
+"""What flows, probes and peers show of the servers."""
+
+from ..types import DataCentreId, InstanceId
+from .directory import Directory, KnownServer
+from .events import Belief, Event
+from .server_state import Health
+
+__all__ = ["Evidence"]
+
+
+class Evidence:
+    """Collects the signs of life and death of servers, and says whom to probe.
+
+    Parameters
+    ----------
+    directory : Directory
+        The servers.
+    data_centre : DataCentreId
+        Where this instance stands.
+
+    Attributes
+    ----------
+    has_news : bool
+        Whether a death was found that peers were not told yet.
+    """
+
+    def __init__(self, directory: Directory, data_centre: DataCentreId) -> None:
+        self._directory = directory
+        self._data_centre = data_centre
+        self._silent: set[KnownServer] = set()
+        self._events: list[Event] = []
+        self.has_news = False
+
+    def take_events(self) -> list[Event]:
+        """Return the changes of belief since the last call."""
+        events, self._events = self._events, []
+        return events
+
+    def on_progress(self, server: KnownServer, since_ms: int, now_ms: int) -> None:
+        """Take in an answer to something that was sent at a time."""
+        if server.health is Health.ANSWERING:
+            server.progress_at_ms = now_ms
+            return
+        silence_ms = server.silence_ms(now_ms)
+        if server.on_progress(since_ms, now_ms):
+            self._note(Belief.SERVER_RECOVERED, server, silence_ms, now_ms)
+
+    def on_silence(self, server: KnownServer, since_ms: int, now_ms: int) -> None:
+        """Take in that something sent at a time was not answered."""
+        if server.on_silence(since_ms):
+            self._silent.add(server)
+            silence_ms = server.silence_ms(now_ms)
+            self._note(Belief.SERVER_SUSPECTED, server, silence_ms, now_ms)
+
+    def on_peer_death(
+        self, server: KnownServer, peer: InstanceId, silence_ms: int, now_ms: int
+    ) -> None:
+        """Take in that a peer of the data centre has found a server dead."""
+        if server.on_peer_death(silence_ms, now_ms):
+            detail: dict[str, object] = {"peer": peer, "silence_ms": silence_ms}
+            name = server.entry.server
+            self._events.append(Event(Belief.SERVER_DEAD_BY_PEER, name, detail))
+
+    def take_probes(self, now_ms: int) -> list[KnownServer]:
+        """Return the servers that a probe should be sent to now."""
+        if not self._silent:
+            return []
+        self._silent = {
+            server
+            for server in self._silent
+            if server.health is not Health.ANSWERING and server.departed_at_ms is None
+        }
+        needed = [server for server in self._silent if server.needs_probe(now_ms)]
+        for server in needed:
+            server.is_probed = True
+        return needed
+
+    def on_probe(self, server: KnownServer, is_reached: bool, now_ms: int) -> None:
+        """Take in whether a probe reached its server."""
+        silence_ms = server.silence_ms(now_ms)
+        health = server.on_probe(is_reached, now_ms)
+        if health is Health.DEAD:
+            self.has_news = True
+            self._note(Belief.SERVER_DEAD, server, silence_ms, now_ms)
+            self._suspect_data_centre(server, now_ms - silence_ms, now_ms)
+        elif health is Health.ANSWERING:
+            self._note(Belief.SERVER_RECOVERED, server, silence_ms, now_ms)
+
+    def _suspect_data_centre(
+        self, dead: KnownServer, since_ms: int, now_ms: int
+    ) -> None:
+        """Have the other servers of a data centre probed, as the way there may be cut.
+
+        Their flows then need not find out one by one.
+        """
+        data_centre = dead.entry.data_centre
+        if data_centre == self._data_centre:
+            return
+        for server in self._directory.of_data_centre(data_centre):
+            if server is not dead:
+                self.on_silence(server, since_ms, now_ms)
+
+    def _note(
+        self, belief: Belief, server: KnownServer, silence_ms: int, now_ms: int
+    ) -> None:
+        detail: dict[str, object] = {
+            "silence_ms": silence_ms,
+            "progress_age_ms": now_ms - server.progress_at_ms,
+            "n_flows": server.n_flows,
+        }
+        self._events.append(Event(belief, server.entry.server, detail))
--- a/packages/sapphirerail-core/tests/steering/test_engine.py
+++ b/packages/sapphirerail-core/tests/steering/test_engine.py
@@ -174,9 +174,9 @@
 def dead_server(fleet):
     """Let the only server fall silent, shown by a probe; return its tag."""
     tag = suspect_server(fleet)
-    (server,) = fleet.engine.take_probes(fleet.now_ms)
+    (server,) = fleet.engine.evidence.take_probes(fleet.now_ms)
     fleet.advance(CONFIG.probe_timeout_ms)
-    fleet.engine.on_probe(server, False, fleet.now_ms)
+    fleet.engine.evidence.on_probe(server, False, fleet.now_ms)
     return tag
 
 
@@ -202,16 +202,16 @@
         fleet.advance(200)
         packet = later_packet(1, tag, sequence=2_000, n_data_bytes=10)
         assert isinstance(fleet.send(packet), Forward)
-    (server,) = fleet.engine.take_probes(fleet.now_ms)
-    fleet.engine.on_probe(server, True, fleet.now_ms)
+    (server,) = fleet.engine.evidence.take_probes(fleet.now_ms)
+    fleet.engine.evidence.on_probe(server, True, fleet.now_ms)
     assert isinstance(fleet.send(packet), Forward)
     assert not server.is_avoided(fleet.now_ms)
 
 
 def test_a_suspect_is_probed_once_at_a_time(fleet):
     suspect_server(fleet)
-    assert len(fleet.engine.take_probes(fleet.now_ms)) == 1
-    assert fleet.engine.take_probes(fleet.now_ms + 10_000) == []
+    assert len(fleet.engine.evidence.take_probes(fleet.now_ms)) == 1
+    assert fleet.engine.evidence.take_probes(fleet.now_ms + 10_000) == []
 
 
 def test_packets_that_overtake_each_other_are_no_silence(fleet):
@@ -233,7 +233,7 @@
     fleet.send(later_packet(5, server_tag(1)), "osu-2")
     fleet.advance(100)
     tag = dead_server(fleet)
-    assert fleet.engine.has_urgent_report
+    assert fleet.engine.evidence.has_news
     fleet.exchange_reports()
     packet = later_packet(5, tag, sequence=2_000, n_data_bytes=10)
     assert why_reset(fleet.send(packet, "osu-2")) is Reason.SERVER_DEAD
@@ -244,8 +244,8 @@
     assert fleet.send(opening(80, HOLD)) == Reset(Reason.SERVERS_DEAD)
     # Callers wait, so the next probe does not.
     fleet.advance(CONFIG.probe_hurried_ms)
-    (server,) = fleet.engine.take_probes(fleet.now_ms)
-    fleet.engine.on_probe(server, True, fleet.now_ms)
+    (server,) = fleet.engine.evidence.take_probes(fleet.now_ms)
+    fleet.engine.evidence.on_probe(server, True, fleet.now_ms)
     assert isinstance(fleet.send(opening(81, HOLD)), Open)
 
 
@@ -263,21 +263,21 @@
     near = [server_entry(n) for n in (1, 2)]
     fleet.announce(*near, *far)
     first = fleet.engine.directory.by_tag(server_tag(4))
-    first.on_silence(fleet.now_ms)
-    assert fleet.engine.take_probes(fleet.now_ms) == [first]
+    fleet.engine.evidence.on_silence(first, fleet.now_ms, fleet.now_ms)
+    assert fleet.engine.evidence.take_probes(fleet.now_ms) == [first]
     fleet.advance(CONFIG.probe_timeout_ms)
-    fleet.engine.on_probe(first, False, fleet.now_ms)
-    probed = {s.entry.identity for s in fleet.engine.take_probes(fleet.now_ms)}
+    fleet.engine.evidence.on_probe(first, False, fleet.now_ms)
+    probed = {s.entry.identity for s in fleet.engine.evidence.take_probes(fleet.now_ms)}
     assert probed == {5, 6}
 
 
 def test_a_dead_server_nearby_says_nothing_of_its_neighbours(fleet):
     fleet.announce(server_entry(1), server_entry(2))
     first = fleet.engine.directory.by_tag(server_tag(1))
-    first.on_silence(fleet.now_ms)
-    fleet.engine.take_probes(fleet.now_ms)
-    fleet.engine.on_probe(first, False, fleet.now_ms + 300)
-    assert fleet.engine.take_probes(fleet.now_ms + 300) == []
+    fleet.engine.evidence.on_silence(first, fleet.now_ms, fleet.now_ms)
+    fleet.engine.evidence.take_probes(fleet.now_ms)
+    fleet.engine.evidence.on_probe(first, False, fleet.now_ms + 300)
+    assert fleet.engine.evidence.take_probes(fleet.now_ms + 300) == []
 
 
 def test_a_slow_request_alone_does_not_make_a_server_dead(fleet):
@@ -298,8 +298,8 @@
     tag = dead_server(fleet)
     fleet.engine.take_events()
     fleet.advance(CONFIG.probe_ms)
-    (server,) = fleet.engine.take_probes(fleet.now_ms)
-    fleet.engine.on_probe(server, True, fleet.now_ms)
+    (server,) = fleet.engine.evidence.take_probes(fleet.now_ms)
+    fleet.engine.evidence.on_probe(server, True, fleet.now_ms)
     beliefs = [event.belief for event in fleet.engine.take_events()]
     assert Belief.SERVER_RECOVERED in beliefs
     packet = later_packet(1, tag, sequence=2_000, n_data_bytes=10)
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/application.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/application.py
@@ -106,7 +106,7 @@
         )
         self.packets = PacketService(self.engine, codec, self.log, self.metrics)
         self.peers = PeerService(self.engine, self.metrics)
-        self.packets.on_urgent_report = self.peers.report
+        self.packets.on_news = self.peers.report
         self.store = StoreService(
             store, self.engine, self.peers, self.log, self.metrics
         )
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/packet_service.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/packet_service.py
@@ -56,7 +56,7 @@
         self._bound: socket.socket | None = None
         self._socket: UdpSocket | None = None
         self._repeat_timer: asyncio.TimerHandle | None = None
-        self.on_urgent_report: Callable[[], None] | None = None
+        self.on_news: Callable[[], None] | None = None
         self._probes: set[asyncio.Task[None]] = set()
         self.last_packet_ms = 0
         self.n_forwarded = 0
@@ -85,8 +85,8 @@
     def log_events(self) -> None:
         """Write, and tell peers, what the engine came to believe."""
         self._probe()
-        if self._engine.has_urgent_report and self.on_urgent_report is not None:
-            self.on_urgent_report()
+        if self._engine.evidence.has_news and self.on_news is not None:
+            self.on_news()
         for event in self._engine.take_events():
             self._metrics.count("beliefs", event.belief.value)
             self._log.write(
@@ -98,7 +98,7 @@
             )
 
     def _probe(self) -> None:
-        for server in self._engine.take_probes(monotonic_ms()):
+        for server in self._engine.evidence.take_probes(monotonic_ms()):
             task = asyncio.create_task(self._probe_one(server))
             self._probes.add(task)
             task.add_done_callback(self._probes.discard)
@@ -118,7 +118,7 @@
                 task.cancel()
             await asyncio.gather(*tries, return_exceptions=True)
         self._metrics.count("probes", "reached" if is_reached else "unreached")
-        self._engine.on_probe(server, is_reached, monotonic_ms())
+        self._engine.evidence.on_probe(server, is_reached, monotonic_ms())
         self.log_events()
 
     def _versions(self) -> dict[str, object]:
