Survive a loop's fault and bad addresses, and report less in large data centres

(2) A name in place of an address in a server's entry would have had the socket look it up and hold up the loop; a peer's message with such a sender would have ended every later report. Both are refused.

--- a/packages/sapphirerail-node/src/sapphirerail_node/platform/entries.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/platform/entries.py
@@ -16,7 +16,7 @@
 )
 from sapphirerail_core.steering.packet import ServiceAddress
 from sapphirerail_core.types import DataCentreId, Revision, ServerId, ServiceId
-from sapphirerail_transport.udp import parse_address
+from sapphirerail_transport.udp import check_address
 
 __all__ = ["decode_configuration", "decode_server"]
 
@@ -93,7 +93,7 @@
     """
     try:
         entry = msgspec.json.decode(value, type=_Server)
-        parse_address(entry.address)
+        check_address(entry.address)
         identity = _identity(name)
     except (ValueError, msgspec.MsgspecError) as error:
         raise InputError("server.invalid", f"{name}: {error}") from error
--- a/packages/sapphirerail-node/src/sapphirerail_node/platform/store.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/platform/store.py
@@ -20,7 +20,7 @@
 )
 from sapphirerail_core.types import DataCentreId
 from sapphirerail_transport.http import HttpClient, HttpError
-from sapphirerail_transport.udp import Address
+from sapphirerail_transport.udp import Address, check_address
 
 from ..steering.ports import (
     HistoryLostError,
@@ -221,8 +221,10 @@
 
 def _instance(item: _Item) -> InstanceEntry | None:
     try:
-        return msgspec.json.decode(_value(item), type=InstanceEntry)
-    except (InputError, msgspec.MsgspecError) as error:
+        entry = msgspec.json.decode(_value(item), type=InstanceEntry)
+        check_address(entry.address)
+        return entry
+    except (InputError, ValueError, msgspec.MsgspecError) as error:
         _log_skipped("instance_entry_skipped", item.key, error)
         return None
 
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/application.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/application.py
@@ -35,7 +35,7 @@
 from .decision_log import DecisionLog, LogClass, configure_decision_log
 from .metrics import SteeringMetrics
 from .packet_service import PacketService
-from .peer_service import PeerService
+from .peer_service import REPORT_INTERVAL_MS, PeerService
 from .ports import PacketCodec, PlatformStore
 from .settings import SteeringSettings
 from .state_api import StateApi, fetch_snapshot
@@ -163,9 +163,7 @@
             await self._metrics_server.start(settings.metrics_address)
         self.life.on_close("store", self.store.close)
         self.store.start()
-        self._ticker.every(
-            self.peers.report_interval_ms(), lambda _: self.peers.report()
-        )
+        self._ticker.every(REPORT_INTERVAL_MS, self.peers.tick)
         self._ticker.every(SWEEP_INTERVAL_MS, self._sweep)
         self._ticker.every(
             SETTINGS_CHECK_INTERVAL_MS, lambda _: self._reload("interval")
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/peer_service.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/peer_service.py
@@ -14,14 +14,21 @@
 )
 from sapphirerail_core.steering.model import ServerEntry
 from sapphirerail_core.steering.peers import Peer
-from sapphirerail_transport.udp import Address, UdpSocket, parse_address
+from sapphirerail_transport.udp import (
+    Address,
+    UdpSocket,
+    check_address,
+    parse_address,
+)
 
 from ..clock import monotonic_ms
 from .metrics import SteeringMetrics
 
-__all__ = ["PeerService"]
+__all__ = ["REPORT_INTERVAL_MS", "PeerService"]
 
 REPORT_INTERVAL_MS = 250
+# Below the 1.2 s after which a silent peer counts as lost.
+REPORT_INTERVAL_MAX_MS = 750
 # Keeps what an instance of a large data centre receives near 50 reports a second.
 N_PEERS_AT_FULL_RATE = 12
 # Updates after a change that carry all entries, so that one lost datagram costs none
@@ -51,6 +58,7 @@
         self._socket: UdpSocket | None = None
         self._digest = 0
         self._n_full_left = 0
+        self._reported_at_ms = 0
         self.on_behind = asyncio.Event()
 
     async def open(self, address: Address) -> None:
@@ -65,11 +73,19 @@
     def report_interval_ms(self) -> int:
         """Return the time between two reports, longer in a large data centre."""
         n_peers = len(self._engine.peers.near())
-        return REPORT_INTERVAL_MS * max(1, n_peers // N_PEERS_AT_FULL_RATE)
+        interval_ms = REPORT_INTERVAL_MS * max(1, n_peers // N_PEERS_AT_FULL_RATE)
+        return min(interval_ms, REPORT_INTERVAL_MAX_MS)
+
+    def tick(self, now_ms: int) -> None:
+        """Report if it is time, give or take half of a tick."""
+        due_ms = self._reported_at_ms + self.report_interval_ms()
+        if now_ms >= due_ms - REPORT_INTERVAL_MS // 2:
+            self.report()
 
     def report(self) -> None:
         """Tell the peers of the own data centre what this instance has and saw."""
-        loads = self._engine.report_loads(monotonic_ms())
+        self._reported_at_ms = monotonic_ms()
+        loads = self._engine.report_loads(self._reported_at_ms)
         revision = self._engine.routes.state.change_revision
         self._broadcast(
             LoadReport(self._own, revision, loads), self._engine.peers.near()
@@ -117,7 +133,10 @@
     def _on_datagram(self, payload: bytes, _: Address) -> None:
         try:
             message = self._decoder.decode(payload)
-        except msgspec.MsgspecError:
+            if not isinstance(message, Stopped):
+                # Every later message to this peer would fail otherwise.
+                check_address(message.sender.address)
+        except (msgspec.MsgspecError, ValueError):
             self._metrics.count("peer_messages", "malformed")
             return
         self._metrics.count("peer_messages", "received")
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/store_service.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/store_service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import logging
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
@@ -21,6 +22,8 @@
 
 __all__ = ["StoreService"]
 
+_log = logging.getLogger(__name__)
+
 ResultT = TypeVar("ResultT")
 
 # A watch that waits counts as one call. That its connection went silent is noticed by
@@ -80,14 +83,23 @@
 
     def start(self) -> None:
         """Start all loops."""
-        self._staying = asyncio.create_task(self._stay_registered())
+        self._staying = asyncio.create_task(self._keep_up(self._stay_registered))
         self._tasks.append(self._staying)
         for loop in (
             self._refresh_servers,
             self._follow_operators,
             self._list_instances,
         ):
-            self._tasks.append(asyncio.create_task(loop()))
+            self._tasks.append(asyncio.create_task(self._keep_up(loop)))
+
+    async def _keep_up(self, loop: Callable[[], Awaitable[None]]) -> None:
+        """Run a loop for good; one that fails is logged and begins anew."""
+        while True:
+            try:
+                await loop()
+            except Exception:
+                _log.exception("%s failed and begins anew", loop.__name__)
+                await asyncio.sleep(RETRY_MAX_MS / 1000)
 
     def leave(self) -> None:
         """End the registration in the background; everything else goes on."""
--- a/packages/sapphirerail-node/tests/platform/test_entries.py
+++ b/packages/sapphirerail-node/tests/platform/test_entries.py
@@ -88,6 +88,8 @@
     [
         {"service": 5},
         {"address": "10.128.0.9"},
+        {"address": "server-9:8080"},
+        {"address": "10.128.0.9:99999"},
         {"address": None},
         {"slots": "two"},
         {"state": "resting"},
--- a/packages/sapphirerail-transport/src/sapphirerail_transport/udp.py
+++ b/packages/sapphirerail-transport/src/sapphirerail_transport/udp.py
@@ -8,6 +8,7 @@
     "Address",
     "UdpSocket",
     "bind_datagram",
+    "check_address",
     "format_address",
     "parse_address",
 ]
@@ -18,6 +19,7 @@
 # the loop to other work in between.
 BATCH_SIZE = 128
 DATAGRAM_READ_BYTES = 65_536
+PORT_MAX = 65_535
 
 
 def parse_address(text: str) -> Address:
@@ -34,6 +36,28 @@
     return host, int(port)
 
 
+def check_address(text: str) -> None:
+    """Raise `ValueError` unless a text is an IPv4 number and a port.
+
+    A name in its place would have the socket look it up, and hold up the loop.
+
+    Examples
+    --------
+    >>> check_address("127.0.0.1:80")
+    >>> check_address("localhost:80")
+    Traceback (most recent call last):
+    ...
+    ValueError: 'localhost:80' is not an IPv4 number and a port
+    """
+    try:
+        host, port = parse_address(text)
+        socket.inet_pton(socket.AF_INET, host)
+    except (OSError, ValueError):
+        raise ValueError(f"{text!r} is not an IPv4 number and a port") from None
+    if not 0 < port <= PORT_MAX:
+        raise ValueError(f"{text!r} is not an IPv4 number and a port")
+
+
 def format_address(address: Address) -> str:
     """Return ``address:port``."""
     return f"{address[0]}:{address[1]}"
