--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 
 demo: env
 	@$(BIN)/python -m sapphirerail_standins.demo
+	@$(BIN)/python -m sapphirerail_standins.platform_demo
 
 test: env
 	$(BIN)/python -m pytest -n $(TEST_WORKERS)
--- /dev/null
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/platform_demo.py
@@ -0,0 +1,97 @@
+"""The users' platform on loopback: flows through a kill, a drain and an outage."""
+
+import asyncio
+import signal
+import sys
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Any
+
+from .platform_store import StoreFault
+from .platform_system import PlatformSystem
+from .waiting import wait_until
+
+__all__ = ["main"]
+
+N_FLOWS = 20
+IN_FORCE_MS = 3_000
+
+Step = Callable[[PlatformSystem, Sequence[Any]], Awaitable[None]]
+
+
+async def _ask(flows: Sequence[Any]) -> list[bytes]:
+    return await asyncio.gather(*(flow.ask(b"hello") for flow in flows))
+
+
+async def _serve(system: PlatformSystem, flows: Sequence[Any]) -> None:
+    await _ask(flows)
+
+
+async def _kill(system: PlatformSystem, flows: Sequence[Any]) -> None:
+    before = await _ask(flows)
+    victim = system.instances[0]
+    victim.send(signal.SIGKILL)
+    system.in_rotation.remove(victim)
+    _check(await _ask(flows) == before, "a flow changed its server")
+
+
+async def _fall_silent(system: PlatformSystem, flows: Sequence[Any]) -> None:
+    system.servers[0].is_silent = True
+    again = [await asyncio.wait_for(system.open(), 0.5) for _ in range(N_FLOWS)]
+    await _ask(again)
+    system.servers[0].is_silent = False
+
+
+async def _lose_store(system: PlatformSystem, flows: Sequence[Any]) -> None:
+    system.store.fault = StoreFault.SILENT
+    await _ask([await system.open() for _ in range(N_FLOWS)])
+    await _ask(flows)
+    system.store.fault = StoreFault.NONE
+
+
+async def _remove_route(system: PlatformSystem, flows: Sequence[Any]) -> None:
+    await system.configure(2, has_route=False)
+
+    async def is_refused() -> bool:
+        try:
+            await system.open()
+        except ConnectionResetError:
+            return True
+        return False
+
+    await wait_until("the route is refused", is_refused, IN_FORCE_MS)
+
+
+STEPS: tuple[tuple[str, Step], ...] = (
+    (f"{N_FLOWS} flows are answered", _serve),
+    ("an instance is killed, its flows go on through another one", _kill),
+    ("a server falls silent, new flows open at the other one", _fall_silent),
+    ("the store falls silent, flows open and go on", _lose_store),
+    ("operators remove the route, it is refused within 3 s", _remove_route),
+)
+
+
+def _check(holds: bool, what: str) -> None:
+    if not holds:
+        raise AssertionError(what)
+
+
+async def _run() -> int:
+    async with PlatformSystem() as system:
+        flows = [await system.open() for _ in range(N_FLOWS)]
+        for told, step in STEPS:
+            try:
+                await step(system, flows)
+            except (AssertionError, ConnectionError, TimeoutError) as error:
+                sys.stdout.write(f"broken: {told}: {error}\n")
+                return 1
+            sys.stdout.write(f"ok: {told}\n")
+    return 0
+
+
+def main() -> int:
+    """Play all steps and return 0 if nothing broke."""
+    return asyncio.run(_run())
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from sapphirerail_standins import platform_demo
 from sapphirerail_standins.platform_store import StoreFault
 from sapphirerail_standins.platform_system import PlatformSystem
 from sapphirerail_standins.waiting import wait_until
@@ -33,6 +34,11 @@
     return False
 
 
+def test_the_demo_of_the_platform_breaks_nothing(capsys):
+    assert platform_demo.main() == 0
+    assert "broken" not in capsys.readouterr().out
+
+
 def test_requests_of_many_flows_get_their_own_answers():
     async def scenario(system):
         flows = await asyncio.gather(*(system.open() for _ in range(40)))
