Let an instance that has just started send nothing to cold servers

Cause, found by reading: who sends to a cold server is the first of the instances that were heard. After a data centre lost power all its instances and servers come back at once, nobody has heard anybody, and each instance took itself for the sender, with its half of the limit each. The test (eight instances, one cold server) fails without the change.

--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/peers.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/peers.py
@@ -32,11 +32,14 @@
         This instance.
     live_ms : int
         How long an instance counts as live after it was heard.
+    now_ms : int
+        Start of this instance.
     """
 
-    def __init__(self, own: InstanceEntry, live_ms: int) -> None:
+    def __init__(self, own: InstanceEntry, live_ms: int, now_ms: int) -> None:
         self.own = own
         self._live_ms = live_ms
+        self._began_ms = now_ms
         self._peers: dict[InstanceId, Peer] = {}
 
     def apply(self, entries: Iterable[InstanceEntry]) -> None:
@@ -107,8 +110,12 @@
         """Return whether this instance is the one that sends to a cold server.
 
         Only instances of the server's data centre send to it. A data centre without
-        registered instances is served by the first of all registered ones.
+        registered instances is served by the first of all registered ones. An instance
+        that has just started has not heard the others yet and sends nothing: all may
+        have started together.
         """
+        if now_ms - self._began_ms < self._live_ms:
+            return False
         if data_centre == self.own.data_centre:
             names = self.live_near(now_ms)
         elif any(e.data_centre == data_centre for e in self.entries()):
--- a/packages/sapphirerail-core/tests/steering/test_cold_servers.py
+++ b/packages/sapphirerail-core/tests/steering/test_cold_servers.py
@@ -69,6 +69,25 @@
     assert busiest <= CONFIG.n_cold_slack
 
 
+def test_instances_that_start_together_keep_to_it():
+    # A data centre that lost power: its instances and servers come back at once.
+    fleet = SteeringFleet(PLACES, is_new=True)
+    fleet.configure()
+    fleet.announce(server_entry(1, cold_ms=60_000))
+    sent_ms = []
+    flow = 0
+    for step in range(600):
+        for name in PLACES:
+            flow += 1
+            if isinstance(fleet.send(opening(flow), name), Open):
+                sent_ms.append(fleet.now_ms)
+        fleet.advance(5)
+        if step % 50 == 49:
+            fleet.exchange_reports()
+    busiest = max(sum(s <= t < s + 1_000 for t in sent_ms) for s in sent_ms)
+    assert 0 < busiest <= CONFIG.n_cold_slack
+
+
 def test_warm_servers_take_what_a_cold_one_must_not_get():
     fleet = SteeringFleet()
     fleet.configure()
--- a/packages/sapphirerail-core/tests/steering/test_peers.py
+++ b/packages/sapphirerail-core/tests/steering/test_peers.py
@@ -10,7 +10,7 @@
 
 
 def peers_of(own, *others, now_ms=0):
-    peers = Peers(entry(own), LIVE_MS)
+    peers = Peers(entry(own), LIVE_MS, now_ms - LIVE_MS)
     peers.apply([entry(name) for name in (own, *others)])
     for name in others:
         peers.on_heard(entry(name), now_ms)
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/application.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/application.py
@@ -100,7 +100,7 @@
         )
         self.engine = SteeringEngine.from_config(
             SteeringConfig(),
-            Peers(own, PEER_LIVE_MS),
+            Peers(own, PEER_LIVE_MS, now_ms),
             Refresh(RefreshConfig(), now_ms),
             time.time_ns(),
         )
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/steering_fleet.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/steering_fleet.py
@@ -133,11 +133,18 @@
         Data centre of each instance by its name.
     config : SteeringConfig or None
         Settings of all engines.
+    is_new : bool
+        Whether all start now and have heard nobody.
     """
 
     def __init__(
-        self, places: dict[str, str] | None = None, config: SteeringConfig | None = None
+        self,
+        places: dict[str, str] | None = None,
+        config: SteeringConfig | None = None,
+        *,
+        is_new: bool = False,
     ) -> None:
+        self._is_new = is_new
         self.now_ms = 100_000
         self.engines: dict[str, SteeringEngine] = {}
         self._config = config or SteeringConfig()
@@ -148,16 +155,23 @@
         ]
         for seed, own in enumerate(entries):
             self.engines[own.instance] = self._engine(own, entries, seed)
-        self.exchange_reports()
+        if not is_new:
+            self.exchange_reports()
 
     def _engine(
         self, own: InstanceEntry, entries: list[InstanceEntry], seed: int
     ) -> SteeringEngine:
-        peers = Peers(own, PEER_LIVE_MS)
+        began_ms = self.now_ms if self._is_new else self.now_ms - STEADY_MS
+        peers = Peers(own, PEER_LIVE_MS, began_ms)
+        if self._is_new:
+            return self._engine_of(peers, seed)
         peers.apply(entries)
         for entry in entries:
             if entry.instance != own.instance:
                 peers.on_heard(entry, self.now_ms)
+        return self._engine_of(peers, seed)
+
+    def _engine_of(self, peers: Peers, seed: int) -> SteeringEngine:
         refresh = Refresh(RefreshConfig(), self.now_ms - STEADY_MS)
         return SteeringEngine.from_config(self._config, peers, refresh, seed)
 
