Serve on if the port for figures is taken

A clash would have ended the process at its start; it costs the figures only now, with a log line. The test fails without the change (the process does not become ready).

--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/application.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/application.py
@@ -158,9 +158,7 @@
         await self._ready_server.start(settings.ready_address)
         self.life.on_close("state", self._state_server.close)
         await self._state_server.start(settings.state_address)
-        if settings.metrics_address is not None:
-            self.life.on_close("metrics", self._metrics_server.close)
-            await self._metrics_server.start(settings.metrics_address)
+        await self._start_metrics()
         self.life.on_close("store", self.store.close)
         self.store.start()
         self._ticker.every(REPORT_INTERVAL_MS, self.peers.tick)
@@ -176,6 +174,22 @@
         # What lives from here on was mostly made by imports.
         gc.freeze()
 
+    async def _start_metrics(self) -> None:
+        """Serve figures; a port that another socket has costs the figures only."""
+        address = self.settings.metrics_address
+        if address is None:
+            return
+        self.life.on_close("metrics", self._metrics_server.close)
+        try:
+            await self._metrics_server.start(address)
+        except OSError as error:
+            self.log.write(
+                LogClass.LIFE,
+                "metrics_unavailable",
+                address=format_address(address),
+                why=str(error),
+            )
+
     async def _bootstrap(self) -> None:
         """Ask other instances for the state while the store has not answered."""
         while not self.engine.is_ready() and not self._stop.is_set():
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/platform_system.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/platform_system.py
@@ -63,6 +63,7 @@
         self.name = name
         self.host = packet_address[0]
         self._packet_address = packet_address
+        self.environment: dict[str, str] = {}
         self.settings = settings
         self.log = log
         self.process: asyncio.subprocess.Process | None = None
@@ -80,6 +81,7 @@
                     **os.environ,
                     "SAPPHIRERAIL_NODE_FILE": str(self.settings),
                     "SAPPHIRERAIL_PACKET_ADDRESS": format_address(self._packet_address),
+                    **self.environment,
                 },
             )
 
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import socket
 
 import pytest
 
@@ -298,6 +299,25 @@
     play(scenario)
 
 
+def test_a_port_for_figures_that_is_taken_costs_the_figures_only():
+    async def scenario(system):
+        entry = system.instances[0]
+        with socket.socket() as taken:
+            taken.bind((entry.host, 0))
+            taken.listen()
+            port = taken.getsockname()[1]
+            entry.environment["SAPPHIRERAIL_METRICS_PORT"] = str(port)
+            entry.send(signal.SIGKILL)
+            await entry.wait()
+            await entry.start()
+            await wait_until("ready", lambda: system.is_ready(entry))
+        assert entry.lines("metrics_unavailable")
+        system.in_rotation = [entry]
+        await ask_all([await system.open() for _ in range(4)])
+
+    play(scenario)
+
+
 def test_a_frozen_instance_goes_on_where_it_was():
     async def scenario(system):
         flows = [await system.open() for _ in range(10)]
