--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/config.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/config.py
@@ -45,7 +45,8 @@
     n_flows_max : int
         Flows that are tracked; the longest idle one is forgotten first.
     flow_idle_ms : int
-        Idle time after which the record of a flow is dropped.
+        Idle time after which the record of a flow is dropped, before operators have
+        given theirs.
     request_max_ms : int
         Longest time that an unanswered request counts as in flight.
     cold_overshoot, n_cold_slack : float and int
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
@@ -358,9 +358,16 @@
         for server in self.directory.servers():
             server.peer_load = totals.get(server.tag, 0.0)
 
+    def _flow_idle_ms(self) -> int:
+        """Return the idle time after which operators let a flow be discarded."""
+        configuration = self.routes.state.configuration
+        if configuration is None:
+            return self.config.flow_idle_ms
+        return configuration.flow_idle_ms
+
     def sweep(self, now_ms: int) -> None:
         """Forget what is over."""
-        self.flows.sweep(self.config.flow_idle_ms, self.config.request_max_ms, now_ms)
+        self.flows.sweep(self._flow_idle_ms(), self.config.request_max_ms, now_ms)
         self.directory.forget_departed(now_ms)
         self.choice.forget(self.directory.servers())
         self._sum_peer_loads(now_ms)
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/flows.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/flows.py
@@ -21,7 +21,6 @@
 
     __slots__ = (
         "acknowledged",
-        "answered_at_ms",
         "data_end",
         "is_open",
         "is_repeatable",
@@ -41,7 +40,6 @@
         self.acknowledged = 0
         self.data_end = 0
         self.sent_at_ms = 0
-        self.answered_at_ms = 0
         self.seen_at_ms = now_ms
 
 
--- a/packages/sapphirerail-core/tests/steering/test_engine.py
+++ b/packages/sapphirerail-core/tests/steering/test_engine.py
@@ -399,7 +399,7 @@
     servers = list(engine.directory.servers())
     assert sum(s.n_flows for s in servers) == len(engine.flows)
     assert all(0 <= s.n_in_flight <= s.n_flows for s in servers)
-    fleet.advance(CONFIG.flow_idle_ms + 1)
+    fleet.advance(engine.routes.state.configuration.flow_idle_ms + 1)
     engine.sweep(fleet.now_ms)
     assert len(engine.flows) == 0
     assert all(s.n_flows == s.n_in_flight == 0 for s in servers)
