--- a/packages/sapphirerail-core/src/sapphirerail_core/load/config.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/load/config.py
@@ -31,9 +31,6 @@
         First and longest wait before an ejected server gets a request again.
     n_sheds_to_eject : int
         Refusals in a row, at the lowest limit, after which a server is ejected.
-    hurried_probe_ms : int
-        Wait before an unanswered probe is repeated while requests are in flight, so
-        that what waits can still move within a deadline of 5 s.
     n_probes_to_eject : int
         Probes in a row without any sign of life after which a server is ejected.
     stall_floor_ms : int
@@ -56,7 +53,6 @@
     probation_ms: int = 1_000
     probation_max_ms: int = 16_000
     n_sheds_to_eject: int = 8
-    hurried_probe_ms: int = 500
     n_probes_to_eject: int = 3
     stall_floor_ms: int = 250
     silence_grace_ms: int = 100
--- a/packages/sapphirerail-core/src/sapphirerail_core/load/gate.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/load/gate.py
@@ -68,7 +68,6 @@
         self._config = config
         self._proven_at_ms = -1
         self._n_probes_unanswered = 0
-        self._probed_at_ms = 0
         self._inherited: dict[str, Inherited] = {}
 
     def n_in_flight(self, now_ms: int) -> int:
@@ -165,13 +164,6 @@
         if self.is_unreachable():
             self.limit.on_unreachable(now_ms)
         self._n_probes_unanswered += 1
-        self._probed_at_ms = now_ms
-
-    def needs_hurried_probe(self, now_ms: int) -> bool:
-        """Return whether work waits at a server that owes the answer to a probe."""
-        if not self._n_probes_unanswered or not self.in_flight:
-            return False
-        return now_ms - self._probed_at_ms >= self._config.hurried_probe_ms
 
     def is_unreachable(self) -> bool:
         """Return whether the server answered none of the last probes."""
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/gates.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/gates.py
@@ -99,7 +99,7 @@
         for server in self._roles.servers(RoleState.RELEASED):
             effects += self._tell_holder(server, now_ms)
         if now_ms < self._notice_at_ms:
-            return effects + self._hurry_probes(now_ms)
+            return effects
         self._notice_at_ms = now_ms + self._context.config.notice_ms
         effects += self._tell_again(now_ms)
         for server in self._roles.servers(RoleState.ACTIVE):
@@ -114,13 +114,6 @@
                 effects += self._send_probe(gate, now_ms)
         return effects
 
-    def _hurry_probes(self, now_ms: int) -> list[Effect]:
-        effects: list[Effect] = []
-        for gate in self._gates.values():
-            if gate.needs_hurried_probe(now_ms):
-                effects += self._send_probe(gate, now_ms)
-        return effects
-
     def _send_probe(self, gate: ServerGate, now_ms: int) -> list[Effect]:
         probe = self._probe(gate.server)
         if probe:
--- a/packages/sapphirerail-core/tests/load/test_gate.py
+++ b/packages/sapphirerail-core/tests/load/test_gate.py
@@ -174,24 +174,3 @@
     made.on_report(HealthReport(), 5_000)
     assert made.is_closed(4_500)
     assert made.has_room(4_000 + CONFIG.probation_ms)
-
-
-def test_work_that_waits_has_an_unanswered_probe_repeated_soon():
-    # An opening at a server that went silent waited 4 s of its 5 s for three probes.
-    made = gate()
-    made.on_probe_sent(1_000)
-    assert not made.needs_hurried_probe(9_000)
-    made.on_sent(1, 6_000, 1_000)
-    assert not made.needs_hurried_probe(999 + CONFIG.hurried_probe_ms)
-    assert made.needs_hurried_probe(1_000 + CONFIG.hurried_probe_ms)
-    made.on_probe_sent(1_500)
-    made.on_probe_sent(2_000)
-    assert made.is_unreachable()
-
-
-def test_answered_probes_are_not_hurried():
-    made = gate()
-    made.on_sent(1, 6_000, 1_000)
-    made.on_probe_sent(1_000)
-    made.on_report(HealthReport(n_busy=1, n_queued=0, n_flows=0), 1_010)
-    assert not made.needs_hurried_probe(9_000)
