--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/refresh.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/refresh.py
@@ -69,10 +69,6 @@
         """Return how long the store has answered without a failure."""
         return now_ms - self._steady_since_ms
 
-    def is_lost(self) -> bool:
-        """Return whether the last read of this instance failed."""
-        return self._n_failures > 0
-
     def delay_ms(self, data_centre_rank: int, rank: int) -> int:
         """Return the age at which an instance of a rank reads."""
         config = self.config
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/metrics.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/metrics.py
@@ -42,7 +42,6 @@
     def __init__(self) -> None:
         self.counters: Counter[tuple[str, str]] = Counter()
         self.histograms: dict[tuple[str, str], Histogram] = {}
-        self.gauges: dict[str, float] = {}
 
     def count(self, family: str, label: str, n_events: int = 1) -> None:
         """Add to a counter."""
@@ -72,8 +71,6 @@
             buckets = list(histogram.cumulative())
             metric.add_metric([], buckets, histogram.total_ms)
             yield metric
-        for name, value in sorted(self.gauges.items()):
-            yield core.GaugeMetricFamily(f"{PREFIX}_{name}", name, value)
 
     def exposition(self) -> bytes:
         """Return all figures in the text exposition format.
