Read the whole store by one call of one instance, and relay it

Now the reader's call shows operators' keys, servers and instances at once. Its relay carries the whole picture three times after a change and a checksum otherwise. An instance whose checksum differs, or that gets none, reads for itself. Watches, the listing of instances, the merging of changes and the wait for "behind" are gone (-130 lines without tests). Who is cut off from the store alone hears operators' changes from peers now.

A removed key has no revision: the return of a data centre is told by the checksum, which covers the data centres that are out. A configuration beyond a datagram makes the others read.

Ruled out: an empty prefix that the platform refuses (it answers); a longer interval of reads (0.5 s kept, drains want it).

Tests: a start costs one read and one registration (5 calls before); a fleet at rest reads by one; what one reads is in force at all, returns are told, lost, older, too large and unreachable pictures. test_a_forgotten_history_hides_no_change went with the watches, as no history is read that could be forgotten; in its place changes in quick succession, with real processes. Two tests of OperatorChanges went with the type.

--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
@@ -14,7 +14,7 @@
 from .events import Belief, Event, Reason
 from .evidence import Evidence
 from .flows import Flow, FlowTable
-from .messages import LoadReport, ServerLoad
+from .messages import LoadReport, Picture, ServerLoad
 from .model import OperatorState, RequestKind, Route, ServerEntry
 from .packet import Packet
 from .peers import Peers
@@ -115,6 +115,20 @@
         steady_ms = self.refresh.steady_ms(now_ms)
         self._events += self.directory.apply(entries, steady_ms, now_ms)
 
+    def picture(self) -> Picture:
+        """Return what is known of operators, servers and instances."""
+        return Picture(
+            self.routes.state,
+            self.directory.entries,
+            tuple(sorted(self.peers.entries(), key=lambda entry: entry.instance)),
+        )
+
+    def apply_picture(self, picture: Picture, now_ms: int) -> None:
+        """Take in what a read of the store showed, here or at another instance."""
+        self.apply_operator_state(picture.operator_state, now_ms)
+        self.peers.apply(picture.instances)
+        self.apply_servers(picture.servers, now_ms)
+
     def apply_report(self, report: LoadReport, now_ms: int) -> None:
         """Take in what a peer of the own data centre has and saw."""
         self.peers.on_heard(report.sender, now_ms).report = report
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/messages.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/messages.py
@@ -9,6 +9,7 @@
     "DirectoryUpdate",
     "LoadReport",
     "PeerMessage",
+    "Picture",
     "ServerLoad",
     "StateSnapshot",
     "Stopped",
@@ -44,6 +45,14 @@
     loads: tuple[ServerLoad, ...]
 
 
+class Picture(msgspec.Struct, frozen=True):
+    """All that a read of the store showed, or that a reader knows from it."""
+
+    operator_state: OperatorState
+    servers: tuple[ServerEntry, ...]
+    instances: tuple[InstanceEntry, ...]
+
+
 class DirectoryUpdate(msgspec.Struct, frozen=True, array_like=True, tag=92):
     """What a reader of the store tells the others after each read.
 
@@ -60,9 +69,9 @@
     operator_revision : int
         Store revision of the operators' newest change that the sender knows.
     digest : int
-        Checksum of the entries.
-    entries : tuple of ServerEntry or None
-        All entries; left out while they stay the same.
+        Checksum of the servers, the configuration and the data centres that are out.
+    picture : Picture or None
+        What the sender knows; left out while it stays the same.
     """
 
     sender: InstanceEntry
@@ -71,7 +80,7 @@
     steady_ms: int
     operator_revision: int
     digest: int
-    entries: tuple[ServerEntry, ...] | None
+    picture: Picture | None
 
 
 class Stopped(msgspec.Struct, frozen=True, array_like=True, tag=93):
@@ -83,11 +92,9 @@
 class StateSnapshot(msgspec.Struct, frozen=True):
     """All that an instance knows, for one that starts while the store is away."""
 
-    operator_state: OperatorState
-    servers: tuple[ServerEntry, ...]
+    picture: Picture
     store_revision: int
     age_ms: int
-    instances: tuple[InstanceEntry, ...]
 
 
 PeerMessage = LoadReport | DirectoryUpdate | Stopped
--- a/packages/sapphirerail-node/src/sapphirerail_node/platform/store.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/platform/store.py
@@ -3,8 +3,6 @@
 import base64
 import logging
 import time
-from collections.abc import Mapping
-from types import MappingProxyType
 from typing import Any, TypeVar
 from urllib.parse import urlencode
 
@@ -14,7 +12,6 @@
 from sapphirerail_core.steering.model import (
     Configuration,
     InstanceEntry,
-    OperatorChanges,
     OperatorState,
     ServerEntry,
 )
@@ -23,11 +20,10 @@
 from sapphirerail_transport.udp import Address, check_address
 
 from ..steering.ports import (
-    HistoryLostError,
     LeaseEndedError,
     RegistrationId,
-    ServerRead,
     StoreCallError,
+    StoreRead,
 )
 from .entries import decode_configuration, decode_server
 
@@ -36,18 +32,14 @@
 _log = logging.getLogger(__name__)
 
 CALL_TIMEOUT_MS = 1_000
-# Beyond the time that a watch waits by itself.
-WATCH_GRACE_MS = 1_000
 CONFIGURATION_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
 OPERATOR_PREFIX = "op/"
 SERVER_PREFIX = "servers/"
 INSTANCE_PREFIX = "sapphirerail/instances/"
-NO_OPTIONS: Mapping[str, str] = MappingProxyType({})
 # Malformed entries are logged again after this time, and so many are remembered.
 SKIPPED_INTERVAL_S = 10
 N_SKIPPED_MAX = 1_024
-STATUS_GONE = 410
 STATUS_NOT_FOUND = 404
 
 AnswerT = TypeVar("AnswerT")
@@ -56,8 +48,7 @@
 class _Item(msgspec.Struct):
     key: str
     revision: int
-    value: str = ""
-    deleted: bool = False
+    value: str
 
 
 class _Range(msgspec.Struct, rename="camel"):
@@ -66,11 +57,6 @@
     store_revision: int
 
 
-class _Watch(msgspec.Struct, rename="camel"):
-    events: list[_Item]
-    store_revision: int
-
-
 class _Lease(msgspec.Struct):
     lease: int
 
@@ -86,40 +72,26 @@
 
     def __init__(self, address: Address) -> None:
         self._client = HttpClient(address)
-
-    async def read_servers(self) -> ServerRead:
-        """Return all usable entries of servers; others are logged and left out."""
-        revision, items = await self._range(SERVER_PREFIX)
-        entries = [_server(item) for item in items]
-        usable = tuple(entry for entry in entries if entry is not None)
-        return ServerRead(revision, usable, len(entries) - len(usable))
-
-    async def read_operator_state(self) -> OperatorState:
-        """Return all that operators have written."""
-        revision, items = await self._range(OPERATOR_PREFIX)
-        changes = _changes(items, revision)
-        return OperatorState(0, 0, None, ()).with_changes(changes)
-
-    async def wait_operator_changes(
-        self, after_revision: int, wait_ms: int
-    ) -> OperatorChanges:
-        """Return the changes after a revision, at once or after a wait."""
-        query = {"prefix": OPERATOR_PREFIX, "after": after_revision, "waitMs": wait_ms}
-        answer = await self._call(
-            "GET",
-            f"/kv-watch?{urlencode(query)}",
-            _Watch,
-            timeout_ms=wait_ms + WATCH_GRACE_MS,
+        # The newest configuration that could be decoded: it is decoded once only.
+        self._configuration_revision = 0
+        self._configuration: Configuration | None = None
+
+    async def read(self) -> StoreRead:
+        """Return all that steering depends on; what cannot be used is logged.
+
+        One call reads the whole store, as calls are priced and limited, not bytes.
+        """
+        revision, items = await self._range()
+        entries = [_server(i) for i in items if i.key.startswith(SERVER_PREFIX)]
+        servers = tuple(entry for entry in entries if entry is not None)
+        instances = [_instance(i) for i in items if i.key.startswith(INSTANCE_PREFIX)]
+        return StoreRead(
+            store_revision=revision,
+            operator_state=self._operator_state(items, revision),
+            servers=servers,
+            instances=tuple(entry for entry in instances if entry is not None),
+            n_malformed=len(entries) - len(servers),
         )
-        return _changes(answer.events, answer.store_revision)
-
-    async def read_instances(self, is_fresh: bool) -> tuple[InstanceEntry, ...]:
-        """Return the registered instances; unless fresh, as of some seconds ago."""
-        # A read that may be stale costs a tenth.
-        options = {} if is_fresh else {"staleOk": "1"}
-        _, items = await self._range(INSTANCE_PREFIX, options)
-        entries = [_instance(item) for item in items]
-        return tuple(entry for entry in entries if entry is not None)
 
     async def register(self, entry: InstanceEntry, ttl_ms: int) -> RegistrationId:
         """Register an instance for a time."""
@@ -141,12 +113,10 @@
         """End a registration."""
         await self._call("DELETE", f"/kv-lease-end/{registration}", None)
 
-    async def _range(
-        self, prefix: str, options: Mapping[str, str] = NO_OPTIONS
-    ) -> tuple[int, list[_Item]]:
+    async def _range(self) -> tuple[int, list[_Item]]:
         """Return the store's revision and all items; pages are read in turn."""
         items: list[_Item] = []
-        query = {"prefix": prefix, **options}
+        query = {"prefix": ""}
         revision: int | None = None
         while True:
             page = await self._call("GET", f"/kv-range?{urlencode(query)}", _Range)
@@ -157,6 +127,24 @@
                 return revision, items
             query["after"] = page.items[-1].key
 
+    def _operator_state(self, items: list[_Item], store_revision: int) -> OperatorState:
+        written = [item for item in items if item.key.startswith(OPERATOR_PREFIX)]
+        for item in written:
+            is_new = item.revision != self._configuration_revision
+            if item.key == CONFIGURATION_KEY and is_new:
+                self._configuration_revision = item.revision
+                self._configuration = _configuration(item) or self._configuration
+        return OperatorState(
+            store_revision=store_revision,
+            change_revision=max((item.revision for item in written), default=0),
+            configuration=self._configuration,
+            evacuated=tuple(
+                DataCentreId(item.key.removeprefix(EVACUATION_PREFIX))
+                for item in written
+                if item.key.startswith(EVACUATION_PREFIX)
+            ),
+        )
+
     async def _call(
         self,
         method: str,
@@ -180,8 +168,6 @@
 
 
 def _store_error(error: HttpError) -> StoreCallError:
-    if error.status == STATUS_GONE:
-        return HistoryLostError("store.history_lost", error.message)
     if error.status == STATUS_NOT_FOUND:
         return LeaseEndedError("store.not_found", error.message)
     code = f"store.status_{error.status}" if error.status else error.code
@@ -235,21 +221,3 @@
     except InputError as error:
         _log_skipped("configuration_skipped", item.key, error)
         return None
-
-
-def _changes(items: list[_Item], store_revision: int) -> OperatorChanges:
-    configuration: Configuration | None = None
-    is_out: dict[DataCentreId, bool] = {}
-    for item in sorted(items, key=lambda item: item.revision):
-        if item.key == CONFIGURATION_KEY and not item.deleted:
-            configuration = _configuration(item) or configuration
-        elif item.key.startswith(EVACUATION_PREFIX):
-            name = DataCentreId(item.key.removeprefix(EVACUATION_PREFIX))
-            is_out[name] = not item.deleted
-    return OperatorChanges(
-        store_revision=store_revision,
-        change_revision=max((item.revision for item in items), default=0),
-        configuration=configuration,
-        evacuated=tuple(name for name, out in is_out.items() if out),
-        returned=tuple(name for name, out in is_out.items() if not out),
-    )
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/application.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/application.py
@@ -236,13 +236,11 @@
             )
             return
         now_ms = monotonic_ms()
-        self.engine.apply_operator_state(snapshot.operator_state, now_ms)
         is_newer = self.engine.refresh.on_update(
             snapshot.store_revision, snapshot.age_ms, 0, now_ms
         )
         if is_newer:
-            self.engine.apply_servers(snapshot.servers, now_ms)
-        self.engine.peers.apply(snapshot.instances)
+            self.engine.apply_picture(snapshot.picture, now_ms)
         self.packets.log_events()
 
     def _sweep(self, now_ms: int) -> None:
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/peer_service.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/peer_service.py
@@ -1,6 +1,5 @@
 """Datagrams between entry instances: load reports and relayed reads."""
 
-import asyncio
 import zlib
 
 import msgspec
@@ -10,9 +9,10 @@
     DirectoryUpdate,
     LoadReport,
     PeerMessage,
+    Picture,
     Stopped,
 )
-from sapphirerail_core.steering.model import ServerEntry
+from sapphirerail_core.steering.model import InstanceEntry
 from sapphirerail_core.steering.peers import Peer
 from sapphirerail_transport.udp import (
     Address,
@@ -31,11 +31,11 @@
 REPORT_INTERVAL_MAX_MS = 750
 # Keeps what an instance of a large data centre receives near 50 reports a second.
 N_PEERS_AT_FULL_RATE = 12
-# Updates after a change that carry all entries, so that one lost datagram costs none
-# of the receivers a read of its own.
+# Updates after a change that carry the whole picture, so that one lost datagram costs
+# none of the receivers a read of its own.
 N_FULL_UPDATES = 3
-# Differences in what two readers saw of the store's failures; outages last seconds.
-OUTAGE_MS = 500
+# What a UDP datagram takes; whoever needs a larger picture reads the store itself.
+DATAGRAM_MAX_BYTES = 60_000
 
 
 class PeerService:
@@ -56,10 +56,9 @@
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(PeerMessage)
         self._socket: UdpSocket | None = None
-        self._digest = 0
+        self._told: tuple[object, ...] = ()
         self._n_full_left = 0
         self._reported_at_ms = 0
-        self.on_behind = asyncio.Event()
 
     async def open(self, address: Address) -> None:
         """Start to take messages."""
@@ -101,22 +100,24 @@
         self._broadcast(message, self._engine.peers.near())
 
     def _relay(self, age_ms: int, *, is_near_only: bool = False) -> None:
-        entries = self._engine.directory.entries
-        digest = _digest(entries)
-        if digest != self._digest:
-            self._digest = digest
+        engine = self._engine
+        picture = engine.picture()
+        digest = _digest(picture)
+        told = (digest, picture.instances)
+        if told != self._told:
+            self._told = told
             self._n_full_left = N_FULL_UPDATES
         is_full = self._n_full_left > 0
         self._n_full_left = max(0, self._n_full_left - 1)
-        refresh = self._engine.refresh
+        refresh = engine.refresh
         message = DirectoryUpdate(
             sender=self._own,
             store_revision=refresh.store_revision,
             age_ms=age_ms,
             steady_ms=refresh.steady_ms(monotonic_ms()),
-            operator_revision=self._engine.routes.state.change_revision,
+            operator_revision=picture.operator_state.change_revision,
             digest=digest,
-            entries=entries if is_full else None,
+            picture=picture if is_full else None,
         )
         peers = self._engine.peers.near()
         if not is_near_only:
@@ -125,6 +126,11 @@
 
     def _broadcast(self, message: PeerMessage, peers: list[Peer]) -> None:
         payload = self._encoder.encode(message)
+        if len(payload) > DATAGRAM_MAX_BYTES and isinstance(message, DirectoryUpdate):
+            self._metrics.count("peer_messages", "too_large")
+            payload = self._encoder.encode(
+                msgspec.structs.replace(message, picture=None)
+            )
         for peer in peers:
             if self._socket is not None:
                 self._socket.send(payload, parse_address(peer.entry.address))
@@ -133,9 +139,9 @@
     def _on_datagram(self, payload: bytes, _: Address) -> None:
         try:
             message = self._decoder.decode(payload)
-            if not isinstance(message, Stopped):
-                # Every later message to this peer would fail otherwise.
-                check_address(message.sender.address)
+            # Every later message to such a peer would fail otherwise.
+            for entry in _named_in(message):
+                check_address(entry.address)
         except (msgspec.MsgspecError, ValueError):
             self._metrics.count("peer_messages", "malformed")
             return
@@ -151,39 +157,51 @@
 
     def _on_update(self, message: DirectoryUpdate, now_ms: int) -> None:
         self._engine.peers.on_heard(message.sender, now_ms)
+        picture = message.picture
+        if picture is not None:
+            # An older one changes nothing, whichever way it came.
+            self._engine.apply_operator_state(picture.operator_state, now_ms)
         self._compare_operator_state(message.operator_revision)
-        is_known = message.digest == _digest(self._engine.directory.entries)
-        if not is_known and message.entries is None:
-            if message.store_revision >= self._engine.refresh.store_revision:
-                self._engine.refresh.want()
-            return
+        is_known = message.digest == _digest(self._engine.picture())
         refresh = self._engine.refresh
-        steady_before_ms = refresh.steady_ms(now_ms)
+        if not is_known and picture is None:
+            if message.store_revision >= refresh.store_revision:
+                refresh.want()
+            return
         is_newer = refresh.on_update(
             message.store_revision, message.age_ms, message.steady_ms, now_ms
         )
         if not is_newer:
             return
-        if refresh.steady_ms(now_ms) < steady_before_ms - OUTAGE_MS:
-            # The store was away, and a watch that began then may wait for good.
-            self.on_behind.set()
-        entries = message.entries
-        if entries is None:
-            entries = self._engine.directory.entries
-        self._engine.apply_servers(entries, now_ms)
+        if picture is not None:
+            self._engine.apply_picture(picture, now_ms)
+            self._engine.peers.on_heard(message.sender, now_ms)
+        else:
+            self._engine.apply_servers(self._engine.directory.entries, now_ms)
         if message.sender.data_centre != self._own.data_centre:
             self._relay(message.age_ms, is_near_only=True)
 
     def _compare_operator_state(self, revision: int) -> None:
         """Ask for a read if a peer knows a change that is not known here."""
         if revision > self._engine.routes.state.store_revision:
-            self.on_behind.set()
+            self._engine.refresh.want()
+
+
+def _named_in(message: PeerMessage) -> tuple[InstanceEntry, ...]:
+    """Return the instances that a message makes known."""
+    if isinstance(message, Stopped):
+        return ()
+    if isinstance(message, DirectoryUpdate) and message.picture is not None:
+        return (message.sender, *message.picture.instances)
+    return (message.sender,)
 
 
-def _digest(entries: tuple[ServerEntry, ...]) -> int:
-    """Return a checksum of all that steering depends on."""
+def _digest(picture: Picture) -> int:
+    """Return a checksum of all in a picture that each instance must have alike."""
+    state = picture.operator_state
+    revision = state.configuration.revision if state.configuration else 0
     parts = [
         (e.server, e.started_at_ms, e.address, e.is_draining, e.cold_ms > 0)
-        for e in entries
+        for e in picture.servers
     ]
-    return zlib.crc32(repr(sorted(parts)).encode())
+    return zlib.crc32(repr((revision, sorted(state.evacuated), sorted(parts))).encode())
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/ports.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/ports.py
@@ -6,7 +6,6 @@
 
 from sapphirerail_core.steering.model import (
     InstanceEntry,
-    OperatorChanges,
     OperatorState,
     ServerEntry,
 )
@@ -15,13 +14,12 @@
 from sapphirerail_transport.udp import Address
 
 __all__ = [
-    "HistoryLostError",
     "LeaseEndedError",
     "PacketCodec",
     "PlatformStore",
     "RegistrationId",
-    "ServerRead",
     "StoreCallError",
+    "StoreRead",
 ]
 
 RegistrationId = NewType("RegistrationId", int)
@@ -44,29 +42,31 @@
         self.message = message
 
 
-class HistoryLostError(StoreCallError):
-    """The changes since a revision are no longer known; read the whole anew."""
-
-
 class LeaseEndedError(StoreCallError):
     """The registration has ended; register anew."""
 
 
-class ServerRead(msgspec.Struct, frozen=True):
-    """All usable entries of servers at one revision of the store.
+class StoreRead(msgspec.Struct, frozen=True):
+    """Everything in the store that steering depends on, at one revision.
 
     Parameters
     ----------
     store_revision : int
-        Revision of the store.
-    entries : tuple of ServerEntry
-        Entries that could be decoded.
+        Revision of the store up to which this is complete.
+    operator_state : OperatorState
+        All that operators have written.
+    servers : tuple of ServerEntry
+        Entries of servers that could be decoded.
+    instances : tuple of InstanceEntry
+        The registered instances.
     n_malformed : int
-        Entries that could not.
+        Entries of servers that could not be decoded.
     """
 
     store_revision: int
-    entries: tuple[ServerEntry, ...]
+    operator_state: OperatorState
+    servers: tuple[ServerEntry, ...]
+    instances: tuple[InstanceEntry, ...]
     n_malformed: int
 
 
@@ -95,22 +95,8 @@
 class PlatformStore(Protocol):
     """The platform's store; each call may raise `StoreCallError`."""
 
-    async def read_servers(self) -> ServerRead:
-        """Return all servers."""
-        ...
-
-    async def read_operator_state(self) -> OperatorState:
-        """Return all that operators have written."""
-        ...
-
-    async def wait_operator_changes(
-        self, after_revision: int, wait_ms: int
-    ) -> OperatorChanges:
-        """Return the changes after a revision, at once or after a wait."""
-        ...
-
-    async def read_instances(self, is_fresh: bool) -> tuple[InstanceEntry, ...]:
-        """Return the registered instances; unless fresh, as of some seconds ago."""
+    async def read(self) -> StoreRead:
+        """Return what operators wrote, servers announce and instances registered."""
         ...
 
     async def register(self, entry: InstanceEntry, ttl_ms: int) -> RegistrationId:
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/state_api.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/state_api.py
@@ -47,11 +47,9 @@
         if age_ms is None:
             raise SapphirerailError("state.unknown", "this instance knows nothing yet")
         return StateSnapshot(
-            operator_state=self._engine.routes.state,
-            servers=self._engine.directory.entries,
+            picture=self._engine.picture(),
             store_revision=self._engine.refresh.store_revision,
             age_ms=age_ms,
-            instances=tuple(self._engine.peers.entries()),
         )
 
 
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/store_service.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/store_service.py
@@ -7,13 +7,13 @@
 from typing import TypeVar
 
 from sapphirerail_core.steering import SteeringEngine
+from sapphirerail_core.steering.messages import Picture
 
 from ..clock import monotonic_ms
 from .decision_log import DecisionLog, LogClass
 from .metrics import SteeringMetrics
 from .peer_service import PeerService
 from .ports import (
-    HistoryLostError,
     LeaseEndedError,
     PlatformStore,
     RegistrationId,
@@ -26,26 +26,17 @@
 
 ResultT = TypeVar("ResultT")
 
-# A watch that waits counts as one call. That its connection went silent is noticed by
-# a change that peers know of, or at its end.
-WATCH_WAIT_MS = 30_000
-READER_WATCH_WAIT_MS = 2_500
-# Collects the changes of a storm into few calls, well below the 3 s of a change.
-WATCH_GAP_MS = 300
-RETRY_MS = 200
-RETRY_MAX_MS = 1_000
+# Wait before a failed call is made again.
+RETRY_MS = 1_000
+# Life of a registration whose instance is gone, and how often a live one extends it.
 REGISTRATION_TTL_MS = 15_000
 RENEW_INTERVAL_MS = 5_000
-READER_LIST_INTERVAL_MS = 10_000
-LIST_INTERVAL_MS = 60_000
-# Longest sleep of the loop that reads servers, as others' reads shift its time.
+# Longest sleep of the loop that reads, as others' reads shift its time.
 REFRESH_SLEEP_MAX_MS = 250
-# An instance that read for itself within this time acts as a reader.
-READER_MS = 2_000
 
 
 class StoreService:
-    """Reads servers, follows operators' changes, and registers the instance.
+    """Reads the store for others or hears of their reads, and registers the instance.
 
     Parameters
     ----------
@@ -76,8 +67,6 @@
         self._metrics = metrics
         self._registration: RegistrationId | None = None
         self._lost_at_ms: int | None = None
-        self._own_read_ms: int | None = None
-        self._registered = asyncio.Event()
         self._staying: asyncio.Task[None] | None = None
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -85,12 +74,7 @@
         """Start all loops."""
         self._staying = asyncio.create_task(self._keep_up(self._stay_registered))
         self._tasks.append(self._staying)
-        for loop in (
-            self._refresh_servers,
-            self._follow_operators,
-            self._list_instances,
-        ):
-            self._tasks.append(asyncio.create_task(self._keep_up(loop)))
+        self._tasks.append(asyncio.create_task(self._keep_up(self._refresh)))
 
     async def _keep_up(self, loop: Callable[[], Awaitable[None]]) -> None:
         """Run a loop for good; one that fails is logged and begins anew."""
@@ -99,7 +83,7 @@
                 await loop()
             except Exception:
                 _log.exception("%s failed and begins anew", loop.__name__)
-                await asyncio.sleep(RETRY_MAX_MS / 1000)
+                await asyncio.sleep(RETRY_MS / 1000)
 
     def leave(self) -> None:
         """End the registration in the background; everything else goes on."""
@@ -119,12 +103,6 @@
             # The lease runs out by itself if the store cannot be reached.
             await self._call("unregister", self.store.unregister, self._registration)
 
-    def is_reader(self) -> bool:
-        """Return whether this instance reads the store for others."""
-        if self._own_read_ms is None:
-            return False
-        return monotonic_ms() - self._own_read_ms <= READER_MS
-
     async def _call(
         self, name: str, call: Callable[..., Awaitable[ResultT]], *arguments: object
     ) -> ResultT:
@@ -133,7 +111,7 @@
             result = await call(*arguments)
         except StoreCallError as error:
             self._metrics.count("store_calls", f"{name}.{error.code}")
-            if not isinstance(error, HistoryLostError | LeaseEndedError):
+            if not isinstance(error, LeaseEndedError):
                 self._on_lost(name, error)
             raise
         self._metrics.count("store_calls", f"{name}.ok")
@@ -156,11 +134,9 @@
         if self._lost_at_ms is not None:
             away_ms = monotonic_ms() - self._lost_at_ms
             self._lost_at_ms = None
-            # A watch that began in the outage may wait for good.
-            self._peers.on_behind.set()
             self._log.write(LogClass.LIFE, "store_regained", call=name, away_ms=away_ms)
 
-    async def _refresh_servers(self) -> None:
+    async def _refresh(self) -> None:
         refresh = self._engine.refresh
         while True:
             now_ms = monotonic_ms()
@@ -168,21 +144,21 @@
             if wait_ms:
                 await asyncio.sleep(min(wait_ms, REFRESH_SLEEP_MAX_MS) / 1000)
                 continue
-            await self._read_servers()
+            await self._read()
 
-    async def _read_servers(self) -> None:
+    async def _read(self) -> None:
         began_ms = monotonic_ms()
         refresh = self._engine.refresh
         try:
-            read = await self._call("servers", self.store.read_servers)
+            read = await self._call("read", self.store.read)
         except StoreCallError:
             refresh.on_failure(monotonic_ms())
             return
         refresh.on_read(read.store_revision, began_ms)
-        self._own_read_ms = began_ms
         if read.n_malformed:
             self._metrics.count("entries", "malformed", read.n_malformed)
-        self._engine.apply_servers(read.entries, began_ms)
+        picture = Picture(read.operator_state, read.servers, read.instances)
+        self._engine.apply_picture(picture, began_ms)
         self._peers.relay_read()
 
     def _ranks(self, now_ms: int) -> tuple[int, int]:
@@ -191,59 +167,6 @@
         data_centre_rank = peers.data_centres().index(peers.own.data_centre)
         return data_centre_rank, peers.own_rank(now_ms)
 
-    async def _follow_operators(self) -> None:
-        retry_ms = RETRY_MS
-        is_complete = False
-        while True:
-            try:
-                if is_complete:
-                    await self._await_changes()
-                else:
-                    await self._read_operator_state()
-                    is_complete = True
-                retry_ms = RETRY_MS
-            except HistoryLostError:
-                is_complete = False
-            except StoreCallError:
-                is_complete = False
-                await asyncio.sleep(retry_ms / 1000)
-                retry_ms = min(2 * retry_ms, RETRY_MAX_MS)
-
-    async def _read_operator_state(self) -> None:
-        self._peers.on_behind.clear()
-        state = await self._call("operators", self.store.read_operator_state)
-        self._engine.apply_operator_state(state, monotonic_ms())
-
-    async def _await_changes(self) -> None:
-        """Wait for changes, or read anew if a peer knows of one first."""
-        wait_ms = READER_WATCH_WAIT_MS if self.is_reader() else WATCH_WAIT_MS
-        state = self._engine.routes.state
-        watch = asyncio.create_task(
-            self._call(
-                "watch", self.store.wait_operator_changes, state.store_revision, wait_ms
-            )
-        )
-        behind = asyncio.create_task(self._peers.on_behind.wait())
-        try:
-            await asyncio.wait({watch, behind}, return_when=asyncio.FIRST_COMPLETED)
-            if not watch.done():
-                # The watch may hear of the change a moment later by itself.
-                await asyncio.wait({watch}, timeout=WATCH_GAP_MS / 1000)
-            if watch.done():
-                changes = watch.result()
-                current = self._engine.routes.state
-                self._engine.apply_operator_state(
-                    current.with_changes(changes), monotonic_ms()
-                )
-            else:
-                await self._read_operator_state()
-        finally:
-            for task in (watch, behind):
-                task.cancel()
-            await asyncio.gather(watch, behind, return_exceptions=True)
-        self._peers.on_behind.clear()
-        await asyncio.sleep(WATCH_GAP_MS / 1000)
-
     async def _stay_registered(self) -> None:
         while True:
             try:
@@ -252,33 +175,12 @@
                     self._registration = await self._call(
                         "register", self.store.register, entry, REGISTRATION_TTL_MS
                     )
-                    self._registered.set()
                 else:
                     await self._call("renew", self.store.renew, self._registration)
             except LeaseEndedError:
                 self._registration = None
                 continue
             except StoreCallError:
-                await asyncio.sleep(RETRY_MAX_MS / 1000)
+                await asyncio.sleep(RETRY_MS / 1000)
                 continue
             await asyncio.sleep(RENEW_INTERVAL_MS / 1000)
-
-    async def _list_instances(self) -> None:
-        # Of two instances that start together, the one that registers last sees the
-        # other, and its reports make it known.
-        with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._registered.wait(), RETRY_MAX_MS / 1000)
-        is_fresh = True
-        while True:
-            try:
-                entries = await self._call(
-                    "instances", self.store.read_instances, is_fresh
-                )
-            except StoreCallError:
-                await asyncio.sleep(RETRY_MAX_MS / 1000)
-                continue
-            is_fresh = False
-            self._engine.peers.apply(entries)
-            is_reader = self.is_reader()
-            interval_ms = READER_LIST_INTERVAL_MS if is_reader else LIST_INTERVAL_MS
-            await asyncio.sleep(interval_ms / 1000)
--- a/packages/sapphirerail-node/tests/steering/test_peer_service.py
+++ b/packages/sapphirerail-node/tests/steering/test_peer_service.py
@@ -3,11 +3,25 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from sapphirerail_core.steering.messages import LoadReport
-from sapphirerail_core.steering.model import InstanceEntry
+from sapphirerail_core.steering.messages import DirectoryUpdate, LoadReport
+from sapphirerail_core.steering.model import (
+    InstanceEntry,
+    OperatorState,
+    RequestKind,
+    Route,
+    Share,
+)
 from sapphirerail_node.steering.metrics import SteeringMetrics
 from sapphirerail_node.steering.peer_service import PeerService
-from sapphirerail_standins.steering_fleet import SteeringFleet
+from sapphirerail_standins.steering_fleet import (
+    BOOKINGS,
+    SteeringFleet,
+    configuration,
+    server_entry,
+)
+
+READER = InstanceEntry("osu-9", "osu", "10.0.0.9:7720")
+PEER = InstanceEntry("osu-1", "osu", "10.0.0.1:7720")
 
 
 def service():
@@ -55,3 +69,105 @@
     assert peers._metrics.counters["peer_messages", "sent"] == n_sent
     peers.tick(peers._reported_at_ms + interval_ms)
     assert peers._metrics.counters["peer_messages", "sent"] == n_sent + n_peers
+
+
+class Wire:
+    """Takes what a reader of the store sends, and hands it to its peers."""
+
+    def __init__(self):
+        self.reader, _ = service()
+        self.peers = [service()[0] for _ in range(3)]
+        self.reader._engine.peers.own = self.reader._own = READER
+        self.reader._socket = self
+        # One peer is enough: what is sent to it is handed to all.
+        self.reader._engine.peers.on_heard(PEER, 0)
+        self.sent = []
+
+    def send(self, payload, address):
+        self.sent.append(payload)
+
+    def read(self, state, *servers):
+        engine = self.reader._engine
+        engine.refresh.on_read(state.store_revision, 0)
+        engine.apply_operator_state(state, 0)
+        engine.apply_servers(servers, 0)
+        self.reader.relay_read()
+
+    def deliver(self):
+        sent, self.sent = self.sent, []
+        for payload in sent:
+            for peer in self.peers:
+                peer._on_datagram(payload, ("10.0.0.9", 7720))
+
+
+def test_what_one_reads_is_in_force_at_all_without_a_read_of_theirs():
+    wire = Wire()
+    wire.read(OperatorState(20, 18, configuration(3), ("madina",)), server_entry(1))
+    wire.deliver()
+    for peer in wire.peers:
+        engine = peer._engine
+        assert engine.routes.revision == 3
+        assert engine.routes.is_out("madina")
+        assert [s.entry.server for s in engine.directory.servers()] == ["i-00000001"]
+        assert engine.refresh.wait_ms(0, 0, peer._reported_at_ms) != 0
+
+
+def test_the_return_of_a_data_centre_reaches_all_though_it_is_no_item_of_the_store():
+    # A removed key has no revision that later reads could show.
+    wire = Wire()
+    wire.read(OperatorState(20, 18, configuration(3), ("madina",)), server_entry(1))
+    wire.deliver()
+    wire.read(OperatorState(25, 18, configuration(3), ()), server_entry(1))
+    wire.deliver()
+    assert not any(peer._engine.routes.is_out("madina") for peer in wire.peers)
+
+
+def test_a_lost_update_is_made_up_for_by_the_next_ones():
+    wire = Wire()
+    wire.read(OperatorState(20, 18, configuration(3), ()), server_entry(1))
+    wire.sent.clear()
+    wire.read(OperatorState(21, 18, configuration(3), ()), server_entry(1))
+    wire.deliver()
+    assert all(peer._engine.routes.revision == 3 for peer in wire.peers)
+
+
+def test_an_older_picture_reverts_nothing():
+    wire = Wire()
+    wire.read(OperatorState(20, 18, configuration(3), ()), server_entry(1))
+    late = wire.sent
+    wire.sent = []
+    wire.read(OperatorState(30, 28, configuration(4), ("osu",)), server_entry(1))
+    wire.deliver()
+    wire.sent = late
+    wire.deliver()
+    for peer in wire.peers:
+        assert peer._engine.routes.revision == 4
+        assert peer._engine.routes.is_out("osu")
+
+
+def test_a_picture_beyond_a_datagram_makes_the_others_read():
+    wire = Wire()
+    routes = tuple(
+        Route(n << 16 | 80, f"route-{n}", RequestKind.SAFE, (Share(BOOKINGS, 1),))
+        for n in range(5_000)
+    )
+    large = configuration(3, routes=routes)
+    wire.read(OperatorState(20, 18, large, ()), server_entry(1))
+    assert all(len(payload) < 65_507 for payload in wire.sent)
+    for peer in wire.peers:
+        peer._engine.refresh.on_read(10, 0)
+    wire.deliver()
+    assert all(peer._engine.refresh.wait_ms(0, 0, 200) == 0 for peer in wire.peers)
+    assert wire.reader._metrics.counters["peer_messages", "too_large"] == 1
+
+
+def test_a_picture_with_an_address_that_cannot_be_reached_is_refused():
+    wire = Wire()
+    wire.reader._engine.peers.on_heard(InstanceEntry("osu-8", "osu", "10.0.0.8:1"), 0)
+    wire.read(OperatorState(20, 18, configuration(3), ()), server_entry(1))
+    payload = wire.sent[0].replace(b"10.0.0.8:1", b"10.0.0.8:x")
+    assert msgspec.msgpack.decode(payload, type=DirectoryUpdate).picture is not None
+    peer = wire.peers[0]
+    peer._on_datagram(payload, ("10.0.0.9", 7720))
+    assert peer._metrics.counters["peer_messages", "malformed"] == 1
+    assert peer._engine.routes.revision == 0
