Send no request beside others that its server can't end in time

A request without time for a run was kept back only if another one waited for the slot. Now it is sent to an idle server only, whose latency may have changed; a busy one shows that by its other requests, and the hold is refused as not run. Ruled out: to keep such requests back always (a server whose latency rose for a moment would get nothing ever after).

--- a/packages/sapphirerail-core/src/sapphirerail_core/load/gate.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/load/gate.py
@@ -133,10 +133,10 @@
         """Return whether a request may well miss its deadline while it runs.
 
         Its slot is then better given to one that waits, and it can still be refused
-        as not run. Without another one that waits it is sent all the same: its
-        latency may show that the usual one has changed.
+        as not run. An idle server gets it all the same: its latency may show that the
+        usual one has changed. A busy one shows that by its other requests.
         """
-        if not len(self.queue):
+        if not len(self.queue) and not self.in_flight:
             return False
         return remaining_ms < self.limit.latency.likely_within_ms(0)
 
--- a/packages/sapphirerail-core/tests/load/test_gate.py
+++ b/packages/sapphirerail-core/tests/load/test_gate.py
@@ -139,6 +139,17 @@
     assert not made.is_hopeless(300)
 
 
+def test_request_without_time_for_a_run_is_not_sent_beside_others():
+    # With 161 ms left it was sent though nothing waited, at twice the capacity; its
+    # run took 201 ms, and its caller could not be told whether it had run.
+    made = warm_gate()
+    usual_ms = made.limit.latency.expected_ms(0)
+    assert not made.is_hopeless(int(usual_ms) - 1)
+    made.on_sent(99, 5_000_000, 1_000)
+    assert made.is_hopeless(int(usual_ms) - 1)
+    assert not made.is_hopeless(2 * int(usual_ms))
+
+
 def test_server_that_answers_no_probe_is_ejected_and_gets_no_trial():
     made = warm_gate()
     for now_ms in (1_000, 2_000, 3_000):
