Spend less on each packet of the platform's path

Now an entry's address and identity are encoded once, flags are looked up, the types' names are not called, and a data centre that is out is looked for only if one is. Ruled out: fewer rounds or another bound (both stay).

--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
@@ -273,7 +273,7 @@
         if departed_ms is not None:
             if now_ms - departed_ms >= self.config.departed_grace_ms:
                 return Reset(Reason.SERVER_DEPARTED, server)
-        elif self._is_given_up(server, now_ms):
+        elif self.routes.out_since_ms and self._is_given_up(server, now_ms):
             # Operators have asked that nothing more be sent there. The server lives,
             # and a reset would tell the caller otherwise.
             return Drop(Reason.DATA_CENTRE_OUT)
--- a/packages/sapphirerail-node/src/sapphirerail_node/platform/packets.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/platform/packets.py
@@ -1,13 +1,12 @@
 """The platform's packets: a head of 32 bytes, little-endian, then data."""
 
 import struct
-from functools import lru_cache
-from typing import cast
 
 from sapphirerail_core.errors import InputError
 from sapphirerail_core.steering.model import ServerEntry
-from sapphirerail_core.steering.packet import FlowKey, Packet, ServiceAddress
+from sapphirerail_core.steering.packet import FlowKey, Packet
 from sapphirerail_core.steering.tag import ServerTag
+from sapphirerail_core.types import ServerId
 from sapphirerail_transport.udp import Address, parse_address
 
 __all__ = ["PlatformPacketCodec"]
@@ -20,14 +19,23 @@
 _HEAD = struct.Struct("<BBIIHHIHIII")
 # The same without pad, sport, src and sum, which no decision needs.
 _READ = struct.Struct("<BxII2xH4xHII4x")
+_read = _READ.unpack_from
+_HEAD_BYTES = _HEAD.size
+# Whether a packet opens a flow, ends the caller's direction, aborts; by its flags.
+_MEANINGS = [
+    (flags & (_SYN | _ACK) == _SYN, flags & _FIN != 0, flags & _RST != 0)
+    for flags in range(256)
+]
 _ECHO = struct.Struct("<I")
 _ECHO_AT = 2
 # dst, sport, dport and src stand side by side and name the flow.
 _ENDS = slice(6, 18)
 _ENDS_FORM = struct.Struct("<IHHI")
-_ADDRESSES_CACHED = 4_096
+# Servers whose address is kept decoded, above what one process sends to at a time.
+_WAYS_MAX = 4_096
 
-_cached_address = lru_cache(_ADDRESSES_CACHED)(parse_address)
+# An entry, the bytes that precede a packet on its way to it, and where it is sent.
+_Way = tuple[ServerEntry, bytes, Address]
 
 
 class PlatformPacketCodec:
@@ -41,6 +49,7 @@
 
     def __init__(self, caller_port: int) -> None:
         self._caller_port = caller_port
+        self._ways: dict[ServerId, _Way] = {}
 
     def decode(self, datagram: bytes) -> Packet:
         """Return a caller's packet.
@@ -50,21 +59,23 @@
         InputError
             ``packet.short`` or ``packet.length``.
         """
-        if len(datagram) < _HEAD.size:
+        if len(datagram) < _HEAD_BYTES:
             raise InputError("packet.short", f"{len(datagram)} bytes are no head")
         # `echo` is the server's tag.
-        flags, echo, dst, dport, length, seq, ack = _READ.unpack_from(datagram)
-        if len(datagram) != _HEAD.size + length:
+        flags, echo, dst, dport, length, seq, ack = _read(datagram)
+        if len(datagram) != _HEAD_BYTES + length:
             raise InputError(
                 "packet.length", f"{len(datagram)} bytes, {length} of data"
             )
-        # By position, which is twice as fast on this path as by name.
+        is_opening, is_finish, is_reset = _MEANINGS[flags]
+        # By position, which is twice as fast on this path as by name; and without the
+        # calls of the types' names, which cost a tenth of it.
         return Packet(
-            cast(FlowKey, datagram[_ENDS]),
-            cast(ServiceAddress, dst << 16 | dport),
-            flags & (_SYN | _ACK) == _SYN,
-            flags & _FIN != 0,
-            flags & _RST != 0,
+            datagram[_ENDS],  # type: ignore[arg-type]
+            dst << 16 | dport,  # type: ignore[arg-type]
+            is_opening,
+            is_finish,
+            is_reset,
             echo,
             seq,
             ack,
@@ -79,7 +90,19 @@
         raw = packet.raw
         if tag is not None:
             raw = raw[:_ECHO_AT] + _ECHO.pack(tag) + raw[_ECHO_AT + _ECHO.size :]
-        return server.identity.to_bytes(8, "big") + raw, _cached_address(server.address)
+        way = self._ways.get(server.server)
+        if way is None or way[0] is not server:
+            way = self._find_way(server)
+        return way[1] + raw, way[2]
+
+    def _find_way(self, server: ServerEntry) -> _Way:
+        """Encode once what the datagrams for an entry have in common."""
+        if len(self._ways) >= _WAYS_MAX:
+            self._ways.clear()
+        identity = server.identity.to_bytes(8, "big")
+        way = (server, identity, parse_address(server.address))
+        self._ways[server.server] = way
+        return way
 
     def reset(self, packet: Packet) -> tuple[bytes, Address]:
         """Return the datagram that tells the caller that its flow has ended."""
