Draw the server of a new flow, and count an opening as work

Nothing was refused; requests waited at servers that others had chosen as well.

Now an opening counts as a request in flight until its flow's first packet; the better of two near servers competes with the better of two elsewhere, which must be a whole slot ahead (half a slot before); among the two, half of what peers reported counts.

The time of an opening's answer and of the request in the same packet are equal, and the older won: a server that takes openings and answers no request was not suspected by its first one. Tested, mended.

One test is replaced: test_flows_stay_in_their_data_centre_while_it_has_room sent 20 openings in one millisecond to four slots, which is more than there is room for now that openings count; it opens 20 flows whose servers answer, and all stay.

--- a/packages/sapphirerail-core/src/sapphirerail_core/log_story.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/log_story.py
@@ -36,6 +36,15 @@
 }
 
 
+# What may have cut a flow that no line refuses, by the line that shows it.
+LOSSES = {
+    "started": "no line refuses it; its instance was lost without a word and started "
+    "anew, and packets sent to it meanwhile were lost",
+    "server_dead": "no line refuses it; its server was found dead later",
+    "server_departed": "no line refuses it; its server departed later",
+}
+
+
 class LogLine(msgspec.Struct, frozen=True):
     """One line of a decision log.
 
@@ -165,7 +174,13 @@
     ]
     told = sorted((*decisions, *beliefs), key=lambda line: line.at_ms)
     n_left_out = sum(int(line.fields.get("n_left_out", 0)) for line in told)
-    return Story(tuple(told), _cause(decisions), n_left_out)
+    cause = _cause(decisions)
+    if cause is None and flow is not None:
+        loss = _loss_after(lines, decisions, servers)
+        if loss is not None:
+            told.append(loss)
+            cause = LOSSES[loss.message]
+    return Story(tuple(told), cause, n_left_out)
 
 
 def _is_about(line: LogLine, flow: str | None, server: str | None) -> bool:
@@ -192,6 +207,30 @@
     return None
 
 
+def _loss_after(
+    lines: Sequence[LogLine], decisions: Sequence[LogLine], servers: set[str]
+) -> LogLine | None:
+    """Return the first later loss of the instance or the server of a flow.
+
+    An instance that ends without a word writes nothing; its next start shows it.
+    """
+    if not decisions:
+        return None
+    last = decisions[-1]
+    has_stopped = False
+    for line in lines:
+        if line.at_ms <= last.at_ms or line.message not in (*LOSSES, "stopped"):
+            continue
+        if line.message == "started" and line.instance == last.instance:
+            if not has_stopped:
+                return line
+        elif line.message == "stopped":
+            has_stopped = has_stopped or line.instance == last.instance
+        elif str(line.fields.get("subject")) in servers:
+            return line
+    return None
+
+
 def render_story(story: Story) -> str:
     """Return a story as text, one decision a line."""
     if not story.lines:
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/choice.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/choice.py
@@ -1,7 +1,7 @@
 """Where new flows go."""
 
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 
 from ..rendezvous import hash_key
 from ..types import DataCentreId, ServerId, ServiceId
@@ -20,9 +20,11 @@
 class Choice:
     """Picks the server of a new flow.
 
-    The least occupied server of the own data centre gets it, one elsewhere only if it
-    is ahead by the remote penalty. Servers that are silent are avoided while others
-    answer. A cold server gets flows from one instance only, within its budget.
+    The better of two random servers of the own data centre competes with the better of
+    two elsewhere, which needs to be ahead by the remote penalty. The least occupied of
+    all would be the same one for all instances between two reports of their loads.
+    Servers that are silent are avoided while others answer. A cold server gets flows
+    from one instance only, within its budget.
 
     Parameters
     ----------
@@ -72,7 +74,7 @@
         fresh = [server for server in alive if server not in tried]
         answering = [server for server in fresh if not server.is_avoided(now_ms)]
         for candidates in (answering, fresh, alive):
-            found = self._least(candidates, now_ms)
+            found = self._best(candidates, now_ms)
             if found is not None:
                 return found
         return None
@@ -85,15 +87,30 @@
             if not self._routes.is_out(server.entry.data_centre)
         ]
 
-    def _least(
-        self, candidates: Iterable[KnownServer], now_ms: int
+    def _best(
+        self, candidates: Sequence[KnownServer], now_ms: int
     ) -> KnownServer | None:
-        ranked = sorted(candidates, key=self._score)
-        for server in ranked:
+        for server in self._in_order(candidates):
             if not server.is_cold(now_ms) or self._take_cold(server, now_ms):
                 return server
         return None
 
+    def _in_order(self, candidates: Sequence[KnownServer]) -> Iterator[KnownServer]:
+        """Yield the drawn servers by their score, then the others by theirs."""
+        own = self._peers.own.data_centre
+        near = [s for s in candidates if s.entry.data_centre == own]
+        far = [s for s in candidates if s.entry.data_centre != own]
+        drawn = [self._draw(group) for group in (near, far) if group]
+        yield from sorted(drawn, key=self._score)
+        rest = [server for server in candidates if server not in drawn]
+        yield from sorted(rest, key=self._score)
+
+    def _draw(self, group: list[KnownServer]) -> KnownServer:
+        """Return the better of two at random, by what is known for sure."""
+        two = self._rng.sample(group, min(2, len(group)))
+        share = self._config.stale_share
+        return min(two, key=lambda server: server.occupancy(share))
+
     def _score(self, server: KnownServer) -> float:
         score = server.occupancy() + self._rng.random() * _NOISE
         if server.entry.data_centre != self._peers.own.data_centre:
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/config.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/config.py
@@ -39,7 +39,11 @@
         departure: entries return within 2 s of an outage's end, plus a heartbeat.
     remote_penalty : float
         Occupancy, in slots per slot, that a server of another data centre must be
-        ahead by before it is preferred.
+        ahead by before it is preferred: a full one, as its load is known only as far
+        as this instance makes it. Ways compared in bench/steering_load.py.
+    stale_share : float
+        Part of what peers reported that counts among servers of one data centre: it is
+        half of an interval old on average, and the instances would all follow it.
     flow_weight : float
         Expected occupancy of an open flow that has no request in flight.
     n_flows_max : int
@@ -74,7 +78,8 @@
     departed_keep_ms: int = 60_000
     departed_grace_ms: int = 300
     steady_ms: int = 3_500
-    remote_penalty: float = 0.5
+    remote_penalty: float = 1.0
+    stale_share: float = 0.5
     flow_weight: float = 0.02
     n_flows_max: int = 50_000
     flow_idle_ms: int = 20_000
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
@@ -187,6 +187,9 @@
         flow = Flow(server, packet.sequence, now_ms)
         flow.is_repeatable = route.kind is RequestKind.SAFE
         self.flows.add(packet.flow, flow)
+        # Its request is on the way: without it, all openings of a few milliseconds
+        # would see the same server as the idle one.
+        self.flows.begin_request(flow, now_ms)
         self._await(packet, flow, 0, now_ms)
         return Open(server, Reason.NEW_FLOW)
 
@@ -338,6 +341,7 @@
     ) -> None:
         flow.is_open = True
         flow.acknowledged = acknowledged
+        self.flows.end_request(flow)
         for tried, sent_at_ms in flow.tried:
             if tried is server:
                 self.evidence.on_progress(server, sent_at_ms, now_ms)
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/server_state.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/server_state.py
@@ -127,7 +127,7 @@
         bool
             Whether the server is suspected from now on and was not before.
         """
-        if since_ms <= self.progress_at_ms or self.health is not Health.ANSWERING:
+        if since_ms < self.progress_at_ms or self.health is not Health.ANSWERING:
             return False
         self.health = Health.SUSPECT
         self._silent_since_ms = since_ms
@@ -193,7 +193,13 @@
             return 0
         return max(1, now_ms - self._silent_since_ms)
 
-    def occupancy(self) -> float:
-        """Return the work that is known to be at the server, in slots per slot."""
+    def occupancy(self, peer_share: float = 1.0) -> float:
+        """Return the work at the server, in slots per slot.
+
+        Parameters
+        ----------
+        peer_share : float
+            How much of what peers reported counts.
+        """
         own = self.n_in_flight + self._config.flow_weight * self.n_flows
-        return (own + self.peer_load) / max(1, self.entry.n_slots)
+        return (own + peer_share * self.peer_load) / max(1, self.entry.n_slots)
--- a/packages/sapphirerail-core/tests/steering/test_choice.py
+++ b/packages/sapphirerail-core/tests/steering/test_choice.py
@@ -18,10 +18,42 @@
     near = [server_entry(n) for n in (1, 2)]
     far = [server_entry(n, data_centre="tema") for n in (3, 4)]
     fleet.announce(*near, *far)
-    chosen = Counter(fleet.send(opening(n)).server.entry.data_centre for n in range(20))
+    by_tag = fleet.engine.directory.by_tag
+    chosen = Counter(by_tag(fleet.open(n)).entry.data_centre for n in range(20))
     assert chosen["osu"] == 20
 
 
+def test_openings_count_as_work_before_their_requests_come():
+    # All openings of a few milliseconds went to the one server that was idle.
+    fleet = SteeringFleet()
+    fleet.configure()
+    fleet.announce(server_entry(1), server_entry(2))
+    for flow in range(4):
+        fleet.send(opening(flow))
+    loads = [server.n_in_flight for server in fleet.engine.directory.servers()]
+    assert loads == [2, 2]
+    fleet.advance(7)
+    first = fleet.engine.directory.servers()
+    for flow in range(4):
+        flow_key = opening(flow).flow
+        server = fleet.engine.flows.get(flow_key).server
+        fleet.send(later_packet(flow, server.tag))
+    assert [server.n_in_flight for server in first] == [0, 0]
+
+
+def test_a_server_that_takes_openings_but_answers_no_request_is_suspected():
+    # The opening's time must not stand for that of the request after it.
+    fleet = SteeringFleet()
+    fleet.configure()
+    fleet.announce(server_entry(1), server_entry(2))
+    tag = fleet.open(1, HOLD)
+    request = later_packet(1, tag, HOLD, n_data_bytes=300)
+    fleet.send(request)
+    fleet.advance(200)
+    fleet.send(request)
+    assert fleet.engine.directory.by_tag(tag).silence_ms(fleet.now_ms) > 0
+
+
 def test_flows_leave_a_data_centre_whose_servers_are_busy():
     fleet = SteeringFleet()
     fleet.configure()
--- a/packages/sapphirerail-core/tests/test_log_story.py
+++ b/packages/sapphirerail-core/tests/test_log_story.py
@@ -77,6 +77,35 @@
     assert text.splitlines()[-1].startswith("cause: probes show")
 
 
+OPENED = line(1, 1_000, "a", "flow_opening", flow="f", server="i-1")
+
+
+def test_an_instance_that_was_lost_without_a_word_is_the_cause():
+    lost = [OPENED, line(9, 10, "a", "started"), line(9, 9_000, "b", "started")]
+    story = tell(read_log(lost), flow="f")
+    assert [entry.message for entry in story.lines] == ["flow_opening", "started"]
+    assert "its instance was lost" in story.cause
+
+
+def test_an_instance_that_stopped_as_planned_is_no_cause():
+    planned = [OPENED, line(5, 5_000, "a", "stopped"), line(9, 10, "a", "started")]
+    assert tell(read_log(planned), flow="f").cause is None
+
+
+def test_a_server_that_dies_under_a_flow_is_the_cause():
+    dead = [OPENED, line(3, 3_000, "b", "server_dead", subject="i-1")]
+    dead += [line(9, 10, "a", "started")]
+    assert "found dead later" in tell(read_log(dead), flow="f").cause
+    others = [OPENED, line(3, 3_000, "b", "server_dead", subject="i-2")]
+    assert tell(read_log(others), flow="f").cause is None
+
+
+def test_a_refusal_goes_before_what_happened_later():
+    reset = line(2, 2_000, "a", "flow_reset", flow="f", reason="no_route")
+    lines = read_log([OPENED, reset, line(9, 10, "a", "started")])
+    assert "no route" in tell(lines, flow="f").cause
+
+
 def test_a_server_is_told_by_its_beliefs_and_its_openings():
     lines = read_log(
         [
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/application.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/application.py
@@ -246,6 +246,8 @@
     def _sweep(self, now_ms: int) -> None:
         self.engine.sweep(now_ms)
         self.packets.log_events()
+        self.metrics.record_total("lost", "log_lines", self.log.n_dropped)
+        self.metrics.record_total("lost", "flow_records", self.engine.flows.n_evicted)
 
     async def _answer_ready(self, request: HttpRequest) -> HttpResponse:
         is_serving = self.life.phase is Phase.SERVING and self.engine.is_ready()
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/metrics.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/metrics.py
@@ -47,6 +47,10 @@
         """Add to a counter."""
         self.counters[family, label] += n_events
 
+    def record_total(self, family: str, label: str, n_events: int) -> None:
+        """Set a counter that is kept elsewhere."""
+        self.counters[family, label] = n_events
+
     def observe(self, family: str, label: str, value_ms: float) -> None:
         """Add a duration."""
         found = self.histograms.get((family, label))
