--- a/packages/sapphirerail-node/src/sapphirerail_node/platform/entries.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/platform/entries.py
@@ -1,6 +1,6 @@
 """Decodes what operators and backend servers write to the platform's store."""
 
-import ipaddress
+import socket
 from typing import Literal
 
 import msgspec
@@ -71,7 +71,7 @@
     try:
         config = msgspec.json.decode(value, type=_Config)
         routes = tuple(_route(route) for route in config.routes)
-    except (ValueError, msgspec.MsgspecError) as error:
+    except (OSError, ValueError, msgspec.MsgspecError) as error:
         raise InputError("configuration.invalid", str(error)) from error
     services = tuple(
         ServiceEntry(ServiceId(s.name), int(s.warmup_s * 1000), s.warmup_per_s)
@@ -95,7 +95,7 @@
         entry = msgspec.json.decode(value, type=_Server)
         check_address(entry.address)
         identity = _identity(name)
-    except (ValueError, msgspec.MsgspecError) as error:
+    except (OSError, ValueError, msgspec.MsgspecError) as error:
         raise InputError("server.invalid", f"{name}: {error}") from error
     return ServerEntry(
         server=ServerId(name),
@@ -119,7 +119,7 @@
 
 def _route(route: _Route) -> Route:
     port = int(route.prefix.strip("/"))
-    host = int(ipaddress.IPv4Address(route.host))
+    host = int.from_bytes(socket.inet_pton(socket.AF_INET, route.host), "big")
     shares = [Share(ServiceId(b.service), b.weight) for b in route.backends]
     if route.service is not None and not shares:
         shares = [Share(ServiceId(route.service), 1)]
--- a/packages/sapphirerail-node/src/sapphirerail_node/platform/store.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/platform/store.py
@@ -4,7 +4,6 @@
 import logging
 import time
 from typing import Any, TypeVar
-from urllib.parse import urlencode
 
 import msgspec
 
@@ -116,16 +115,19 @@
     async def _range(self) -> tuple[int, list[_Item]]:
         """Return the store's revision and all items; pages are read in turn."""
         items: list[_Item] = []
-        query = {"prefix": ""}
+        target = "/kv-range?prefix="
         revision: int | None = None
         while True:
-            page = await self._call("GET", f"/kv-range?{urlencode(query)}", _Range)
+            page = await self._call("GET", target, _Range)
             items += page.items
             # Later pages may show later changes; the first bounds what is complete.
             revision = page.store_revision if revision is None else revision
             if not page.has_more or not page.items:
                 return revision, items
-            query["after"] = page.items[-1].key
+            # Imported for a second page only, as it takes memory in each process.
+            from urllib.parse import quote
+
+            target = f"/kv-range?prefix=&after={quote(page.items[-1].key, safe='')}"
 
     def _operator_state(self, items: list[_Item], store_revision: int) -> OperatorState:
         written = [item for item in items if item.key.startswith(OPERATOR_PREFIX)]
--- a/packages/sapphirerail-transport/src/sapphirerail_transport/http.py
+++ b/packages/sapphirerail-transport/src/sapphirerail_transport/http.py
@@ -7,7 +7,6 @@
 import socket
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Any
-from urllib.parse import parse_qsl, urlsplit
 
 import h11
 import msgspec
@@ -215,9 +214,15 @@
 
 
 def _parse_request(head: h11.Request, body: bytes) -> HttpRequest:
-    parts = urlsplit(head.target.decode())
-    query = dict(parse_qsl(parts.query, keep_blank_values=True))
-    return HttpRequest(head.method.decode(), parts.path, query, body)
+    path, _, text = head.target.decode().partition("?")
+    query = {}
+    if text:
+        # Imported by the first query only: it would be a twentieth of the memory of a
+        # process that never gets one.
+        from urllib.parse import parse_qsl
+
+        query = dict(parse_qsl(text, keep_blank_values=True))
+    return HttpRequest(head.method.decode(), path, query, body)
 
 
 def _refusal(error: HttpError) -> HttpResponse:
