Let one call of the HTTP client decode answers for all who ask

HttpClient.ask does it once; codes kv., store., plan. and api.bad_answer are http.bad_answer now (status 0, as before unknown outcome). No behaviour else changes; a test for the call is new.

--- a/packages/sapphirerail-cli/src/sapphirerail_cli/fleet_client.py
+++ b/packages/sapphirerail-cli/src/sapphirerail_cli/fleet_client.py
@@ -118,9 +118,10 @@
     async def _entry(self, address: str) -> ListedInstance:
         client = HttpClient(parse_address(address), self._signer)
         try:
-            body = await client.call("GET", "/status", timeout_ms=CALL_TIMEOUT_MS)
-            told = msgspec.json.decode(body, type=InstanceStatus)
-        except (SapphirerailError, msgspec.MsgspecError):
+            told = await client.ask(
+                InstanceStatus, "GET", "/status", timeout_ms=CALL_TIMEOUT_MS
+            )
+        except SapphirerailError:
             unnamed = InstanceId(address)
             return ListedInstance(unnamed, NO_DATA_CENTRE, "", address)
         return ListedInstance(told.instance, told.data_centre, "", address)
@@ -200,11 +201,7 @@
     ) -> AnswerT:
         client = HttpClient(parse_address(entry.api_address), self._signer)
         async with self._calls:
-            body = await client.call("GET", target, timeout_ms=timeout_ms)
-        try:
-            return msgspec.json.decode(body, type=kind)
-        except msgspec.MsgspecError as error:
-            raise SapphirerailError("api.bad_answer", str(error)) from error
+            return await client.ask(kind, "GET", target, timeout_ms=timeout_ms)
 
 
 def _unknown(entry: ListedInstance, error: SapphirerailError) -> Unknown:
--- a/packages/sapphirerail-node/src/sapphirerail_node/plan_service.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/plan_service.py
@@ -270,11 +270,7 @@
             raise InputError("plan.no_address", f"{request.instance} has no address")
         client = HttpClient(parse_address(address), self._signer)
         target = f"/plan?since={request.since}&packed=1"
-        body = await client.call("GET", target, timeout_ms=FETCH_TIMEOUT_MS)
-        try:
-            return msgspec.json.decode(body, type=PlanAnswer)
-        except msgspec.MsgspecError as error:
-            raise InputError("plan.bad_answer", str(error)) from error
+        return await client.ask(PlanAnswer, "GET", target, timeout_ms=FETCH_TIMEOUT_MS)
 
     async def _read(self, watched: StoredValue | None = None) -> None:
         """Read the root, and the shards only if it has a higher revision."""
--- a/packages/sapphirerail-node/src/sapphirerail_node/platform/store.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/platform/store.py
@@ -94,23 +94,28 @@
 
     async def register(self, entry: InstanceEntry, ttl_ms: int) -> RegistrationId:
         """Register an instance for a time."""
-        lease = await self._call("POST", "/kv-lease", _Lease, {"ttlMs": ttl_ms})
+        lease = await self._call(_Lease, "POST", "/kv-lease", {"ttlMs": ttl_ms})
         put = {
             "key": INSTANCE_PREFIX + entry.instance,
             "value": base64.b64encode(msgspec.json.encode(entry)).decode(),
             "lease": lease.lease,
         }
         body = {"expectedRev": [], "puts": [put], "remove": []}
-        await self._call("POST", "/kv-txn", dict, body)
+        await self._call(dict, "POST", "/kv-txn", body)
         return RegistrationId(lease.lease)
 
     async def renew(self, registration: RegistrationId) -> None:
         """Extend a registration."""
-        await self._call("POST", f"/kv-keep/{registration}", dict)
+        await self._call(dict, "POST", f"/kv-keep/{registration}")
 
     async def unregister(self, registration: RegistrationId) -> None:
         """End a registration."""
-        await self._call("DELETE", f"/kv-lease-end/{registration}", None)
+        target = f"/kv-lease-end/{registration}"
+        try:
+            # What the body holds is not said, and nothing in it is needed.
+            await self._client.call("DELETE", target, timeout_ms=CALL_TIMEOUT_MS)
+        except HttpError as error:
+            raise _store_error(error) from error
 
     async def _range(self) -> tuple[int, list[_Item]]:
         """Return the store's revision and all items; pages are read in turn."""
@@ -118,7 +123,7 @@
         target = "/kv-range?prefix="
         revision: int | None = None
         while True:
-            page = await self._call("GET", target, _Range)
+            page = await self._call(_Range, "GET", target)
             items += page.items
             # Later pages may show later changes; the first bounds what is complete.
             revision = page.store_revision if revision is None else revision
@@ -148,25 +153,14 @@
         )
 
     async def _call(
-        self,
-        method: str,
-        target: str,
-        kind: type[AnswerT] | None,
-        body: Any = None,
-        timeout_ms: int = CALL_TIMEOUT_MS,
-    ) -> Any:
+        self, kind: type[AnswerT], method: str, target: str, body: Any = None
+    ) -> AnswerT:
         try:
-            payload = await self._client.call(
-                method, target, body, timeout_ms=timeout_ms
+            return await self._client.ask(
+                kind, method, target, body, timeout_ms=CALL_TIMEOUT_MS
             )
         except HttpError as error:
             raise _store_error(error) from error
-        if kind is None:
-            return None
-        try:
-            return msgspec.json.decode(payload, type=kind)
-        except msgspec.MsgspecError as error:
-            raise StoreCallError("store.bad_answer", str(error)) from error
 
 
 def _store_error(error: HttpError) -> StoreCallError:
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/state_api.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/state_api.py
@@ -1,6 +1,5 @@
 """What an instance tells others over HTTP: its state, and its figures."""
 
-import msgspec
 
 from sapphirerail_core.errors import SapphirerailError
 from sapphirerail_core.steering import SteeringEngine
@@ -56,8 +55,6 @@
 async def fetch_snapshot(address: Address) -> StateSnapshot:
     """Return another instance's state, or raise `HttpError`."""
     client = HttpClient(address)
-    body = await client.call("GET", STATE_PATH, timeout_ms=FETCH_TIMEOUT_MS)
-    try:
-        return msgspec.json.decode(body, type=StateSnapshot)
-    except msgspec.MsgspecError as error:
-        raise HttpError(0, "http.bad_body", str(error)) from error
+    return await client.ask(
+        StateSnapshot, "GET", STATE_PATH, timeout_ms=FETCH_TIMEOUT_MS
+    )
--- a/packages/sapphirerail-transport/src/sapphirerail_transport/http.py
+++ b/packages/sapphirerail-transport/src/sapphirerail_transport/http.py
@@ -6,7 +6,7 @@
 import logging
 import socket
 from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import h11
 import msgspec
@@ -19,6 +19,8 @@
     # Its hashes come with a library that a caller without a key need not load.
     from .signature import Signer
 
+AnswerT = TypeVar("AnswerT")
+
 __all__ = [
     "SIGNATURE_HEADER",
     "HttpClient",
@@ -302,6 +304,29 @@
             raise _error_from(status, answer)
         return answer
 
+    async def ask(
+        self,
+        kind: type[AnswerT],
+        method: str,
+        target: str,
+        value: Any = None,
+        *,
+        timeout_ms: int = 5000,
+    ) -> AnswerT:
+        """Return a successful answer as a type.
+
+        Raises
+        ------
+        HttpError
+            As `call` does, and ``http.bad_answer`` with status 0 if the body is no JSON
+            of the type.
+        """
+        body = await self.call(method, target, value, timeout_ms=timeout_ms)
+        try:
+            return msgspec.json.decode(body, type=kind)
+        except msgspec.MsgspecError as error:
+            raise HttpError(0, "http.bad_answer", str(error)) from error
+
     async def _exchange(
         self, method: str, target: str, body: bytes
     ) -> tuple[int, bytes]:
--- a/packages/sapphirerail-transport/src/sapphirerail_transport/store.py
+++ b/packages/sapphirerail-transport/src/sapphirerail_transport/store.py
@@ -137,17 +137,14 @@
     ) -> Any:
         timeout_ms = self._timeout_ms if limit_ms is None else limit_ms
         try:
-            payload = await self._client.call(
-                method, target, body, timeout_ms=timeout_ms
+            if kind is None:
+                await self._client.call(method, target, body, timeout_ms=timeout_ms)
+                return None
+            return await self._client.ask(
+                kind, method, target, body, timeout_ms=timeout_ms
             )
         except HttpError as error:
             raise _store_error(error) from error
-        if kind is None:
-            return None
-        try:
-            return msgspec.json.decode(payload, type=kind)
-        except msgspec.MsgspecError as error:
-            raise StoreUnknownError("kv.bad_answer", str(error)) from error
 
 
 class _NotFoundError(StoreRejectedError):
--- a/packages/sapphirerail-transport/tests/test_http.py
+++ b/packages/sapphirerail-transport/tests/test_http.py
@@ -99,3 +99,18 @@
         asyncio.run(scenario())
     assert refused.value.code == "http.unreachable"
     assert "ended without an answer" in str(refused.value)
+
+
+def test_an_answer_is_taken_as_its_type_or_refused():
+    async def scenario(kind):
+        server = HttpServer(_echo)
+        address = await server.start(("127.0.0.1", 0))
+        try:
+            return await HttpClient(address).ask(kind, "POST", "/json", {"a": 1})
+        finally:
+            await server.close()
+
+    assert asyncio.run(scenario(dict[str, int])) == {"a": 1}
+    with pytest.raises(HttpError) as caught:
+        asyncio.run(scenario(list[str]))
+    assert (caught.value.status, caught.value.code) == (0, "http.bad_answer")
