Choose the platform stand-in's ports where nobody else is given any

Seen once: a test of the platform path failed beside another test run with "address already in use" when a caller's stand-in bound its port. Cause: the port came from the kernel's range for everyone, only streams were looked at, and it was free again until its use. Now it is drawn from below that range and tried for both protocols.

--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/state_api.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/state_api.py
@@ -1,6 +1,5 @@
 """What an instance tells others over HTTP: its state, and its figures."""
 
-
 from sapphirerail_core.errors import SapphirerailError
 from sapphirerail_core.steering import SteeringEngine
 from sapphirerail_core.steering.messages import StateSnapshot
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/platform_system.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/platform_system.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import random
 import signal
 import socket
 import sys
@@ -47,11 +48,30 @@
 """
 
 
-def _free_port() -> int:
+# Below the ports that Linux gives to sockets without one of their own, as any of those
+# may be taken by another process between this choice and its use.
+PORTS = range(20_000, 32_768)
+
+
+def free_port() -> int:
     """Return a port that is free for both protocols on every loopback address."""
-    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
-        probe.bind(("0.0.0.0", 0))
-        return int(probe.getsockname()[1])
+    # Tests that run side by side must not choose alike, whatever their seeds.
+    choices = random.SystemRandom()
+    while True:
+        port = choices.choice(PORTS)
+        if all(
+            _is_free(kind, port) for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM)
+        ):
+            return port
+
+
+def _is_free(kind: socket.SocketKind, port: int) -> bool:
+    with socket.socket(socket.AF_INET, kind) as probe:
+        try:
+            probe.bind(("0.0.0.0", port))
+        except OSError:
+            return False
+    return True
 
 
 class EntryProcess:
@@ -128,10 +148,10 @@
         self._n_instances = n_instances
         self._n_servers = n_servers
         self._folder = tempfile.TemporaryDirectory(prefix="sapphirerail-")
-        self.packet_port = _free_port()
-        self._ready_port = _free_port()
-        self._state_port = _free_port()
-        self._peer_port = _free_port()
+        self.packet_port = free_port()
+        self._ready_port = free_port()
+        self._state_port = free_port()
+        self._peer_port = free_port()
         self.caller = PacketCaller(self._route)
         self._addresses: dict[str, str] = {}
 
