Keep a live instance known that the store does not list

Read, not seen failing: instances are listed by each read now, two a second, and told to all. One whose registration the store refuses (a store that turns some machines away) would have been dropped from each peer at each read, with the load that it reported, and come back with its next report: the sender of cold servers and the ranks of readers would have changed all the while. The new test failed before.

--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
@@ -127,7 +127,7 @@
     def apply_picture(self, picture: Picture, now_ms: int) -> None:
         """Take in what a read of the store showed, here or at another instance."""
         self.apply_operator_state(picture.operator_state, now_ms)
-        self.peers.apply(picture.instances)
+        self.peers.apply(picture.instances, now_ms)
         self.apply_servers(picture.servers, now_ms)
 
     def apply_report(self, report: LoadReport, now_ms: int) -> None:
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/peers.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/peers.py
@@ -42,10 +42,15 @@
         self._began_ms = now_ms
         self._peers: dict[InstanceId, Peer] = {}
 
-    def apply(self, entries: Iterable[InstanceEntry]) -> None:
-        """Replace the registered instances by one complete read."""
+    def apply(self, entries: Iterable[InstanceEntry], now_ms: int) -> None:
+        """Replace the registered instances by one complete read.
+
+        One that is live stays known: the store may refuse its registration.
+        """
         known = self._peers
-        self._peers = {}
+        self._peers = {
+            name: peer for name, peer in known.items() if self._is_live(peer, now_ms)
+        }
         for entry in entries:
             if entry.instance == self.own.instance:
                 continue
@@ -80,12 +85,13 @@
     def live_near(self, now_ms: int) -> list[InstanceId]:
         """Return the live instances of the own data centre, this one included."""
         live = [
-            peer.entry.instance
-            for peer in self.near()
-            if now_ms - peer.heard_at_ms <= self._live_ms
+            peer.entry.instance for peer in self.near() if self._is_live(peer, now_ms)
         ]
         return [self.own.instance, *live]
 
+    def _is_live(self, peer: Peer, now_ms: int) -> bool:
+        return now_ms - peer.heard_at_ms <= self._live_ms
+
     def far_first(self) -> list[Peer]:
         """Return one peer of each other data centre: the one that ranks first."""
         found: dict[DataCentreId, Peer] = {}
--- a/packages/sapphirerail-core/tests/steering/test_peers.py
+++ b/packages/sapphirerail-core/tests/steering/test_peers.py
@@ -11,7 +11,7 @@
 
 def peers_of(own, *others, now_ms=0):
     peers = Peers(entry(own), LIVE_MS, now_ms - LIVE_MS)
-    peers.apply([entry(name) for name in (own, *others)])
+    peers.apply([entry(name) for name in (own, *others)], now_ms)
     for name in others:
         peers.on_heard(entry(name), now_ms)
     return peers
@@ -30,9 +30,19 @@
     assert "osu-9" in peers.live_near(0)
 
 
+def test_an_instance_whose_registration_the_store_refuses_stays_known_while_it_speaks():
+    # Each read of the store, two a second, would drop it and the load that it reported.
+    peers = peers_of("osu-1", "osu-2")
+    before = peers.on_heard(entry("osu-9"), 0)
+    peers.apply([entry("osu-1"), entry("osu-2")], LIVE_MS)
+    assert peers.on_heard(entry("osu-9"), LIVE_MS) is before
+    peers.apply([entry("osu-1"), entry("osu-2")], 2 * LIVE_MS + 1)
+    assert [peer.entry.instance for peer in peers.near()] == ["osu-2"]
+
+
 def test_a_new_address_is_a_new_instance_that_was_not_heard_yet():
     peers = peers_of("osu-1", "osu-2")
-    peers.apply([entry("osu-1"), entry("osu-2", "10.9.0.2:1")])
+    peers.apply([entry("osu-1"), entry("osu-2", "10.9.0.2:1")], 0)
     assert peers.live_near(0) == ["osu-1"]
 
 
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/steering_fleet.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/steering_fleet.py
@@ -165,7 +165,7 @@
         peers = Peers(own, PEER_LIVE_MS, began_ms)
         if self._is_new:
             return self._engine_of(peers, seed)
-        peers.apply(entries)
+        peers.apply(entries, self.now_ms)
         for entry in entries:
             if entry.instance != own.instance:
                 peers.on_heard(entry, self.now_ms)
