Let the platform path's caller take nothing but the answer for the answer

Cause: the stand-in took the first segment that came for the answer. An opening that waits more than 25 ms on a busy machine goes to a second server as well, whose SYN+ACK comes later and has no data; a repeated answer would have passed for the next one unseen. Now a segment must go on where the last answer ended, as the platform's callers do it, or reset the flow; copies are sent until then. Stricter than before. Ruled out: a packet at the wrong server (its answer would name it), a reset (it raises).

--- a/packages/sapphirerail-standins/src/sapphirerail_standins/packet_peers.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/packet_peers.py
@@ -1,6 +1,7 @@
 """Stand-ins of the ends of the platform's flows: a server and a caller."""
 
 import asyncio
+import contextlib
 import struct
 from collections.abc import Awaitable, Callable
 from enum import IntFlag
@@ -146,6 +147,9 @@
             self._socket.send(answer.encode(), target)
 
 
+Exchange = Callable[[Segment, Callable[[Segment], bool]], Awaitable[Segment]]
+
+
 class PacketCaller:
     """A caller whose packets any instance may get.
 
@@ -182,15 +186,19 @@
         if self._socket is not None:
             self._socket.send(segment.encode(), self._router(segment.sport))
 
-    async def _exchange(self, segment: Segment) -> Segment:
-        """Send with copies until something comes back."""
+    async def _exchange(
+        self, segment: Segment, is_answer: Callable[[Segment], bool]
+    ) -> Segment:
+        """Send with copies until an answer comes back; other segments are ignored."""
         queue = self._waiting[segment.sport]
         for wait_s in COPIES_AFTER_S:
             self._send(segment)
-            try:
-                return await asyncio.wait_for(queue.get(), wait_s)
-            except TimeoutError:
-                continue
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(wait_s):
+                    while True:
+                        answer = await queue.get()
+                        if is_answer(answer):
+                            return answer
         raise TimeoutError("no packet came back")
 
     async def open(self, host: str, port: int) -> "OpenFlow":
@@ -199,7 +207,7 @@
         sport = self._next_port
         self._waiting[sport] = asyncio.Queue()
         first = Segment(Flag.SYN, 0, number(host), sport, port, number(self._host), 100)
-        answer = await self._exchange(first)
+        answer = await self._exchange(first, lambda _: True)
         if answer.flags & Flag.RST:
             raise ConnectionResetError("the opening was refused")
         flow = OpenFlow(first, answer, self._exchange)
@@ -214,7 +222,7 @@
         self,
         first: Segment,
         answer: Segment,
-        exchange: Callable[[Segment], Awaitable[Segment]],
+        exchange: Exchange,
     ) -> None:
         self._first = first
         self._exchange = exchange
@@ -239,9 +247,19 @@
 
     async def ask(self, data: bytes) -> bytes:
         """Send a request and return its answer."""
-        answer = await self._exchange(self.segment(Flag.ACK, data))
+        answer = await self._exchange(self.segment(Flag.ACK, data), self._is_answer)
         if answer.flags & Flag.RST:
             raise ConnectionResetError("the flow was reset")
         self._seq += len(data)
         self._ack = (self._ack + len(answer.data)) & SEQUENCE_MASK
         return answer.data
+
+    def _is_answer(self, segment: Segment) -> bool:
+        """Return whether a segment goes on where the last answer ended, or resets.
+
+        A second server may have got the opening and answer it late, and copies of a
+        request may be answered again.
+        """
+        if segment.flags & Flag.RST:
+            return True
+        return not segment.flags & Flag.SYN and segment.seq == self._ack
