--- a/packages/sapphirerail-core/src/sapphirerail_core/log_story.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/log_story.py
@@ -169,7 +169,7 @@
     beliefs = [
         line
         for line in lines
-        if line not in decisions
+        if not _is_about(line, flow, server)
         and any(_explains(line, decision, servers) for decision in decisions)
     ]
     told = sorted((*decisions, *beliefs), key=lambda line: line.at_ms)
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/admission.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/admission.py
@@ -89,12 +89,11 @@
         One that went round among instances that disagree on the owner waits here
         for the role, which only one of them gets, instead of being refused.
         """
+        went_round = forward.hop >= self._context.config.n_hops_max
+        if went_round and not self._context.is_draining:
+            return self.admit(forward, now_ms)
         work = Work.from_forward(forward, now_ms)
         self.ledger.add(work)
-        went_round = work.hop >= self._context.config.n_hops_max
-        if went_round and not self._context.is_draining:
-            effects = self._roles.take(work.server, now_ms)
-            return effects + self._place(work, now_ms)
         return self._hand_over(work, now_ms)
 
     def reroute(self, work: Work, now_ms: int) -> list[Effect]:
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/refresh.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/refresh.py
@@ -109,11 +109,10 @@
         self.store_revision = store_revision
         self._read_at_ms = began_ms
 
-    def on_failure(self, now_ms: int) -> bool:
-        """Note a failed read; returns whether it is the first in a row."""
+    def on_failure(self, now_ms: int) -> None:
+        """Note a failed read."""
         self._failed_at_ms = now_ms
         self._n_failures += 1
-        return self._n_failures == 1
 
     def on_update(
         self, store_revision: int, age_ms: int, steady_ms: int, now_ms: int
--- a/packages/sapphirerail-node/src/sapphirerail_node/platform/store.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/platform/store.py
@@ -14,6 +14,7 @@
     OperatorState,
     ServerEntry,
 )
+from sapphirerail_core.steering.picture import Picture
 from sapphirerail_core.types import DataCentreId
 from sapphirerail_transport.http import HttpClient, HttpError
 from sapphirerail_transport.udp import Address, check_address
@@ -84,13 +85,12 @@
         entries = [_server(i) for i in items if i.key.startswith(SERVER_PREFIX)]
         servers = tuple(entry for entry in entries if entry is not None)
         instances = [_instance(i) for i in items if i.key.startswith(INSTANCE_PREFIX)]
-        return StoreRead(
-            store_revision=revision,
+        picture = Picture(
             operator_state=self._operator_state(items, revision),
             servers=servers,
             instances=tuple(entry for entry in instances if entry is not None),
-            n_malformed=len(entries) - len(servers),
         )
+        return StoreRead(picture, n_malformed=len(entries) - len(servers))
 
     async def register(self, entry: InstanceEntry, ttl_ms: int) -> RegistrationId:
         """Register an instance for a time."""
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/decision_log.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/decision_log.py
@@ -8,6 +8,8 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
+from ..clock import monotonic_ms
+
 __all__ = ["DecisionLog", "LogClass", "configure_decision_log"]
 
 # Lines a second and class; bursts may use four seconds' worth at once.
@@ -113,7 +115,7 @@
         if bucket.n_left_out:
             fields["n_left_out"] = bucket.n_left_out
             bucket.n_left_out = 0
-        fields["mono_ms"] = time.monotonic_ns() // 1_000_000
+        fields["mono_ms"] = monotonic_ms()
         self._logger.info(message, extra={"class": kind.value, **fields})
 
 
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/peer_service.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/peer_service.py
@@ -108,9 +108,9 @@
             self.report()
             return
         self._before.append(before)
-        changes = self._packed(self._engine.picture())
-        peers = self._engine.peers
-        self._broadcast(self._update(0, changes), peers.near() + peers.far_first())
+        picture, peers = self._engine.picture(), self._engine.peers
+        update = self._update(picture, 0, self._packed(picture))
+        self._broadcast(update, peers.near() + peers.far_first())
 
     def stop(self) -> None:
         """Tell the peers of the own data centre that this instance stops."""
@@ -128,14 +128,15 @@
             return None
         return packed
 
-    def _update(self, age_ms: int, changes: bytes | None) -> DirectoryUpdate:
-        engine = self._engine
-        picture = engine.picture()
+    def _update(
+        self, picture: Picture, age_ms: int, changes: bytes | None
+    ) -> DirectoryUpdate:
+        refresh = self._engine.refresh
         return DirectoryUpdate(
             sender=self._own,
-            store_revision=engine.refresh.store_revision,
+            store_revision=refresh.store_revision,
             age_ms=age_ms,
-            steady_ms=engine.refresh.steady_ms(monotonic_ms()),
+            steady_ms=refresh.steady_ms(monotonic_ms()),
             operator_revision=picture.operator_state.change_revision,
             digest=picture.digest(),
             changes=changes,
@@ -197,9 +198,8 @@
         if not is_newer:
             return
         engine.apply_picture(picture, now_ms)
-        engine.peers.on_heard(message.sender, now_ms)
         if message.sender.data_centre != self._own.data_centre:
-            update = self._update(message.age_ms, message.changes)
+            update = self._update(engine.picture(), message.age_ms, message.changes)
             self._broadcast(update, engine.peers.near())
 
     def _compare_operator_state(self, revision: int) -> None:
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/ports.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/ports.py
@@ -4,12 +4,9 @@
 
 import msgspec
 
-from sapphirerail_core.steering.model import (
-    InstanceEntry,
-    OperatorState,
-    ServerEntry,
-)
+from sapphirerail_core.steering.model import InstanceEntry, ServerEntry
 from sapphirerail_core.steering.packet import FlowKey, Packet
+from sapphirerail_core.steering.picture import Picture
 from sapphirerail_core.steering.tag import ServerTag
 from sapphirerail_transport.udp import Address
 
@@ -47,26 +44,17 @@
 
 
 class StoreRead(msgspec.Struct, frozen=True):
-    """Everything in the store that steering depends on, at one revision.
+    """One read of the store.
 
     Parameters
     ----------
-    store_revision : int
-        Revision of the store up to which this is complete.
-    operator_state : OperatorState
-        All that operators have written.
-    servers : tuple of ServerEntry
-        Entries of servers that could be decoded.
-    instances : tuple of InstanceEntry
-        The registered instances.
+    picture : Picture
+        All that steering depends on and that could be decoded.
     n_malformed : int
         Entries of servers that could not be decoded.
     """
 
-    store_revision: int
-    operator_state: OperatorState
-    servers: tuple[ServerEntry, ...]
-    instances: tuple[InstanceEntry, ...]
+    picture: Picture
     n_malformed: int
 
 
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/store_service.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/store_service.py
@@ -7,7 +7,6 @@
 from typing import TypeVar
 
 from sapphirerail_core.steering import SteeringEngine
-from sapphirerail_core.steering.picture import Picture
 
 from ..clock import monotonic_ms
 from .decision_log import DecisionLog, LogClass
@@ -158,9 +157,8 @@
             self._metrics.count("entries", "malformed", read.n_malformed)
         is_first = refresh.read_at_ms() is None
         before = None if is_first else self._engine.picture()
-        refresh.on_read(read.store_revision, began_ms)
-        picture = Picture(read.operator_state, read.servers, read.instances)
-        self._engine.apply_picture(picture, began_ms)
+        refresh.on_read(read.picture.operator_state.store_revision, began_ms)
+        self._engine.apply_picture(read.picture, began_ms)
         self._peers.relay_read(before)
 
     def _ranks(self, now_ms: int) -> tuple[int, int]:
--- a/packages/sapphirerail-node/tests/platform/test_store.py
+++ b/packages/sapphirerail-node/tests/platform/test_store.py
@@ -54,10 +54,10 @@
         await standin.put("servers/i-00000001", SERVER)
         await standin.put("servers/i-00000002", b"not an entry")
         read = await store.read()
-        assert read.operator_state.configuration.revision == 7
-        assert read.operator_state.evacuated == ("tema",)
-        assert [server.server for server in read.servers] == ["i-00000001"]
-        assert (read.n_malformed, read.instances) == (1, ())
+        assert read.picture.operator_state.configuration.revision == 7
+        assert read.picture.operator_state.evacuated == ("tema",)
+        assert [server.server for server in read.picture.servers] == ["i-00000001"]
+        assert (read.n_malformed, read.picture.instances) == (1, ())
         assert standin.n_calls == 1
 
     play(scenario)
@@ -70,7 +70,7 @@
             key = f"a{sign}{number:04}" if number % 2 else f"servers/i-{number:08x}"
             await standin.put(key, SERVER)
         read = await store.read()
-        assert len(read.servers) == 550
+        assert len(read.picture.servers) == 550
         assert standin.n_calls == 3
 
     play(scenario)
@@ -83,10 +83,10 @@
         route = CONFIGURATION["routes"][0] | {"host": "not-a-host"}
         await standin.put("op/config", CONFIGURATION | {"routes": [route]})
         read = await store.read()
-        assert read.operator_state.configuration.revision == 7
+        assert read.picture.operator_state.configuration.revision == 7
         await standin.put("op/config", CONFIGURATION | {"version": 9})
         read = await store.read()
-        assert read.operator_state.configuration.revision == 9
+        assert read.picture.operator_state.configuration.revision == 9
 
     play(scenario)
 
@@ -94,8 +94,8 @@
 def test_an_evacuation_that_ends_is_gone_from_the_next_read():
     async def scenario(standin, store):
         await standin.put("op/evacuate/tema", {})
-        assert (await store.read()).operator_state.evacuated == ("tema",)
+        assert (await store.read()).picture.operator_state.evacuated == ("tema",)
         await standin.remove("op/evacuate/tema")
-        assert (await store.read()).operator_state.evacuated == ()
+        assert (await store.read()).picture.operator_state.evacuated == ()
 
     play(scenario)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -27,6 +27,15 @@
     return await asyncio.gather(*(flow.ask(text) for flow in flows))
 
 
+async def lose_and_start(system, victim):
+    """Kill an instance, start it anew, and send all packets to it once it is ready."""
+    victim.send(signal.SIGKILL)
+    await victim.wait()
+    await victim.start()
+    await wait_until("ready", lambda: system.is_ready(victim), IN_FORCE_MS)
+    system.in_rotation = [victim]
+
+
 async def refused(system) -> bool:
     try:
         await system.open()
@@ -167,12 +176,7 @@
         flows = [await system.open() for _ in range(10)]
         before = await ask_all(flows)
         system.store.fault = StoreFault.BUSY
-        victim = system.instances[0]
-        victim.send(signal.SIGKILL)
-        await victim.wait()
-        await victim.start()
-        await wait_until("ready", lambda: system.is_ready(victim), IN_FORCE_MS)
-        system.in_rotation = [victim]
+        await lose_and_start(system, system.instances[0])
         assert await ask_all(flows) == before
 
     play(scenario)
@@ -184,14 +188,10 @@
         before = await ask_all(flows)
         system.store.fault = StoreFault.BUSY
         victim = system.instances[0]
-        victim.send(signal.SIGKILL)
-        await victim.wait()
         text = victim.settings.read_text()
         lines = [line for line in text.splitlines() if not line.startswith("seeds")]
         victim.settings.write_text("\n".join(lines))
-        await victim.start()
-        await wait_until("ready", lambda: system.is_ready(victim), IN_FORCE_MS)
-        system.in_rotation = [victim]
+        await lose_and_start(system, victim)
         assert await ask_all(flows) == before
 
     play(scenario)
