--- a/bench/steering_path.py
+++ b/bench/steering_path.py
@@ -1,19 +1,20 @@
 """The platform's data path, beside a forwarder that only copies packets."""
 
+import asyncio
+import logging
 import socket
 import statistics
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
+from typing import Protocol
 
-from sapphirerail_core.steering import Forward
 from sapphirerail_node.platform.packets import PlatformPacketCodec
+from sapphirerail_node.steering.decision_log import DecisionLog
+from sapphirerail_node.steering.metrics import SteeringMetrics
+from sapphirerail_node.steering.packet_service import PacketService
 from sapphirerail_standins.packet_peers import Flag, Segment, number
-from sapphirerail_standins.steering_fleet import (
-    FEED,
-    SteeringFleet,
-    opening,
-    server_entry,
-)
+from sapphirerail_standins.steering_fleet import SteeringFleet, server_entry
+from sapphirerail_transport.udp import Address, UdpSocket, bind_datagram
 
 from .result import Baseline, Figure
 
@@ -27,64 +28,113 @@
 RATIO_MIN = 0.5
 DATA = b"x" * 200
 
-Work = Callable[[bytes], tuple[bytes, tuple[str, int]]]
+# Below the sockets' buffers, so that none is lost.
+N_AT_ONCE = 100
+ANY_PORT = ("127.0.0.1", 0)
+ROUND_TIMEOUT_S = 30
+
+
+class Forwarder(Protocol):
+    """Something that passes packets on to one server."""
+
+    address: Address
+
+    def n_passed(self) -> int:
+        """Return how many packets went to the server."""
+        ...
+
+    async def close(self) -> None:
+        """Close the socket."""
+        ...
+
+
+class PlainForwarder:
+    """Copies each packet behind eight bytes, and knows nothing."""
+
+    def __init__(self, server: Address) -> None:
+        self._server = server
+        self._n_passed = 0
+        self._socket = UdpSocket(bind_datagram(ANY_PORT), self._copy)
+        self.address = self._socket.address
+
+    def n_passed(self) -> int:
+        """Return how many packets went to the server."""
+        return self._n_passed
+
+    async def close(self) -> None:
+        """Close the socket."""
+        self._socket.close()
+
+    def _copy(self, datagram: bytes, _: Address) -> None:
+        self._socket.send(bytes(8) + datagram, self._server)
+        self._n_passed += 1
+
+
+class SteeringForwarder:
+    """The whole data path of an entry instance on the users' platform."""
+
+    def __init__(self, server: Address) -> None:
+        address = f"{server[0]}:{server[1]}"
+        fleet = SteeringFleet()
+        fleet.configure()
+        fleet.announce(*(server_entry(n, address=address) for n in range(1, N_SERVERS)))
+        bound = bind_datagram(ANY_PORT)
+        host, port = bound.getsockname()
+        self.address = (host, port)
+        self._service = PacketService(
+            fleet.engine,
+            PlatformPacketCodec(port),
+            DecisionLog(logging.getLogger(__name__)),
+            SteeringMetrics(),
+        )
+        self._service.bind(bound)
+        self._service.read()
+
+    def n_passed(self) -> int:
+        """Return how many packets went to the server."""
+        return self._service.n_sent()
+
+    async def close(self) -> None:
+        """Close the socket."""
+        await self._service.close()
 
 
 def figures() -> Iterator[Figure]:
     """Yield the rate of the data path as a ratio to the plain forwarder's."""
+    yield asyncio.run(_ratio())
+
+
+async def _ratio() -> Figure:
     with (
         socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender,
-        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as forwarder,
-        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sink,
+        bind_datagram(ANY_PORT) as sink,
     ):
-        for bound in (sender, forwarder, sink):
-            bound.bind(("127.0.0.1", 0))
-        sender.connect(forwarder.getsockname())
-        target = sink.getsockname()
-        packets = _packets()
-        steer = _steering(target)
-
-        def copy(datagram: bytes) -> tuple[bytes, tuple[str, int]]:
-            return bytes(8) + datagram, target
-
+        host, port = sink.getsockname()
+        plain_path = PlainForwarder((host, port))
+        steered_path = SteeringForwarder((host, port))
         plain: list[float] = []
         steered: list[float] = []
-        for _ in range(N_ROUNDS):
-            plain.append(_rate(sender, forwarder, packets, copy))
-            steered.append(_rate(sender, forwarder, packets, steer))
+        for n_round in range(N_ROUNDS):
+            packets = _packets(n_round)
+            plain.append(await _rate(sender, plain_path, packets))
+            steered.append(await _rate(sender, steered_path, packets))
+        await plain_path.close()
+        await steered_path.close()
     # Rounds are paired, so that a machine whose speed drifts slows both.
     ratio = statistics.median(s / p for s, p in zip(steered, plain, strict=True))
     baseline = Baseline("packets a second of a plain forwarder", max(plain))
-    yield Figure.at_least(
+    return Figure.at_least(
         "steering_path_rate_ratio", round(ratio, 3), "1", RATIO_MIN, baseline
     )
 
 
-def _steering(target: tuple[str, int]) -> Work:
-    """Return the whole data path but the sockets."""
-    fleet = SteeringFleet()
-    fleet.configure()
-    address = f"{target[0]}:{target[1]}"
-    fleet.announce(*(server_entry(n, address=address) for n in range(1, N_SERVERS)))
-    codec = PlatformPacketCodec(8172)
-    engine = fleet.engine
-    engine.on_packet(opening(1, FEED), fleet.now_ms)
-
-    def steer(datagram: bytes) -> tuple[bytes, tuple[str, int]]:
-        now_ms = time.monotonic_ns() // 1_000_000
-        packet = codec.decode(datagram)
-        action = engine.on_packet(packet, now_ms)
-        assert isinstance(action, Forward), action
-        return codec.for_server(packet, action.server.entry, None)
-
-    return steer
-
-
-def _packets() -> list[bytes]:
+def _packets(n_round: int) -> list[bytes]:
+    """Return packets of open flows, each with new data and an answer."""
     fleet = SteeringFleet()
     fleet.configure()
     fleet.announce(*(server_entry(n) for n in range(1, N_SERVERS)))
     tags = [server.tag for server in fleet.engine.directory.servers()]
+    first = 1 + n_round * (N_PACKETS // N_FLOWS)
     host, caller = number("0.0.0.1"), number("100.64.0.7")
     return [
         Segment(
@@ -94,23 +144,24 @@
             sport=10_000 + n % N_FLOWS,
             dport=80,
             src=caller,
-            seq=1_000 + len(DATA) * (n // N_FLOWS),
-            ack=1_000 + n // N_FLOWS,
+            seq=len(DATA) * (first + n // N_FLOWS),
+            ack=first + n // N_FLOWS,
             data=DATA,
         ).encode()
         for n in range(N_PACKETS)
     ]
 
 
-def _rate(
-    sender: socket.socket, forwarder: socket.socket, packets: list[bytes], work: Work
-) -> float:
+async def _rate(sender: socket.socket, path: Forwarder, packets: list[bytes]) -> float:
     """Return the packets a second of receiving, deciding and sending on."""
     spent_ns = 0
-    for packet in packets:
-        sender.send(packet)
-        began_ns = time.perf_counter_ns()
-        datagram, _ = forwarder.recvfrom(2_048)
-        forwarder.sendto(*work(datagram))
-        spent_ns += time.perf_counter_ns() - began_ns
+    async with asyncio.timeout(ROUND_TIMEOUT_S):
+        for start in range(0, len(packets), N_AT_ONCE):
+            wanted = path.n_passed() + N_AT_ONCE
+            for packet in packets[start : start + N_AT_ONCE]:
+                sender.sendto(packet, path.address)
+            began_ns = time.perf_counter_ns()
+            while path.n_passed() < wanted:
+                await asyncio.sleep(0)
+            spent_ns += time.perf_counter_ns() - began_ns
     return len(packets) / (spent_ns / 1e9)
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
@@ -27,6 +27,9 @@
 __all__ = ["Repeat", "SteeringEngine"]
 
 _N_UNKNOWN_TAGS_MAX = 1_024
+# Positions in a flow are 32-bit numbers that wrap; one is ahead by less than half.
+_SEQUENCE_MASK = 0xFFFFFFFF
+_SEQUENCE_HALF = 0x80000000
 
 
 class Repeat(msgspec.Struct):
@@ -86,6 +89,11 @@
         self._events: list[Event] = []
         # What was read once stays known, so that this never turns back.
         self._is_ready = False
+        # Bound once, as each packet needs them.
+        self._server_of = self.directory.by_tag
+        self._flow_of = self.flows.get
+        self._removed = self.routes.removed
+        self._out_since_ms = self.routes.out_since_ms
 
     @classmethod
     def from_config(
@@ -156,6 +164,10 @@
             loads.append(ServerLoad(server.tag, load, silence_ms, is_dead))
         return tuple(loads)
 
+    def is_idle(self) -> bool:
+        """Return whether there is nothing to probe, to tell or to log."""
+        return not self._events and self.evidence.is_idle()
+
     def take_events(self) -> list[Event]:
         """Return the changes of belief since the last call."""
         events, self._events = self._events, []
@@ -169,7 +181,19 @@
             return Drop(Reason.NOT_READY)
         if packet.is_opening:
             return self._on_opening(packet, now_ms)
-        return self._on_later_packet(packet, now_ms)
+        if packet.tag == NO_TAG:
+            return Drop(Reason.NO_TAG)
+        if packet.destination in self._removed:
+            return Reset(Reason.ROUTE_REMOVED)
+        server = self._server_of(packet.tag)
+        if server is None:
+            return self._on_unknown_tag(packet, now_ms)
+        flow = self._observe(packet, server, now_ms)
+        if server.departed_at_ms is None and not (
+            self._out_since_ms or flow.is_repeatable
+        ):
+            return Forward(server)
+        return self._toward(packet, server, flow, now_ms)
 
     def _on_opening(self, packet: Packet, now_ms: int) -> Action:
         route = self.routes.route(packet.destination)
@@ -257,27 +281,17 @@
         self._await(packet, flow, pending.n_repeats + 1, now_ms)
         return [Repeat(packet, Open(flow.server, Reason.UNANSWERED_OPENING))]
 
-    def _on_later_packet(self, packet: Packet, now_ms: int) -> Action:
-        if packet.tag == NO_TAG:
-            return Drop(Reason.NO_TAG)
-        if packet.destination in self.routes.removed:
-            return Reset(Reason.ROUTE_REMOVED)
-        server = self.directory.by_tag(packet.tag)
-        if server is None:
-            return self._on_unknown_tag(packet, now_ms)
-        flow = self._observe(packet, server, now_ms)
-        return self._toward(packet, server, flow, now_ms)
-
     def _toward(
         self, packet: Packet, server: KnownServer, flow: Flow, now_ms: int
     ) -> Action:
+        """Return what becomes of a packet whose server may be gone, out or dead."""
         if packet.is_reset:
             return Forward(server)
         departed_ms = server.departed_at_ms
         if departed_ms is not None:
             if now_ms - departed_ms >= self.config.departed_grace_ms:
                 return Reset(Reason.SERVER_DEPARTED, server)
-        elif self.routes.out_since_ms and self._is_given_up(server, now_ms):
+        elif self._out_since_ms and self._is_given_up(server, now_ms):
             # Operators have asked that nothing more be sent there. The server lives,
             # and a reset would tell the caller otherwise.
             return Drop(Reason.DATA_CENTRE_OUT)
@@ -311,7 +325,7 @@
     # What packets show of the servers.
 
     def _observe(self, packet: Packet, server: KnownServer, now_ms: int) -> Flow:
-        flow = self.flows.get(packet.flow)
+        flow = self._flow_of(packet.flow)
         if flow is None:
             flow = self._adopt(packet, server, now_ms)
         flow.seen_at_ms = now_ms
@@ -319,10 +333,14 @@
             self._on_opened(flow, server, packet.acknowledged, now_ms)
         if flow.server is not server:
             self.flows.move(flow, server)
-        if packet.acknowledged != flow.acknowledged:
-            self._observe_answer(packet, flow, now_ms)
+        advance = (packet.acknowledged - flow.acknowledged) & _SEQUENCE_MASK
+        if 0 < advance < _SEQUENCE_HALF:
+            flow.acknowledged = packet.acknowledged
+            since_ms = flow.sent_at_ms or now_ms
+            self.flows.end_request(flow)
+            self.evidence.on_progress(server, since_ms, now_ms)
         if packet.n_data_bytes:
-            self._observe_data(packet, flow, now_ms)
+            self._on_data(packet, flow, now_ms)
         if packet.is_finish or packet.is_reset:
             self.flows.end_request(flow)
         return flow
@@ -347,18 +365,9 @@
             if tried is server:
                 self.evidence.on_progress(server, sent_at_ms, now_ms)
 
-    def _observe_answer(self, packet: Packet, flow: Flow, now_ms: int) -> None:
-        advance = (packet.acknowledged - flow.acknowledged) & 0xFFFFFFFF
-        if not 0 < advance < 0x80000000:
-            return
-        flow.acknowledged = packet.acknowledged
-        since_ms = flow.sent_at_ms or now_ms
-        self.flows.end_request(flow)
-        self.evidence.on_progress(flow.server, since_ms, now_ms)
-
-    def _observe_data(self, packet: Packet, flow: Flow, now_ms: int) -> None:
-        end = (packet.sequence + packet.n_data_bytes) & 0xFFFFFFFF
-        is_new = 0 < (end - flow.data_end) & 0xFFFFFFFF < 0x80000000
+    def _on_data(self, packet: Packet, flow: Flow, now_ms: int) -> None:
+        end = (packet.sequence + packet.n_data_bytes) & _SEQUENCE_MASK
+        is_new = 0 < (end - flow.data_end) & _SEQUENCE_MASK < _SEQUENCE_HALF
         if is_new or not flow.sent_at_ms:
             flow.data_end = end
             self.flows.begin_request(flow, now_ms)
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/evidence.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/evidence.py
@@ -7,6 +7,9 @@
 
 __all__ = ["Evidence"]
 
+# Bound once: each answer is checked against it.
+_ANSWERING = Health.ANSWERING
+
 
 class Evidence:
     """Collects the signs of life and death of servers, and says whom to probe.
@@ -31,6 +34,10 @@
         self._events: list[Event] = []
         self.has_news = False
 
+    def is_idle(self) -> bool:
+        """Return whether there is nothing to probe, to tell or to log."""
+        return not (self._silent or self._events or self.has_news)
+
     def take_events(self) -> list[Event]:
         """Return the changes of belief since the last call."""
         events, self._events = self._events, []
@@ -38,7 +45,7 @@
 
     def on_progress(self, server: KnownServer, since_ms: int, now_ms: int) -> None:
         """Take in an answer to something that was sent at a time."""
-        if server.health is Health.ANSWERING:
+        if server.health is _ANSWERING:
             server.progress_at_ms = now_ms
             return
         silence_ms = server.silence_ms(now_ms)
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/routes.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/routes.py
@@ -70,8 +70,9 @@
 
     def _replace(self, configuration: Configuration) -> Event:
         routes = {route.destination: route for route in configuration.routes}
-        self.removed |= self._routes.keys()
-        self.removed -= routes.keys()
+        # In place, as the engine holds on to the set.
+        self.removed.update(self._routes)
+        self.removed.difference_update(routes)
         self._routes = routes
         self._services = {entry.service: entry for entry in configuration.services}
         detail: dict[str, object] = {
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/server_state.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/server_state.py
@@ -19,6 +19,12 @@
     DEAD = "dead"
 
 
+# Bound once, as the look-up of a member takes as long as the rest of a check that
+# each packet makes.
+_ANSWERING = Health.ANSWERING
+_DEAD = Health.DEAD
+
+
 class KnownServer:
     """One incarnation of a backend server, with the evidence about it.
 
@@ -92,13 +98,13 @@
 
     def is_avoided(self, now_ms: int) -> bool:
         """Return whether new flows go elsewhere if they can."""
-        if self.health is not Health.ANSWERING:
+        if self.health is not _ANSWERING:
             return True
         return self.is_dead(now_ms)
 
     def is_dead(self, now_ms: int) -> bool:
         """Return whether the server is dead, by own evidence or by a live peer's."""
-        if self.health is Health.DEAD:
+        if self.health is _DEAD:
             return True
         if self.progress_at_ms >= self.peer_dead_since_ms:
             return False
@@ -113,7 +119,7 @@
             Whether the server was suspected until now.
         """
         self.progress_at_ms = now_ms
-        if self.health is Health.ANSWERING or since_ms < self._silent_since_ms:
+        if self.health is _ANSWERING or since_ms < self._silent_since_ms:
             # An answer that was on its way says nothing of the silence after it.
             return False
         self._recover()
@@ -127,7 +133,7 @@
         bool
             Whether the server is suspected from now on and was not before.
         """
-        if since_ms < self.progress_at_ms or self.health is not Health.ANSWERING:
+        if since_ms < self.progress_at_ms or self.health is not _ANSWERING:
             return False
         self.health = Health.SUSPECT
         self._silent_since_ms = since_ms
@@ -136,7 +142,7 @@
 
     def needs_probe(self, now_ms: int) -> bool:
         """Return whether a probe should show now if the server is dead."""
-        if self.health is Health.ANSWERING or self.is_probed:
+        if self.health is _ANSWERING or self.is_probed:
             return False
         return now_ms >= self._probe_at_ms
 
@@ -150,7 +156,7 @@
         """
         self.is_probed = False
         self._probe_ended_ms = now_ms
-        if self.health is Health.ANSWERING:
+        if self.health is _ANSWERING:
             return None
         if is_reached:
             # Whatever was sent before is late and not lost.
@@ -160,7 +166,7 @@
         wait_ms = self._config.probe_ms << min(self._n_failed_probes, 8)
         self._probe_at_ms = now_ms + min(wait_ms, self._config.probe_max_ms)
         self._n_failed_probes += 1
-        if self.health is Health.DEAD:
+        if self.health is _DEAD:
             return None
         self.health = Health.DEAD
         return Health.DEAD
@@ -189,7 +195,7 @@
 
     def silence_ms(self, now_ms: int) -> int:
         """Return for how long the server has been silent; 0 if it answers."""
-        if self.health is Health.ANSWERING:
+        if self.health is _ANSWERING:
             return 0
         return max(1, now_ms - self._silent_since_ms)
 
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/application.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/application.py
@@ -246,6 +246,7 @@
     def _sweep(self, now_ms: int) -> None:
         self.engine.sweep(now_ms)
         self.packets.log_events()
+        self.packets.record_totals()
         self.metrics.record_total("lost", "log_lines", self.log.n_dropped)
         self.metrics.record_total("lost", "flow_records", self.engine.flows.n_evicted)
 
@@ -276,7 +277,7 @@
         """Leave the rotation, and forward until routers have noticed."""
         self.life.phase = Phase.DRAINING
         began_ms = monotonic_ms()
-        n_before = self.packets.n_forwarded
+        n_before = self.packets.n_sent()
         self.log.write(LogClass.LIFE, "stopping", ran_ms=self._age_ms())
         self.peers.stop()
         self.store.leave()
@@ -292,5 +293,5 @@
             LogClass.LIFE,
             "drained",
             lingered_ms=lingered_ms,
-            n_forwarded=self.packets.n_forwarded - n_before,
+            n_forwarded=self.packets.n_sent() - n_before,
         )
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/packet_service.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/packet_service.py
@@ -55,11 +55,13 @@
         self._metrics = metrics
         self._bound: socket.socket | None = None
         self._socket: UdpSocket | None = None
+        self._send: Callable[[bytes, Address], None] = _lose
         self._repeat_timer: asyncio.TimerHandle | None = None
         self.on_news: Callable[[], None] | None = None
         self._probes: set[asyncio.Task[None]] = set()
         self.last_packet_ms = 0
         self.n_forwarded = 0
+        self.n_opened = 0
 
     def bind(self, bound: socket.socket) -> None:
         """Take over a bound socket; packets wait in it until they are read."""
@@ -68,7 +70,8 @@
     def read(self) -> None:
         """Start to read packets, if this was not done before."""
         if self._socket is None and self._bound is not None:
-            self._socket = UdpSocket(self._bound, self._on_datagram)
+            self._socket = UdpSocket(self._bound, self._on_datagram, self._after_batch)
+            self._send = self._socket.send
 
     async def close(self) -> None:
         """Stop taking packets."""
@@ -82,6 +85,15 @@
         elif self._bound is not None:
             self._bound.close()
 
+    def n_sent(self) -> int:
+        """Return how many packets went to servers, openings included."""
+        return self.n_forwarded + self.n_opened
+
+    def record_totals(self) -> None:
+        """Bring the counters that packets do not count one by one up to date."""
+        label = Reason.KNOWN_TAG.value
+        self._metrics.record_total("packets", label, self.n_forwarded)
+
     def log_events(self) -> None:
         """Write, and tell peers, what the engine came to believe."""
         self._probe()
@@ -142,27 +154,28 @@
         now_ms = monotonic_ms()
         self.last_packet_ms = now_ms
         action = self._engine.on_packet(packet, now_ms)
-        self._carry_out(action, packet)
-        if packet.is_opening:
+        if type(action) is Forward:
+            # Nearly all packets: the dispatch would take longer than the decision.
+            self._send(*self._codec.for_server(packet, action.server.entry, None))
+            self.n_forwarded += 1
+        else:
+            self._carry_out(action, packet)
             self._schedule_repeats(now_ms)
-        self.log_events()
+
+    def _after_batch(self) -> None:
+        if not self._engine.is_idle():
+            self.log_events()
 
     @singledispatchmethod
     def _carry_out(self, action: Action, packet: Packet) -> None:
         raise TypeError(f"no way to carry out {type(action).__name__}")
 
-    @_carry_out.register
-    def _(self, action: Forward, packet: Packet) -> None:
-        self._send(*self._codec.for_server(packet, action.server.entry, None))
-        self._metrics.count("packets", Reason.KNOWN_TAG.value)
-        self.n_forwarded += 1
-
     @_carry_out.register
     def _(self, action: Open, packet: Packet) -> None:
         server = action.server
         self._send(*self._codec.for_server(packet, server.entry, server.tag))
         self._note("flow_opening", action.reason, packet, server=server.entry.server)
-        self.n_forwarded += 1
+        self.n_opened += 1
 
     @_carry_out.register
     def _(self, action: Reset, packet: Packet) -> None:
@@ -189,10 +202,6 @@
             **self._versions(),
         )
 
-    def _send(self, datagram: bytes, address: Address) -> None:
-        if self._socket is not None:
-            self._socket.send(datagram, address)
-
     def _schedule_repeats(self, now_ms: int) -> None:
         if self._repeat_timer is not None:
             return
@@ -210,6 +219,10 @@
         self._schedule_repeats(now_ms)
 
 
+def _lose(datagram: bytes, address: Address) -> None:
+    """Stand for the socket until there is one."""
+
+
 async def _connect(address: Address, wait_ms: int) -> bool:
     """Connect without a request, which takes no slot; return whether it worked."""
     await asyncio.sleep(wait_ms / 1000)
--- a/packages/sapphirerail-transport/src/sapphirerail_transport/udp.py
+++ b/packages/sapphirerail-transport/src/sapphirerail_transport/udp.py
@@ -84,13 +84,20 @@
         A bound, non-blocking datagram socket; closed with this object.
     on_datagram : callable
         Called with the payload and the sender's address.
+    after_batch : callable or None
+        Called when all datagrams that waited have been taken.
     """
 
     def __init__(
-        self, bound: socket.socket, on_datagram: Callable[[bytes, Address], None]
+        self,
+        bound: socket.socket,
+        on_datagram: Callable[[bytes, Address], None],
+        after_batch: Callable[[], None] | None = None,
     ) -> None:
         self._socket = bound
         self._on_datagram = on_datagram
+        self._after_batch = after_batch
+        self._is_closed = False
         self._loop = asyncio.get_running_loop()
         self._loop.add_reader(bound.fileno(), self._read_batch)
 
@@ -117,20 +124,24 @@
 
     def close(self) -> None:
         """Close the socket; datagrams that were sent still leave."""
-        if self._socket.fileno() < 0:
+        if self._is_closed:
             return
+        self._is_closed = True
         self._loop.remove_reader(self._socket.fileno())
         self._socket.close()
 
     def _read_batch(self) -> None:
+        receive, on_datagram = self._socket.recvfrom, self._on_datagram
         for _ in range(BATCH_SIZE):
             try:
-                payload, sender = self._socket.recvfrom(DATAGRAM_READ_BYTES)
+                payload, sender = receive(DATAGRAM_READ_BYTES)
             except BlockingIOError:
-                return
+                break
             except OSError:
                 # An earlier datagram met a closed port; others may wait.
                 continue
-            self._on_datagram(payload, sender)
-            if self._socket.fileno() < 0:
+            on_datagram(payload, sender)
+            if self._is_closed:
                 return
+        if self._after_batch is not None:
+            self._after_batch()
