Reset no flow on one peer's word, and tell deaths together

Now deaths that are found within 20 ms are told by one report. One peer's proof has new flows avoid the server and the server probed from here; open flows are reset after an own proof or those of two peers. A server that one peer holds for dead is used if there is no other.

Ruled out: slow instances as such (processor at 0.02 of a core), a wrong directory (the servers were listed all the while).

--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/config.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/config.py
@@ -27,7 +27,10 @@
         Least time after which repeated data counts as a sign of silence; callers
         retransmit after 200 ms, and packets may overtake each other before.
     peer_suspicion_ms : int
-        How long the suspicion of another instance counts.
+        How long another instance's proof of a death counts.
+    n_death_witnesses : int
+        Other instances whose proofs replace an own one: the probes of one instance
+        fail if its own link is full, so one alone only has the others probe.
     peer_report_ms : int
         How long the load that another instance reported counts.
     departed_keep_ms : int
@@ -74,6 +77,7 @@
     probe_repeat_ms: int = 100
     retransmission_ms: int = 150
     peer_suspicion_ms: int = 1_500
+    n_death_witnesses: int = 2
     peer_report_ms: int = 1_500
     departed_keep_ms: int = 60_000
     departed_grace_ms: int = 300
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/evidence.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/evidence.py
@@ -62,11 +62,15 @@
     def on_peer_death(
         self, server: KnownServer, peer: InstanceId, silence_ms: int, now_ms: int
     ) -> None:
-        """Take in that a peer of the data centre has found a server dead."""
-        if server.on_peer_death(silence_ms, now_ms):
+        """Take in that a peer of the data centre has found a server dead.
+
+        It is probed from here at once: the peer may be the one that is cut off.
+        """
+        if server.on_peer_death(peer, silence_ms, now_ms):
             detail: dict[str, object] = {"peer": peer, "silence_ms": silence_ms}
             name = server.entry.server
             self._events.append(Event(Belief.SERVER_DEAD_BY_PEER, name, detail))
+            self.on_silence(server, now_ms - silence_ms, now_ms)
 
     def take_probes(self, now_ms: int) -> list[KnownServer]:
         """Return the servers that a probe should be sent to now."""
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/server_state.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/server_state.py
@@ -2,6 +2,7 @@
 
 from enum import Enum
 
+from ..types import InstanceId
 from .config import SteeringConfig
 from .model import ServerEntry
 from .tag import ServerTag, server_tag
@@ -49,6 +50,7 @@
         "_probe_ended_ms",
         "_probe_at_ms",
         "_silent_since_ms",
+        "_witnesses",
         "cold_until_ms",
         "departed_at_ms",
         "entry",
@@ -58,9 +60,7 @@
         "missing_since_ms",
         "n_flows",
         "n_in_flight",
-        "peer_dead_since_ms",
         "peer_load",
-        "peer_told_at_ms",
         "progress_at_ms",
         "tag",
     )
@@ -76,8 +76,6 @@
         self.n_flows = 0
         self.n_in_flight = 0
         self.peer_load = 0.0
-        self.peer_dead_since_ms = _NEVER_MS
-        self.peer_told_at_ms = _NEVER_MS
         self.progress_at_ms = _NEVER_MS
         self.is_probed = False
         self._config = config
@@ -85,6 +83,8 @@
         self._probe_at_ms = 0
         self._n_failed_probes = 0
         self._probe_ended_ms = 0
+        # When each peer told last that the server is dead, and since when it is.
+        self._witnesses: dict[InstanceId, tuple[int, int]] = {}
 
     def update(self, entry: ServerEntry, now_ms: int) -> None:
         """Take in a newer announcement of the same incarnation."""
@@ -98,17 +98,23 @@
 
     def is_avoided(self, now_ms: int) -> bool:
         """Return whether new flows go elsewhere if they can."""
-        if self.health is not _ANSWERING:
-            return True
-        return self.is_dead(now_ms)
+        return self.health is not _ANSWERING or self._n_witnesses(now_ms) > 0
 
     def is_dead(self, now_ms: int) -> bool:
-        """Return whether the server is dead, by own evidence or by a live peer's."""
+        """Return whether the server is dead, by own proof or by that of some peers."""
         if self.health is _DEAD:
             return True
-        if self.progress_at_ms >= self.peer_dead_since_ms:
-            return False
-        return now_ms - self.peer_told_at_ms < self._config.peer_suspicion_ms
+        return self._n_witnesses(now_ms) >= self._config.n_death_witnesses
+
+    def _n_witnesses(self, now_ms: int) -> int:
+        """Return how many peers have proof that is newer than the last answer here."""
+        if not self._witnesses:
+            return 0
+        oldest_ms = now_ms - self._config.peer_suspicion_ms
+        return sum(
+            told_at_ms > oldest_ms and since_ms > self.progress_at_ms
+            for told_at_ms, since_ms in self._witnesses.values()
+        )
 
     def on_progress(self, since_ms: int, now_ms: int) -> bool:
         """Take in an answer to something that was sent at a time.
@@ -179,19 +185,19 @@
     def _recover(self) -> None:
         self.health = Health.ANSWERING
         self._n_failed_probes = 0
+        self._witnesses.clear()
 
-    def on_peer_death(self, silence_ms: int, now_ms: int) -> bool:
+    def on_peer_death(self, peer: InstanceId, silence_ms: int, now_ms: int) -> bool:
         """Take in that a peer of the own data centre has found the server dead.
 
         Returns
         -------
         bool
-            Whether the server counts as dead from now on and did not before.
+            Whether new flows avoid the server from now on and did not before.
         """
-        was_dead = self.is_dead(now_ms)
-        self.peer_told_at_ms = now_ms
-        self.peer_dead_since_ms = now_ms - silence_ms
-        return not was_dead and self.is_dead(now_ms)
+        was_avoided = self.is_avoided(now_ms)
+        self._witnesses[peer] = now_ms, now_ms - silence_ms
+        return not was_avoided and self.is_avoided(now_ms)
 
     def silence_ms(self, now_ms: int) -> int:
         """Return for how long the server has been silent; 0 if it answers."""
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/application.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/application.py
@@ -106,7 +106,7 @@
         )
         self.packets = PacketService(self.engine, codec, self.log, self.metrics)
         self.peers = PeerService(self.engine, self.metrics)
-        self.packets.on_news = self.peers.report
+        self.packets.on_news = self.peers.tell_news
         self.store = StoreService(
             store, self.engine, self.peers, self.log, self.metrics
         )
@@ -153,7 +153,7 @@
         bound = self._packet_socket or bind_datagram(settings.packet_address)
         self.packets.bind(bound)
         self.life.on_close("peers", self.peers.close)
-        await self.peers.open(settings.peer_address)
+        await self.peers.open(settings.peer_address, self.packets.log_events)
         self.life.on_close("readiness", self._ready_server.close)
         await self._ready_server.start(settings.ready_address)
         self.life.on_close("state", self._state_server.close)
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/packet_service.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/packet_service.py
@@ -70,7 +70,7 @@
     def read(self) -> None:
         """Start to read packets, if this was not done before."""
         if self._socket is None and self._bound is not None:
-            self._socket = UdpSocket(self._bound, self._on_datagram, self._after_batch)
+            self._socket = UdpSocket(self._bound, self._on_datagram, self.log_events)
             self._send = self._socket.send
 
     async def close(self) -> None:
@@ -95,7 +95,9 @@
         self._metrics.record_total("packets", label, self.n_forwarded)
 
     def log_events(self) -> None:
-        """Write, and tell peers, what the engine came to believe."""
+        """Write, and tell peers, what the engine came to believe; probe suspects."""
+        if self._engine.is_idle():
+            return
         self._probe()
         if self._engine.evidence.has_news and self.on_news is not None:
             self.on_news()
@@ -162,10 +164,6 @@
             self._carry_out(action, packet)
             self._schedule_repeats(now_ms)
 
-    def _after_batch(self) -> None:
-        if not self._engine.is_idle():
-            self.log_events()
-
     @singledispatchmethod
     def _carry_out(self, action: Action, packet: Packet) -> None:
         raise TypeError(f"no way to carry out {type(action).__name__}")
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/peer_service.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/peer_service.py
@@ -1,7 +1,9 @@
 """Datagrams between entry instances: load reports and relayed reads."""
 
+import asyncio
 import zlib
 from collections import deque
+from collections.abc import Callable
 
 import msgspec
 
@@ -18,6 +20,7 @@
 from sapphirerail_transport.udp import (
     Address,
     UdpSocket,
+    bind_datagram,
     check_address,
     parse_address,
 )
@@ -30,6 +33,9 @@
 REPORT_INTERVAL_MS = 250
 # Below the 1.2 s after which a silent peer counts as lost.
 REPORT_INTERVAL_MAX_MS = 750
+# Deaths that are found within this time are told together: each report goes to all
+# peers, and one for each of twenty servers fills a link of 10 Mbit/s for 0.3 s.
+NEWS_DELAY_MS = 20
 # Keeps what an instance of a large data centre receives near 50 reports a second.
 N_PEERS_AT_FULL_RATE = 12
 # Updates that tell a change, so that one lost datagram costs none of the receivers a
@@ -64,13 +70,19 @@
         # What was known before each of the last own reads.
         self._before: deque[Picture] = deque(maxlen=N_TOLD)
         self._reported_at_ms = 0
+        self._news_timer: asyncio.TimerHandle | None = None
 
-    async def open(self, address: Address) -> None:
-        """Start to take messages."""
-        self._socket = await UdpSocket.bind(address, self._on_datagram)
+    async def open(
+        self, address: Address, after_batch: Callable[[], None] | None = None
+    ) -> None:
+        """Start to take messages; a function is called after each batch of them."""
+        bound = bind_datagram(address)
+        self._socket = UdpSocket(bound, self._on_datagram, after_batch)
 
     async def close(self) -> None:
         """Stop taking messages."""
+        if self._news_timer is not None:
+            self._news_timer.cancel()
         if self._socket is not None:
             self._socket.close()
 
@@ -95,6 +107,16 @@
             LoadReport(self._own, revision, loads), self._engine.peers.near()
         )
 
+    def tell_news(self) -> None:
+        """Report soon, with whatever else is found until then."""
+        if self._news_timer is None:
+            loop = asyncio.get_running_loop()
+            self._news_timer = loop.call_later(NEWS_DELAY_MS / 1000, self._report_news)
+
+    def _report_news(self) -> None:
+        self._news_timer = None
+        self.report()
+
     def relay_read(self, before: Picture | None) -> None:
         """Tell all others what changed by the last own reads of the store.
 
--- a/packages/sapphirerail-node/tests/steering/test_peer_service.py
+++ b/packages/sapphirerail-node/tests/steering/test_peer_service.py
@@ -1,3 +1,4 @@
+import asyncio
 import zlib
 
 import msgspec
@@ -19,7 +20,11 @@
 )
 from sapphirerail_core.steering.picture import Changes
 from sapphirerail_node.steering.metrics import SteeringMetrics
-from sapphirerail_node.steering.peer_service import CHANGES_MAX_BYTES, PeerService
+from sapphirerail_node.steering.peer_service import (
+    CHANGES_MAX_BYTES,
+    NEWS_DELAY_MS,
+    PeerService,
+)
 from sapphirerail_standins.steering_fleet import (
     BOOKINGS,
     SteeringFleet,
@@ -78,6 +83,24 @@
     assert peers._metrics.counters["peer_messages", "sent"] == n_sent + n_peers
 
 
+def test_deaths_that_are_found_together_are_told_by_one_report():
+    # Found on the grown Adwinsa site: twenty servers lost power, and twenty reports to
+    # thirty peers within 20 ms filled the link so that probes of live servers failed.
+    peers, metrics = service()
+    for n in range(2, 32):
+        entry = InstanceEntry(f"osu-{n}", "osu", f"10.0.0.{n}:7720")
+        peers._engine.peers.on_heard(entry, 0)
+
+    async def find_deaths():
+        for _ in range(20):
+            peers.tell_news()
+            await asyncio.sleep(0)
+        await asyncio.sleep(2 * NEWS_DELAY_MS / 1000)
+
+    asyncio.run(find_deaths())
+    assert metrics.counters["peer_messages", "sent"] == 30
+
+
 class Wire:
     """Takes what a reader of the store sends, and hands it to its peers."""
 
