--- a/packages/sapphirerail-node/src/sapphirerail_node/platform/__main__.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/platform/__main__.py
@@ -1,6 +1,7 @@
 """Starts an entry instance on the users' platform."""
 
 import os
+import signal
 import socket
 import sys
 
@@ -8,6 +9,11 @@
 PACKET_ADDRESS_VARIABLE = "SAPPHIRERAIL_PACKET_ADDRESS"
 
 
+# Until the application takes this signal, it would end the process. Settings are read
+# after the imports anyway.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 def _bind_early() -> socket.socket | None:
     """Bind the socket for packets; what arrives during the imports waits in it."""
     host, _, port = os.environ.get(PACKET_ADDRESS_VARIABLE, "").rpartition(":")
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/soak_system.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/soak_system.py
@@ -24,12 +24,13 @@
 from .tcp_relay import TcpRelay
 from .udp_relay import UdpRelay
 
-__all__ = ["DATA_CENTRES", "EXTRA_PORT", "HOLD_PORT", "SoakSystem"]
+__all__ = ["DATA_CENTRES", "EXTRA_PORT", "OWED_ROUTES", "SoakSystem"]
 
 DATA_CENTRES = ("osu", "tema")
 HOLD_PORT = 8444
-# Operators remove this route and add it again.
+# Operators remove this route and add it again; the others stay.
 EXTRA_PORT = 8445
+OWED_ROUTES = ((ROUTE_PORT, "safe"), (HOLD_PORT, "unsafe"))
 # Routers ask twice a second, and take an instance out after two misses.
 ROUTER_INTERVAL_S = 0.5
 N_MISSES_MAX = 2
@@ -51,6 +52,7 @@
 
     def __init__(self, seed: int, n_instances: int = 4, n_servers: int = 6) -> None:
         super().__init__(n_instances, n_servers, DATA_CENTRES)
+        self.first_routes = (*OWED_ROUTES, (EXTRA_PORT, "unsafe"))
         self.rules = FaultRules(seed)
         self.history = History()
         self.clock = LoopClock()
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -305,6 +305,32 @@
     play(scenario)
 
 
+def is_bound(address) -> bool:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        try:
+            probe.bind(address)
+        except OSError:
+            return True
+    return False
+
+
+def test_a_signal_to_read_settings_during_the_start_ends_nothing():
+    # Found by the soak (seed 21): the process had no handler yet and was ended.
+    async def scenario(system):
+        entry = system.instances[0]
+        entry.send(signal.SIGKILL)
+        await entry.wait()
+        await entry.start()
+        # The socket for packets is bound before the imports.
+        address = (entry.host, system.packet_port)
+        while not is_bound(address):
+            await asyncio.sleep(0.001)
+        entry.send(signal.SIGHUP)
+        await wait_until("ready", lambda: system.is_ready(entry), IN_FORCE_MS)
+
+    play(scenario)
+
+
 def test_logs_and_figures_tell_what_was_done_with_a_flow():
     async def scenario(system):
         flow = await system.open()
