Leave the rotation while cut off without the servers that callers need

An instance that reaches no server elsewhere by its own probes probes the store as well, by a connection that is no call. If that is out of reach too, and the services without a live server here have most of the slots, it answers that it is not ready. Either coming back ends it at once, and has all servers probed.

Ruled out: leaving while the store answers (then the servers are at fault, and nobody may be in the rotation anywhere); leaving for a minority of the slots (open flows to servers inside would be lost to the instances outside).

--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/config.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/config.py
@@ -23,6 +23,10 @@
         Time in which a probe must connect; a hundred round trips between data centres.
     probe_repeat_ms : int
         Time after which a probe connects a second time, as packets get lost.
+    store_probe_ms : int
+        Time between two probes of the store by an instance that reaches nothing
+        elsewhere; half of the routers' interval, so that neither end of a partition is
+        noticed a whole one late.
     retransmission_ms : int
         Least time after which repeated data counts as a sign of silence; callers
         retransmit after 200 ms, and packets may overtake each other before.
@@ -75,6 +79,7 @@
     probe_hurried_ms: int = 250
     probe_timeout_ms: int = 250
     probe_repeat_ms: int = 100
+    store_probe_ms: int = 250
     retransmission_ms: int = 150
     peer_suspicion_ms: int = 1_500
     n_death_witnesses: int = 2
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
@@ -14,6 +14,7 @@
 from .events import Belief, Event, Reason
 from .evidence import Evidence
 from .flows import Flow, FlowTable
+from .isolation import Isolation
 from .messages import LoadReport, ServerLoad
 from .model import OperatorState, RequestKind, Route, ServerEntry
 from .packet import Packet
@@ -86,6 +87,7 @@
         self._pending: deque[_Pending] = deque()
         self._unknown_tags: dict[int, int] = {}
         self.evidence = Evidence(self.directory, peers.own.data_centre)
+        self.isolation = Isolation(config, self.directory, self.routes, peers)
         self._events: list[Event] = []
         # What was read once stays known, so that this never turns back.
         self._is_ready = False
@@ -146,6 +148,12 @@
                 self.evidence.on_peer_death(server, peer, load.silence_ms, now_ms)
         self._sum_peer_loads(now_ms)
 
+    def on_store_probe(self, is_reached: bool, now_ms: int) -> None:
+        """Take in whether the store can be reached."""
+        event = self.isolation.on_store_probe(is_reached, now_ms)
+        if event is not None:
+            self._events.append(event)
+
     def report_loads(self, now_ms: int) -> tuple[ServerLoad, ...]:
         """Return what this instance has at each server that it uses."""
         self.evidence.has_news = False
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/events.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/events.py
@@ -23,6 +23,8 @@
     SERVER_DEAD = "server_dead"
     SERVER_DEAD_BY_PEER = "server_dead_by_peer"
     SERVER_RECOVERED = "server_recovered"
+    INSTANCE_STRANDED = "instance_stranded"
+    INSTANCE_REJOINED = "instance_rejoined"
     TAG_COLLISION = "tag_collision"
 
 
--- /dev/null
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/isolation.py
@@ -0,0 +1,110 @@
+"""Whether an instance is cut off from most of what its callers need."""
+
+from collections import Counter
+
+from ..types import DataCentreId, ServiceId
+from .config import SteeringConfig
+from .directory import Directory
+from .events import Belief, Event
+from .peers import Peers
+from .routes import RouteTable
+
+__all__ = ["Isolation"]
+
+
+class Isolation:
+    """Finds out when callers are better served through another data centre.
+
+    An instance is stranded while no server elsewhere and no store can be reached, and
+    the services without a live server within reach had most of the slots. It should
+    then leave the rotation: routers hand its callers' packets to instances that can
+    serve them. As long as the store answers, or any server elsewhere lives, the fault
+    is taken to be the servers', and the instance stays.
+
+    Parameters
+    ----------
+    config : SteeringConfig
+        Time between two probes of the store.
+    directory : Directory
+        The servers.
+    routes : RouteTable
+        Data centres that are out.
+    peers : Peers
+        This instance and its peers.
+    """
+
+    def __init__(
+        self,
+        config: SteeringConfig,
+        directory: Directory,
+        routes: RouteTable,
+        peers: Peers,
+    ) -> None:
+        self._config = config
+        self._directory = directory
+        self._routes = routes
+        self._peers = peers
+        self._probed_at_ms = -config.store_probe_ms
+        self._is_probed = False
+        self.is_stranded = False
+
+    def needs_store_probe(self, now_ms: int) -> bool:
+        """Return whether a probe should show now if the store can be reached."""
+        if self._is_probed or now_ms - self._probed_at_ms < self._config.store_probe_ms:
+            return False
+        if not (self.is_stranded or self._is_cut_off(now_ms)):
+            return False
+        self._is_probed = True
+        return True
+
+    def on_store_probe(self, is_reached: bool, now_ms: int) -> Event | None:
+        """Take in the outcome of a probe of the store.
+
+        Returns
+        -------
+        Event or None
+            The change of belief, if there is one.
+        """
+        self._is_probed = False
+        self._probed_at_ms = now_ms
+        is_stranded = not is_reached and self._is_cut_off(now_ms)
+        if is_stranded == self.is_stranded:
+            return None
+        self.is_stranded = is_stranded
+        if not is_stranded:
+            # Callers come back now.
+            for server in self._directory.servers():
+                server.hurry_probe()
+        belief = Belief.INSTANCE_STRANDED if is_stranded else Belief.INSTANCE_REJOINED
+        lost, kept = self._slots(now_ms)
+        detail: dict[str, object] = {
+            "store_reached": is_reached,
+            "lost_slots": lost,
+            "kept_slots": kept,
+        }
+        return Event(belief, self._peers.own.instance, detail)
+
+    def _is_cut_off(self, now_ms: int) -> bool:
+        """Return whether nothing elsewhere is within reach, and most services are."""
+        own: DataCentreId = self._peers.own.data_centre
+        has_far = False
+        for server in self._directory.servers():
+            if server.entry.data_centre != own:
+                if not server.is_dead(now_ms):
+                    return False
+                has_far = True
+        lost, kept = self._slots(now_ms)
+        return has_far and lost > kept
+
+    def _slots(self, now_ms: int) -> tuple[int, int]:
+        """Return the slots of all services without and with a server to be used."""
+        slots: Counter[ServiceId] = Counter()
+        served: set[ServiceId] = set()
+        for server in self._directory.servers():
+            entry = server.entry
+            slots[entry.service] += entry.n_slots
+            is_out = self._routes.is_out(entry.data_centre)
+            if not (is_out or entry.is_draining or server.is_dead(now_ms)):
+                served.add(entry.service)
+        kept = sum(n_slots for service, n_slots in slots.items() if service in served)
+        return slots.total() - kept, kept
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/application.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/application.py
@@ -45,6 +45,8 @@
 
 PEER_LIVE_MS = 1_200
 SWEEP_INTERVAL_MS = 500
+# A fifth of the time after which routers take an instance out.
+ISOLATION_INTERVAL_MS = 200
 SETTINGS_CHECK_INTERVAL_MS = 2_000
 SNAPSHOT_RETRY_MS = 500
 READY_CHECK_MS = 20
@@ -108,7 +110,12 @@
         self.peers = PeerService(self.engine, self.metrics)
         self.packets.on_news = self.peers.tell_news
         self.store = StoreService(
-            store, self.engine, self.peers, self.log, self.metrics
+            store,
+            settings.store_address,
+            self.engine,
+            self.peers,
+            self.log,
+            self.metrics,
         )
         self._ready_server = HttpServer(self._answer_ready)
         state_api = StateApi(self.engine, self.metrics)
@@ -163,6 +170,7 @@
         self.store.start()
         self._ticker.every(REPORT_INTERVAL_MS, self.peers.tick)
         self._ticker.every(SWEEP_INTERVAL_MS, self._sweep)
+        self._ticker.every(ISOLATION_INTERVAL_MS, self.store.probe)
         self._ticker.every(
             SETTINGS_CHECK_INTERVAL_MS, lambda _: self._reload("interval")
         )
@@ -253,7 +261,9 @@
 
     async def _answer_ready(self, request: HttpRequest) -> HttpResponse:
         is_serving = self.life.phase is Phase.SERVING and self.engine.is_ready()
-        return HttpResponse(None, 200 if is_serving else 503)
+        # Others can serve the callers of an instance that can reach hardly anything.
+        is_useful = is_serving and not self.engine.isolation.is_stranded
+        return HttpResponse(None, 200 if is_useful else 503)
 
     def _reload(self, cause: str) -> None:
         """Read the settings again and keep what can change while running."""
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/packet_service.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/packet_service.py
@@ -23,6 +23,7 @@
 from .decision_log import DecisionLog, LogClass
 from .metrics import SteeringMetrics
 from .ports import PacketCodec
+from .probe import is_reachable
 
 __all__ = ["PacketService"]
 
@@ -119,18 +120,8 @@
 
     async def _probe_one(self, server: KnownServer) -> None:
         """Find out whether a suspected server can be reached, and tell the engine."""
-        config = self._engine.config
         address = parse_address(server.entry.address)
-        tries = [
-            asyncio.create_task(_connect(address, 0)),
-            asyncio.create_task(_connect(address, config.probe_repeat_ms)),
-        ]
-        try:
-            is_reached = await _any_of(tries, config.probe_timeout_ms)
-        finally:
-            for task in tries:
-                task.cancel()
-            await asyncio.gather(*tries, return_exceptions=True)
+        is_reached = await is_reachable(address, self._engine.config)
         self._metrics.count("probes", "reached" if is_reached else "unreached")
         self._engine.evidence.on_probe(server, is_reached, monotonic_ms())
         self.log_events()
@@ -219,27 +210,3 @@
 
 def _lose(datagram: bytes, address: Address) -> None:
     """Stand for the socket until there is one."""
-
-
-async def _connect(address: Address, wait_ms: int) -> bool:
-    """Connect without a request, which takes no slot; return whether it worked."""
-    await asyncio.sleep(wait_ms / 1000)
-    try:
-        _, writer = await asyncio.open_connection(*address)
-    except OSError:
-        # Refused or unreachable: that is the answer of the probe.
-        return False
-    writer.close()
-    return True
-
-
-async def _any_of(tries: list[asyncio.Task[bool]], timeout_ms: int) -> bool:
-    """Return whether any of the tries succeeds in time."""
-    try:
-        async with asyncio.timeout(timeout_ms / 1000):
-            for finished in asyncio.as_completed(tries):
-                if await finished:
-                    return True
-    except TimeoutError:
-        return False
-    return False
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/store_service.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/store_service.py
@@ -7,6 +7,7 @@
 from typing import TypeVar
 
 from sapphirerail_core.steering import SteeringEngine
+from sapphirerail_transport.udp import Address
 
 from ..clock import monotonic_ms
 from .decision_log import DecisionLog, LogClass
@@ -18,6 +19,7 @@
     RegistrationId,
     StoreCallError,
 )
+from .probe import is_reachable
 
 __all__ = ["StoreService"]
 
@@ -41,6 +43,8 @@
     ----------
     store : PlatformStore
         The platform's store.
+    address : Address
+        Where it answers.
     engine : SteeringEngine
         Takes in what is read.
     peers : PeerService
@@ -54,12 +58,14 @@
     def __init__(
         self,
         store: PlatformStore,
+        address: Address,
         engine: SteeringEngine,
         peers: PeerService,
         log: DecisionLog,
         metrics: SteeringMetrics,
     ) -> None:
         self.store = store
+        self._address = address
         self._engine = engine
         self._peers = peers
         self._log = log
@@ -67,6 +73,7 @@
         self._registration: RegistrationId | None = None
         self._lost_at_ms: int | None = None
         self._staying: asyncio.Task[None] | None = None
+        self._probing: asyncio.Task[None] | None = None
         self._tasks: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
@@ -93,6 +100,8 @@
 
     async def close(self) -> None:
         """Stop all loops."""
+        if self._probing is not None:
+            self._tasks.append(self._probing)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -135,6 +144,15 @@
             self._lost_at_ms = None
             self._log.write(LogClass.LIFE, "store_regained", call=name, away_ms=away_ms)
 
+    def probe(self, now_ms: int) -> None:
+        """Find out if the store can be reached, if that would show a partition."""
+        if self._engine.isolation.needs_store_probe(now_ms):
+            self._probing = asyncio.create_task(self._probe())
+
+    async def _probe(self) -> None:
+        is_reached = await is_reachable(self._address, self._engine.config)
+        self._engine.on_store_probe(is_reached, monotonic_ms())
+
     async def _refresh(self) -> None:
         refresh = self._engine.refresh
         while True:
--- a/packages/sapphirerail-node/tests/steering/test_store_service.py
+++ b/packages/sapphirerail-node/tests/steering/test_store_service.py
@@ -48,7 +48,7 @@
         metrics = SteeringMetrics()
         peers = PeerService(engine, metrics)
         log = DecisionLog(logging.getLogger("test"))
-        service = StoreService(store, engine, peers, log, metrics)
+        service = StoreService(store, ("127.0.0.1", 9), engine, peers, log, metrics)
         service.start()
         await asyncio.sleep(for_s)
         await service.close()
