--- a/packages/sapphirerail-standins/src/sapphirerail_standins/soak_checks.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/soak_checks.py
@@ -51,11 +51,24 @@
         if event.is_by_server:
             is_broken = history.is_calm(0, event.at_ms, event.server)
         else:
-            is_broken = history.is_calm(since_ms, event.at_ms, event.server)
+            is_broken = history.is_calm(
+                since_ms, event.at_ms, event.server
+            ) and not _was_removed(history, event)
         if is_broken:
             yield f"{event.at_ms}: a flow of {event.server} was reset ({event})"
 
 
+def _was_removed(history: History, reset: FlowWasReset) -> bool:
+    """Return whether a flow's route is removed, or was until a moment ago."""
+    changes = [
+        event
+        for event in history.of(RouteChanged)
+        if event.route_port == reset.route_port and event.at_ms <= reset.at_ms
+    ]
+    recent = [e for e in changes if e.at_ms >= reset.at_ms - CONTACT_MS]
+    return any(not event.is_there for event in (*changes[-1:], *recent))
+
+
 def draining_servers(history: History) -> Iterator[str]:
     """Yield openings that reached a server long after it had said that it drains."""
     left = [(e.at_ms, e.server, e.is_draining) for e in history.of(ServerLeft)]
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/soak_history.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/soak_history.py
@@ -49,6 +49,7 @@
 
     at_ms: int
     server: str
+    route_port: int
     is_by_server: bool
 
 
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/soak_system.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/soak_system.py
@@ -215,7 +215,7 @@
         except FlowResetError as error:
             now_ms = self.clock.now_ms()
             if server is not None:
-                event = FlowWasReset(now_ms, server, error.is_by_server)
+                event = FlowWasReset(now_ms, server, port, error.is_by_server)
                 self.history.note(event)
             elif is_owed:
                 self.history.note(Refused(began_ms, now_ms))
