Reset open flows on two instances' proofs that their server is dead

An instance's own proof now moves new flows; a reset takes a second instance's, which comes some 0.3 s later as all peers probe. An instance that hears no peer needs its own only.

--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/config.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/config.py
@@ -32,9 +32,10 @@
         retransmit after 200 ms, and packets may overtake each other before.
     peer_suspicion_ms : int
         How long another instance's proof of a death counts.
-    n_death_witnesses : int
-        Other instances whose proofs replace an own one: the probes of one instance
-        fail if its own link is full, so one alone only has the others probe.
+    n_death_proofs : int
+        Instances, this one included, that must have proof of a death before open flows
+        are reset: the probes of one may fail by its own link. An instance that hears no
+        peer needs its own proof only.
     peer_report_ms : int
         How long the load that another instance reported counts.
     departed_keep_ms : int
@@ -82,7 +83,7 @@
     store_probe_ms: int = 250
     retransmission_ms: int = 150
     peer_suspicion_ms: int = 1_500
-    n_death_witnesses: int = 2
+    n_death_proofs: int = 2
     peer_report_ms: int = 1_500
     departed_keep_ms: int = 60_000
     departed_grace_ms: int = 300
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
@@ -299,11 +299,18 @@
             # Operators have asked that nothing more be sent there. The server lives,
             # and a reset would tell the caller otherwise.
             return Drop(Reason.DATA_CENTRE_OUT)
-        elif flow.is_repeatable and server.is_dead(now_ms):
+        elif flow.is_repeatable and self._is_lost(server, now_ms):
             # A caller that may repeat its request gains the rest of its deadline.
             return Reset(Reason.SERVER_DEAD, server)
         return Forward(server)
 
+    def _is_lost(self, server: KnownServer, now_ms: int) -> bool:
+        """Return whether a server's open flows should be given back."""
+        if not server.is_dead(now_ms):
+            return False
+        is_alone = len(self.peers.live_near(now_ms)) == 1
+        return server.is_confirmed_dead(now_ms, is_alone=is_alone)
+
     def _is_given_up(self, server: KnownServer, now_ms: int) -> bool:
         """Return whether a server's data centre was taken out some time ago."""
         out_since_ms = self.routes.out_since_ms.get(server.entry.data_centre)
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/server_state.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/server_state.py
@@ -104,7 +104,21 @@
         """Return whether the server is dead, by own proof or by that of some peers."""
         if self.health is _DEAD:
             return True
-        return self._n_witnesses(now_ms) >= self._config.n_death_witnesses
+        return self._n_witnesses(now_ms) >= self._config.n_death_proofs
+
+    def is_confirmed_dead(self, now_ms: int, *, is_alone: bool) -> bool:
+        """Return whether enough instances have proof that the server is dead.
+
+        Parameters
+        ----------
+        now_ms : int
+            Time of the question.
+        is_alone : bool
+            Whether this instance hears no peer that could confirm its proof.
+        """
+        has_proof = self.health is _DEAD
+        n_proofs = has_proof + self._n_witnesses(now_ms)
+        return n_proofs >= self._config.n_death_proofs or (has_proof and is_alone)
 
     def _n_witnesses(self, now_ms: int) -> int:
         """Return how many peers have proof that is newer than the last answer here."""
--- a/packages/sapphirerail-core/tests/steering/test_engine.py
+++ b/packages/sapphirerail-core/tests/steering/test_engine.py
@@ -16,6 +16,7 @@
     BOOKINGS,
     FEED,
     HOLD,
+    PEER_LIVE_MS,
     SKETCHES,
     UPLOAD,
     SteeringFleet,
@@ -258,6 +259,19 @@
     assert not server.is_avoided(fleet.now_ms)
 
 
+def test_own_proof_alone_resets_nothing_while_a_peer_can_confirm_it():
+    # Found on the grown Adwinsa site: two connects of one instance failed by chance,
+    # its peers reached the server, and it reset an open flow before its next probe.
+    fleet, _, _ = fleet_with_a_death(2)
+    (server,) = fleet.engine.directory.servers()
+    fleet.send(opening(7), "osu-1")
+    packet = later_packet(7, server.tag, sequence=2_000, n_data_bytes=10)
+    assert isinstance(fleet.send(packet, "osu-1"), Forward)
+    # Nobody is heard any more.
+    fleet.advance(PEER_LIVE_MS + 1)
+    assert why_reset(fleet.send(packet, "osu-1")) is Reason.SERVER_DEAD
+
+
 def test_own_proof_after_a_peers_resets_the_flows_of_a_dead_server():
     fleet, other, packet = fleet_with_a_death(2)
     fleet.exchange_reports()
