Probe all servers elsewhere once a data centre and the store are out of reach

When all servers of one data centre elsewhere are dead, the store is probed; if it is out of reach as well, all servers elsewhere are, at most every 2 s. The decision is taken ten times a second.

--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/config.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/config.py
@@ -27,6 +27,9 @@
         Time between two probes of the store by an instance that reaches nothing
         elsewhere; half of the routers' interval, so that neither end of a partition is
         noticed a whole one late.
+    spread_ms : int
+        Time between two rounds of probes of all servers elsewhere while a data centre
+        and the store are out of reach; their number grows with the fleet.
     retransmission_ms : int
         Least time after which repeated data counts as a sign of silence; callers
         retransmit after 200 ms, and packets may overtake each other before.
@@ -81,6 +84,7 @@
     probe_timeout_ms: int = 250
     probe_repeat_ms: int = 100
     store_probe_ms: int = 250
+    spread_ms: int = 2_000
     retransmission_ms: int = 150
     peer_suspicion_ms: int = 1_500
     n_death_proofs: int = 2
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
@@ -148,11 +148,13 @@
                 self.evidence.on_peer_death(server, peer, load.silence_ms, now_ms)
         self._sum_peer_loads(now_ms)
 
-    def on_store_probe(self, is_reached: bool, now_ms: int) -> None:
-        """Take in whether the store can be reached."""
-        event = self.isolation.on_store_probe(is_reached, now_ms)
+    def check_isolation(self, now_ms: int) -> None:
+        """Decide whether this instance is cut off, and look further if it may be."""
+        event = self.isolation.check(now_ms)
         if event is not None:
             self._events.append(event)
+        for server in self.isolation.take_unproven(now_ms):
+            self.evidence.on_silence(server, now_ms, now_ms)
 
     def report_loads(self, now_ms: int) -> tuple[ServerLoad, ...]:
         """Return what this instance has at each server that it uses."""
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/isolation.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/isolation.py
@@ -1,10 +1,11 @@
 """Whether an instance is cut off from most of what its callers need."""
 
 from collections import Counter
+from collections.abc import Iterator
 
 from ..types import DataCentreId, ServiceId
 from .config import SteeringConfig
-from .directory import Directory
+from .directory import Directory, KnownServer
 from .events import Belief, Event
 from .peers import Peers
 from .routes import RouteTable
@@ -45,29 +46,35 @@
         self._routes = routes
         self._peers = peers
         self._probed_at_ms = -config.store_probe_ms
+        self._spread_at_ms = -config.spread_ms
         self._is_probed = False
+        self._is_store_reached = True
         self.is_stranded = False
 
     def needs_store_probe(self, now_ms: int) -> bool:
         """Return whether a probe should show now if the store can be reached."""
         if self._is_probed or now_ms - self._probed_at_ms < self._config.store_probe_ms:
             return False
-        if not (self.is_stranded or self._is_cut_off(now_ms)):
+        if not (self.is_stranded or self._has_lost_data_centre(now_ms)):
             return False
         self._is_probed = True
         return True
 
-    def on_store_probe(self, is_reached: bool, now_ms: int) -> Event | None:
-        """Take in the outcome of a probe of the store.
+    def on_store_probe(self, is_reached: bool, now_ms: int) -> None:
+        """Take in the outcome of a probe of the store."""
+        self._is_probed = False
+        self._probed_at_ms = now_ms
+        self._is_store_reached = is_reached
+
+    def check(self, now_ms: int) -> Event | None:
+        """Decide whether this instance is stranded.
 
         Returns
         -------
         Event or None
             The change of belief, if there is one.
         """
-        self._is_probed = False
-        self._probed_at_ms = now_ms
-        is_stranded = not is_reached and self._is_cut_off(now_ms)
+        is_stranded = not self._is_store_reached and self._is_cut_off(now_ms)
         if is_stranded == self.is_stranded:
             return None
         self.is_stranded = is_stranded
@@ -78,23 +85,46 @@
         belief = Belief.INSTANCE_STRANDED if is_stranded else Belief.INSTANCE_REJOINED
         lost, kept = self._slots(now_ms)
         detail: dict[str, object] = {
-            "store_reached": is_reached,
+            "store_reached": self._is_store_reached,
             "lost_slots": lost,
             "kept_slots": kept,
         }
         return Event(belief, self._peers.own.instance, detail)
 
-    def _is_cut_off(self, now_ms: int) -> bool:
-        """Return whether nothing elsewhere is within reach, and most services are."""
-        own: DataCentreId = self._peers.own.data_centre
-        has_far = False
+    def take_unproven(self, now_ms: int) -> list[KnownServer]:
+        """Return the servers elsewhere to be probed, as the way to all may be cut.
+
+        Without it, one that gets little work would be found dead by the next opening
+        for its service only.
+        """
+        is_due = now_ms - self._spread_at_ms >= self._config.spread_ms
+        if self._is_store_reached or not is_due:
+            return []
+        if not self._has_lost_data_centre(now_ms):
+            return []
+        self._spread_at_ms = now_ms
+        return [server for server in self._far() if not server.is_dead(now_ms)]
+
+    def _far(self) -> Iterator[KnownServer]:
+        own = self._peers.own.data_centre
         for server in self._directory.servers():
             if server.entry.data_centre != own:
-                if not server.is_dead(now_ms):
-                    return False
-                has_far = True
+                yield server
+
+    def _has_lost_data_centre(self, now_ms: int) -> bool:
+        """Return whether all servers of some other data centre are dead."""
+        lost: dict[DataCentreId, bool] = {}
+        for server in self._far():
+            name = server.entry.data_centre
+            lost[name] = lost.get(name, True) and server.is_dead(now_ms)
+        return any(lost.values())
+
+    def _is_cut_off(self, now_ms: int) -> bool:
+        """Return whether nothing elsewhere is within reach, and most services are."""
+        if not all(server.is_dead(now_ms) for server in self._far()):
+            return False
         lost, kept = self._slots(now_ms)
-        return has_far and lost > kept
+        return self._has_lost_data_centre(now_ms) and lost > kept
 
     def _slots(self, now_ms: int) -> tuple[int, int]:
         """Return the slots of all services without and with a server to be used."""
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/application.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/application.py
@@ -45,8 +45,8 @@
 
 PEER_LIVE_MS = 1_200
 SWEEP_INTERVAL_MS = 500
-# A fifth of the time after which routers take an instance out.
-ISOLATION_INTERVAL_MS = 200
+# A tenth of the time after which routers take an instance out.
+ISOLATION_INTERVAL_MS = 100
 SETTINGS_CHECK_INTERVAL_MS = 2_000
 SNAPSHOT_RETRY_MS = 500
 READY_CHECK_MS = 20
@@ -170,7 +170,7 @@
         self.store.start()
         self._ticker.every(REPORT_INTERVAL_MS, self.peers.tick)
         self._ticker.every(SWEEP_INTERVAL_MS, self._sweep)
-        self._ticker.every(ISOLATION_INTERVAL_MS, self.store.probe)
+        self._ticker.every(ISOLATION_INTERVAL_MS, self.store.watch_isolation)
         self._ticker.every(
             SETTINGS_CHECK_INTERVAL_MS, lambda _: self._reload("interval")
         )
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/store_service.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/store_service.py
@@ -144,14 +144,15 @@
             self._lost_at_ms = None
             self._log.write(LogClass.LIFE, "store_regained", call=name, away_ms=away_ms)
 
-    def probe(self, now_ms: int) -> None:
-        """Find out if the store can be reached, if that would show a partition."""
+    def watch_isolation(self, now_ms: int) -> None:
+        """Decide whether this instance is cut off; probe the store if that tells."""
+        self._engine.check_isolation(now_ms)
         if self._engine.isolation.needs_store_probe(now_ms):
             self._probing = asyncio.create_task(self._probe())
 
     async def _probe(self) -> None:
         is_reached = await is_reachable(self._address, self._engine.config)
-        self._engine.on_store_probe(is_reached, monotonic_ms())
+        self._engine.isolation.on_store_probe(is_reached, monotonic_ms())
 
     async def _refresh(self) -> None:
         refresh = self._engine.refresh
