Look for an isolation only while a server is suspected

Cause, by reading: a probe of the store that failed once counted until the next one, however much later, and the servers elsewhere were walked ten times a second although all answered (112 of them on the grown site, 28,000 at the target). Now nothing is looked at while no server is suspected, and an old probe is forgotten then.

--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
@@ -148,13 +148,23 @@
                 self.evidence.on_peer_death(server, peer, load.silence_ms, now_ms)
         self._sum_peer_loads(now_ms)
 
-    def check_isolation(self, now_ms: int) -> None:
-        """Decide whether this instance is cut off, and look further if it may be."""
+    def check_isolation(self, now_ms: int) -> bool:
+        """Decide whether this instance is cut off, and look further if it may be.
+
+        Returns
+        -------
+        bool
+            Whether a probe should show now if the store can be reached.
+        """
+        if not (self.evidence.has_suspects() or self.isolation.is_stranded):
+            self.isolation.forget_probe()
+            return False
         event = self.isolation.check(now_ms)
         if event is not None:
             self._events.append(event)
         for server in self.isolation.take_unproven(now_ms):
             self.evidence.on_silence(server, now_ms, now_ms)
+        return self.isolation.needs_store_probe(now_ms)
 
     def report_loads(self, now_ms: int) -> tuple[ServerLoad, ...]:
         """Return what this instance has at each server that it uses."""
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/evidence.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/evidence.py
@@ -34,6 +34,10 @@
         self._events: list[Event] = []
         self.has_news = False
 
+    def has_suspects(self) -> bool:
+        """Return whether any server is suspected or dead."""
+        return bool(self._silent)
+
     def is_idle(self) -> bool:
         """Return whether there is nothing to probe, to tell or to log."""
         return not (self._silent or self._events or self.has_news)
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/isolation.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/isolation.py
@@ -60,6 +60,10 @@
         self._is_probed = True
         return True
 
+    def forget_probe(self) -> None:
+        """Drop what an earlier probe of the store showed, as all servers answer."""
+        self._is_store_reached = True
+
     def on_store_probe(self, is_reached: bool, now_ms: int) -> None:
         """Take in the outcome of a probe of the store."""
         self._is_probed = False
--- a/packages/sapphirerail-core/tests/steering/test_isolation.py
+++ b/packages/sapphirerail-core/tests/steering/test_isolation.py
@@ -32,12 +32,17 @@
 
 
 def probe_store(fleet, *, is_reached):
-    assert fleet.engine.isolation.needs_store_probe(fleet.now_ms)
+    """Probe the store as the instance asks for, and return what it believes then."""
+    assert fleet.engine.check_isolation(fleet.now_ms)
     fleet.engine.isolation.on_store_probe(is_reached, fleet.now_ms)
+    return decide(fleet)
+
+
+def decide(fleet):
+    """Have the instance decide, and return what it came to believe of itself."""
     fleet.engine.check_isolation(fleet.now_ms)
-    return [
-        event.belief for event in fleet.engine.take_events() if event.subject == "osu-1"
-    ]
+    events = fleet.engine.take_events()
+    return [event.belief for event in events if event.subject == "osu-1"]
 
 
 def stranded_fleet():
@@ -113,8 +118,7 @@
     fleet = stranded_fleet()
     first = next(iter(fleet.engine.directory.servers()))
     fleet.engine.evidence.on_probe(first, True, fleet.now_ms)
-    fleet.advance(CONFIG.store_probe_ms)
-    assert probe_store(fleet, is_reached=False) == [Belief.INSTANCE_REJOINED]
+    assert decide(fleet) == [Belief.INSTANCE_REJOINED]
 
 
 def test_the_store_in_reach_ends_it_and_has_all_servers_probed_at_once():
@@ -124,3 +128,20 @@
     assert probe_store(fleet, is_reached=True) == [Belief.INSTANCE_REJOINED]
     fleet.advance(CONFIG.probe_hurried_ms)
     assert len(fleet.engine.evidence.take_probes(fleet.now_ms)) == 3
+
+
+def test_an_old_probe_of_the_store_says_nothing_of_a_later_trouble():
+    fleet = fleet_of(
+        *FAR, NEAR_SKETCHES, server_entry(5, SKETCHES, data_centre="accra")
+    )
+    lose(fleet, 1, 2, 3)
+    probe_store(fleet, is_reached=False)
+    evidence = fleet.engine.evidence
+    for server in fleet.engine.directory.servers():
+        evidence.on_probe(server, True, fleet.now_ms)
+    assert evidence.take_probes(fleet.now_ms) == []
+    assert not fleet.engine.check_isolation(fleet.now_ms)
+    fleet.advance(10_000)
+    lose(fleet, 1, 2, 3, 5)
+    assert fleet.engine.check_isolation(fleet.now_ms)
+    assert not fleet.engine.isolation.is_stranded
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/store_service.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/store_service.py
@@ -146,8 +146,7 @@
 
     def watch_isolation(self, now_ms: int) -> None:
         """Decide whether this instance is cut off; probe the store if that tells."""
-        self._engine.check_isolation(now_ms)
-        if self._engine.isolation.needs_store_probe(now_ms):
+        if self._engine.check_isolation(now_ms):
             self._probing = asyncio.create_task(self._probe())
 
     async def _probe(self) -> None:
