--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,11 @@
 TEST_WORKERS ?= 2
 PIP := $(BIN)/python -m pip install --quiet --disable-pip-version-check
 
-.PHONY: env demo test bench lint format report capacity clean
+# Seeds that `make soak` plays, and the first of them; 0 takes fresh ones.
+SEEDS ?= 10
+FIRST ?= 0
+
+.PHONY: env demo test bench soak lint format report capacity clean
 
 env: $(VENV)/installed
 
@@ -28,6 +32,9 @@
 bench: env
 	@$(BIN)/python -m bench
 
+soak: env
+	@$(BIN)/python -m sapphirerail_standins.soak --seeds $(SEEDS) --first $(FIRST)
+
 report: env
 	$(BIN)/python -m bench.report
 
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/soak_checks.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/soak_checks.py
@@ -5,6 +5,7 @@
 
 from .soak_history import (
     Answered,
+    DataCentreChanged,
     FlowWasReset,
     History,
     Lost,
@@ -13,7 +14,6 @@
     RequestRan,
     RouteChanged,
     ServerLeft,
-    ZoneChanged,
 )
 
 __all__ = ["CHECKS", "broken_promises"]
@@ -77,7 +77,7 @@
 
 def data_centres_out(history: History) -> Iterator[str]:
     """Yield openings that reached a data centre long after it was taken out."""
-    out = [(e.at_ms, e.data_centre, e.is_out) for e in history.of(ZoneChanged)]
+    out = [(e.at_ms, e.data_centre, e.is_out) for e in history.of(DataCentreChanged)]
     yield from _late_openings(history, out, lambda e: e.data_centre, EVACUATE_MS)
 
 
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/soak_faults.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/soak_faults.py
@@ -13,7 +13,7 @@
 from .packet_peers import PacketServer
 from .platform_store import StoreFault
 from .platform_system import EntryProcess
-from .soak_history import Disturbed, RouteChanged, ServerLeft, ZoneChanged
+from .soak_history import DataCentreChanged, Disturbed, RouteChanged, ServerLeft
 from .soak_system import DATA_CENTRES, EXTRA_PORT, OWED_ROUTES, SoakSystem
 
 __all__ = ["Fault", "draw_fault", "play"]
@@ -310,10 +310,12 @@
         system, from_ms = player.system, player.now_ms()
         key = f"op/evacuate/{fault.data_centre}"
         await system.store.put(key, {})
-        system.history.note(ZoneChanged(from_ms, fault.data_centre, True))
+        system.history.note(DataCentreChanged(from_ms, fault.data_centre, True))
         await asyncio.sleep(fault.for_s)
         await system.store.remove(key)
-        system.history.note(ZoneChanged(player.now_ms(), fault.data_centre, False))
+        system.history.note(
+            DataCentreChanged(player.now_ms(), fault.data_centre, False)
+        )
         # Flows of the data centre are given up.
         for server in system.servers:
             if system.data_centre(server.identity) == fault.data_centre:
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/soak_history.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/soak_history.py
@@ -13,7 +13,7 @@
     "RequestRan",
     "RouteChanged",
     "ServerLeft",
-    "ZoneChanged",
+    "DataCentreChanged",
 ]
 
 
@@ -76,7 +76,7 @@
     is_draining: bool
 
 
-class ZoneChanged(msgspec.Struct, frozen=True):
+class DataCentreChanged(msgspec.Struct, frozen=True):
     """The store accepted that a data centre is taken out, or back."""
 
     at_ms: int
@@ -119,7 +119,7 @@
     | Lost
     | Refused
     | ServerLeft
-    | ZoneChanged
+    | DataCentreChanged
     | RouteChanged
     | Disturbed
 )
--- a/packages/sapphirerail-standins/tests/test_soak_checks.py
+++ b/packages/sapphirerail-standins/tests/test_soak_checks.py
@@ -11,6 +11,7 @@
 )
 from sapphirerail_standins.soak_history import (
     Answered,
+    DataCentreChanged,
     Disturbed,
     FlowWasReset,
     History,
@@ -20,7 +21,6 @@
     RequestRan,
     RouteChanged,
     ServerLeft,
-    ZoneChanged,
 )
 
 HOST = "127.0.1.1"
@@ -43,7 +43,10 @@
         FlowWasReset(T, "server-1", 8445, is_by_server=False),
     ],
     "draining_servers": [ServerLeft(T, "server-1", True), opening(T + DRAIN_MS + 1)],
-    "data_centres_out": [ZoneChanged(T, "osu", True), opening(T + EVACUATE_MS + 1)],
+    "data_centres_out": [
+        DataCentreChanged(T, "osu", True),
+        opening(T + EVACUATE_MS + 1),
+    ],
     "removed_routes": [RouteChanged(T, 8445, False), opening(T + CONFIGURE_MS + 1)],
     "calm_service": [Lost(T, T + 1_400, "server-1")],
 }
