Name a cut as the cause of a refusal in explain log

A refusal as servers_dead told only that no server could be reached; with instance_stranded of the same instance up to 3 s later, or before and not over, it was the instance that was cut off.

--- a/packages/sapphirerail-core/src/sapphirerail_core/log_story.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/log_story.py
@@ -35,6 +35,12 @@
     "got the opening",
 }
 
+# Time in which an instance finds out that it is cut off, from the first refusal on.
+ISOLATION_NOTICED_MS = 3_000
+CUT_OFF = (
+    "its instance was cut off: no server of the service, no server elsewhere and not "
+    "the store could be reached"
+)
 
 # What may have cut a flow that no line refuses, by the line that shows it.
 LOSSES = {
@@ -175,6 +181,12 @@
     told = sorted((*decisions, *beliefs), key=lambda line: line.at_ms)
     n_left_out = sum(int(line.fields.get("n_left_out", 0)) for line in told)
     cause = _cause(decisions)
+    if cause == CAUSES["servers_dead"]:
+        isolation = _isolation_of(lines, decisions[-1])
+        if isolation is not None:
+            if isolation not in told:
+                told = sorted((*told, isolation), key=lambda line: line.at_ms)
+            cause = CUT_OFF
     if cause is None and flow is not None:
         loss = _loss_after(lines, decisions, servers)
         if loss is not None:
@@ -207,6 +219,20 @@
     return None
 
 
+def _isolation_of(lines: Sequence[LogLine], decision: LogLine) -> LogLine | None:
+    """Return the line by which the deciding instance found that it was cut off."""
+    found = None
+    until_ms = decision.at_ms + ISOLATION_NOTICED_MS
+    for line in lines:
+        if line.instance != decision.instance or line.at_ms > until_ms:
+            continue
+        if line.message == "instance_stranded":
+            found = line
+        elif line.message in ("instance_rejoined", "started"):
+            found = found if line.at_ms > decision.at_ms else None
+    return found
+
+
 def _loss_after(
     lines: Sequence[LogLine], decisions: Sequence[LogLine], servers: set[str]
 ) -> LogLine | None:
--- a/packages/sapphirerail-core/tests/test_log_story.py
+++ b/packages/sapphirerail-core/tests/test_log_story.py
@@ -106,6 +106,31 @@
     assert "no route" in tell(lines, flow="f").cause
 
 
+def refused_at(second, *others):
+    reset = line(second, second * 1_000, "a", "flow_reset", flow="f")
+    reset = reset.replace('"flow": "f"', '"flow": "f", "reason": "servers_dead"')
+    return tell(read_log([*others, reset]), flow="f")
+
+
+def test_a_refusal_by_an_instance_that_is_cut_off_names_the_cut():
+    stranded = line(4, 4_000, "a", "instance_stranded", subject="a")
+    for story in (refused_at(3, stranded), refused_at(6, stranded)):
+        assert "was cut off" in story.cause
+        assert "instance_stranded" in [entry.message for entry in story.lines]
+
+
+def test_a_refusal_before_or_after_a_cut_names_the_servers():
+    stranded = line(4, 4_000, "a", "instance_stranded", subject="a")
+    rejoined = line(5, 5_000, "a", "instance_rejoined", subject="a")
+    other = line(4, 4_000, "b", "instance_stranded", subject="b")
+    for story in (
+        refused_at(8, stranded, rejoined),
+        refused_at(0.5, stranded),
+        refused_at(5, other),
+    ):
+        assert "no server of the service can be reached" in story.cause
+
+
 def test_a_server_is_told_by_its_beliefs_and_its_openings():
     lines = read_log(
         [
