Read the clock once a batch of packets

Packets that are read together, a millisecond's worth at most, share one reading of the clock, and an answer of a server that answers is noted without a call.

--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
@@ -28,6 +28,8 @@
 __all__ = ["Repeat", "SteeringEngine"]
 
 _N_UNKNOWN_TAGS_MAX = 1_024
+# Bound once: each answer is checked against it.
+_ANSWERING = Health.ANSWERING
 # Positions in a flow are 32-bit numbers that wrap; one is ahead by less than half.
 _SEQUENCE_MASK = 0xFFFFFFFF
 _SEQUENCE_HALF = 0x80000000
@@ -361,7 +363,10 @@
             flow.acknowledged = packet.acknowledged
             since_ms = flow.sent_at_ms or now_ms
             self.flows.end_request(flow)
-            self.evidence.on_progress(server, since_ms, now_ms)
+            if server.health is _ANSWERING:
+                server.progress_at_ms = now_ms
+            else:
+                self.evidence.on_progress(server, since_ms, now_ms)
         if packet.n_data_bytes:
             self._on_data(packet, flow, now_ms)
         if packet.is_finish or packet.is_reset:
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/evidence.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/evidence.py
@@ -7,9 +7,6 @@
 
 __all__ = ["Evidence"]
 
-# Bound once: each answer is checked against it.
-_ANSWERING = Health.ANSWERING
-
 
 class Evidence:
     """Collects the signs of life and death of servers, and says whom to probe.
@@ -49,9 +46,6 @@
 
     def on_progress(self, server: KnownServer, since_ms: int, now_ms: int) -> None:
         """Take in an answer to something that was sent at a time."""
-        if server.health is _ANSWERING:
-            server.progress_at_ms = now_ms
-            return
         silence_ms = server.silence_ms(now_ms)
         if server.on_progress(since_ms, now_ms):
             self._note(Belief.SERVER_RECOVERED, server, silence_ms, now_ms)
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/packet_service.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/packet_service.py
@@ -61,6 +61,9 @@
         self.on_news: Callable[[], None] | None = None
         self._probes: set[asyncio.Task[None]] = set()
         self.last_packet_ms = 0
+        # Time of the packets that are read together, a millisecond's worth at most; 0
+        # between two batches.
+        self._batch_ms = 0
         self.n_forwarded = 0
         self.n_opened = 0
 
@@ -71,7 +74,7 @@
     def read(self) -> None:
         """Start to read packets, if this was not done before."""
         if self._socket is None and self._bound is not None:
-            self._socket = UdpSocket(self._bound, self._on_datagram, self.log_events)
+            self._socket = UdpSocket(self._bound, self._on_datagram, self._end_batch)
             self._send = self._socket.send
 
     async def close(self) -> None:
@@ -144,8 +147,9 @@
                 LogClass.FLOW, "packet_malformed", code=error.code, why=error.message
             )
             return
-        now_ms = monotonic_ms()
-        self.last_packet_ms = now_ms
+        now_ms = self._batch_ms
+        if not now_ms:
+            now_ms = self._batch_ms = self.last_packet_ms = monotonic_ms()
         action = self._engine.on_packet(packet, now_ms)
         if type(action) is Forward:
             # Nearly all packets: the dispatch would take longer than the decision.
@@ -155,6 +159,10 @@
             self._carry_out(action, packet)
             self._schedule_repeats(now_ms)
 
+    def _end_batch(self) -> None:
+        self._batch_ms = 0
+        self.log_events()
+
     @singledispatchmethod
     def _carry_out(self, action: Action, packet: Packet) -> None:
         raise TypeError(f"no way to carry out {type(action).__name__}")
