Open peers' socket and read the time of day in one place each

The peer service repeated what UdpSocket.bind does, as bind took no function to call after a batch; it takes one now. The soak had its own copy of the time of day by which stand-in servers name their start. No behaviour changes.

--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/peer_service.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/peer_service.py
@@ -20,7 +20,6 @@
 from sapphirerail_transport.udp import (
     Address,
     UdpSocket,
-    bind_datagram,
     check_address,
     parse_address,
 )
@@ -76,8 +75,7 @@
         self, address: Address, after_batch: Callable[[], None] | None = None
     ) -> None:
         """Start to take messages; a function is called after each batch of them."""
-        bound = bind_datagram(address)
-        self._socket = UdpSocket(bound, self._on_datagram, after_batch)
+        self._socket = await UdpSocket.bind(address, self._on_datagram, after_batch)
 
     async def close(self) -> None:
         """Stop taking messages."""
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/platform_system.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/platform_system.py
@@ -75,6 +75,11 @@
     return True
 
 
+def wall_ms() -> int:
+    """Return the time of day, by which servers name their start."""
+    return int(time.time() * 1000)
+
+
 class EntryProcess:
     """One running entry instance."""
 
@@ -291,7 +296,7 @@
             "state": "ready",
             "warmupLeftMs": 0,
             "seqNo": 1,
-            "born": int(time.time() * 1000) - 60_000,
+            "born": wall_ms() - 60_000,
         }
         key = f"servers/i-{server.identity:08x}"
         await self.store.put(key, entry | fields)
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/soak_faults.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/soak_faults.py
@@ -12,7 +12,7 @@
 from .link_faults import Direction, FaultRule, LinkFaults
 from .packet_peers import PacketServer
 from .platform_store import StoreFault
-from .platform_system import EntryProcess
+from .platform_system import EntryProcess, wall_ms
 from .soak_history import DataCentreChanged, Disturbed, RouteChanged, ServerLeft
 from .soak_system import DATA_CENTRES, EXTRA_PORT, OWED_ROUTES, SoakSystem
 
@@ -299,7 +299,7 @@
 async def _announce_start(
     system: SoakSystem, server: PacketServer, clock_error_ms: int
 ) -> None:
-    born_ms = system.wall_ms() + clock_error_ms
+    born_ms = wall_ms() + clock_error_ms
     await system.announce(server, born=born_ms)
 
 
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/soak_system.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/soak_system.py
@@ -1,7 +1,6 @@
 """Entry instances behind faulty links, with callers and servers that keep notes."""
 
 import asyncio
-import time
 import zlib
 from collections import Counter
 
@@ -153,10 +152,6 @@
         """Let a server take no connections."""
         self._health.pop(server.name).close()
 
-    def wall_ms(self) -> int:
-        """Return the time of day, which servers name their start by."""
-        return int(time.time() * 1000)
-
     # Callers.
 
     def start_callers(self, n_feeds: int = 12, n_holds: int = 4) -> None:
--- a/packages/sapphirerail-transport/src/sapphirerail_transport/udp.py
+++ b/packages/sapphirerail-transport/src/sapphirerail_transport/udp.py
@@ -103,10 +103,13 @@
 
     @classmethod
     async def bind(
-        cls, address: Address, on_datagram: Callable[[bytes, Address], None]
+        cls,
+        address: Address,
+        on_datagram: Callable[[bytes, Address], None],
+        after_batch: Callable[[], None] | None = None,
     ) -> "UdpSocket":
         """Open a socket on an address; port 0 takes a free one."""
-        return cls(bind_datagram(address), on_datagram)
+        return cls(bind_datagram(address), on_datagram, after_batch)
 
     @property
     def address(self) -> Address:
