--- a/packages/sapphirerail-core/src/sapphirerail_core/log_timeline.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/log_timeline.py
@@ -20,6 +20,7 @@
 CAUSES = {
     "not_ready": "the instance had not read the configuration or the servers yet",
     "no_route": "the configuration in force has no route for this address",
+    "route_invalid": "the configuration in force names no valid service for this route",
     "route_removed": "the configuration in force has removed the route",
     "no_server": "no server of the service accepts flows: none is registered, or its "
     "data centre is out of service",
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/directory.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/directory.py
@@ -30,6 +30,8 @@
         # because every packet calls it.
         self.by_tag = self._by_tag.get
         self.entries: tuple[ServerEntry, ...] = ()
+        # Whether some servers have no entry, but have not departed yet.
+        self._has_missing = False
 
     def servers(self) -> Iterable[KnownServer]:
         """Return the announced servers, and missing ones that have not departed yet."""
@@ -67,14 +69,18 @@
         list of Event
             The detected changes.
         """
+        entries = tuple(entries)
+        if entries == self.entries and not self._has_missing:
+            return []
         events = []
-        self.entries = tuple(entries)
+        self.entries = entries
         listed = {entry.server: entry for entry in self.entries}
         for entry in self.entries:
             events += self._apply_entry(entry, now_ms)
         for server in list(self._servers.values()):
             if server.entry.server not in listed:
                 events += self._on_missing(server, steady_ms, now_ms)
+        self._has_missing = len(self._servers) > len(listed)
         events += self._rebuild_indexes()
         return events
 
@@ -95,7 +101,9 @@
             self._servers[entry.server] = KnownServer(entry, self._config, now_ms)
             return [_event(StateChange.SERVER_RESTARTED, entry)]
         is_changed = known.entry.is_draining != entry.is_draining
-        known.update(entry, now_ms)
+        known.missing_since_ms = None
+        if known.entry != entry:
+            known.update(entry, now_ms)
         return [_event(StateChange.SERVER_CHANGED, entry)] if is_changed else []
 
     def _on_missing(
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
@@ -15,7 +15,7 @@
 from .flows import Flow, FlowTable
 from .isolation import Isolation
 from .messages import LoadReport, ServerLoad
-from .model import OperatorState, RequestKind, Route, ServerEntry
+from .model import OperatorState, Route, ServerEntry
 from .packet import Packet
 from .peers import Peers
 from .refresh import Refresh
@@ -226,6 +226,8 @@
         route = self.routes.route(packet.destination)
         if route is None:
             return Reset(Reason.NO_ROUTE)
+        if not route.shares:
+            return Reset(Reason.ROUTE_INVALID)
         flow = self.flows.get(packet.flow)
         if flow is not None and flow.opening_sequence == packet.sequence:
             return self._on_repeated_opening(packet, flow, route, now_ms)
@@ -237,7 +239,7 @@
         if server is None:
             return Reset(self._refusal_reason(service, now_ms))
         flow = Flow(server, packet.sequence, now_ms)
-        flow.is_retryable = route.kind is RequestKind.SAFE
+        flow.is_retryable = route.kind.is_idempotent
         self.flows.add(packet.flow, flow)
         # Counts the request that will follow: otherwise all openings within a few
         # milliseconds would select the same idle server.
@@ -302,7 +304,7 @@
         packet, flow = pending.packet, pending.flow
         self.failure_detector.on_no_response(pending.server, pending.sent_at_ms, now_ms)
         route = self.routes.route(packet.destination)
-        if self.flows.get(packet.flow) is not flow or route is None:
+        if self.flows.get(packet.flow) is not flow or route is None or not route.shares:
             return []
         is_allowed = pending.n_retries < self.config.n_opening_retries
         if not is_allowed or not self._reopen(flow, route, now_ms):
@@ -394,7 +396,7 @@
         flow.is_open = True
         flow.acknowledged = packet.acknowledged
         route = self.routes.route(packet.destination)
-        flow.is_retryable = route is not None and route.kind is RequestKind.SAFE
+        flow.is_retryable = route is not None and route.kind.is_idempotent
         self.flows.add(packet.flow, flow)
         return flow
 
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/events.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/events.py
@@ -37,6 +37,7 @@
     KNOWN_TAG = "known_tag"
     NOT_READY = "not_ready"
     NO_ROUTE = "no_route"
+    ROUTE_INVALID = "route_invalid"
     ROUTE_REMOVED = "route_removed"
     NO_SERVER = "no_server"
     SERVERS_COLD = "servers_cold"
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/model.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/model.py
@@ -20,18 +20,24 @@
 
 
 class RequestKind(Enum):
-    """Whether the requests of a route are safe to retry."""
+    """What the requests of a route do, which decides whether they may run again."""
 
     SAFE = "safe"
+    DOWNLOAD = "download"
     UNSAFE = "unsafe"
     UPLOAD = "upload"
 
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether a request may run more than once."""
+        return self in (RequestKind.SAFE, RequestKind.DOWNLOAD)
+
 
 class Share(msgspec.Struct, frozen=True, array_like=True):
     """Relative weight of a service among a route's new flows."""
 
     service: ServiceId
-    weight: int
+    weight: float
 
 
 class Route(msgspec.Struct, frozen=True, array_like=True):
@@ -46,7 +52,7 @@
     kind : RequestKind
         Kind of the requests in its flows.
     shares : tuple of Share
-        Services that get the flows.
+        Services that get the flows; empty if the entry of the route names no valid one.
     """
 
     destination: ServiceAddress
@@ -103,7 +109,7 @@
     evacuated: tuple[DataCentreId, ...]
 
 
-class ServerEntry(msgspec.Struct, frozen=True, array_like=True):
+class ServerEntry(msgspec.Struct, frozen=True, array_like=True, cache_hash=True):
     """Entry that a backend server announces about itself.
 
     Parameters
@@ -139,7 +145,7 @@
     cold_ms: int
 
 
-class InstanceEntry(msgspec.Struct, frozen=True, array_like=True):
+class InstanceEntry(msgspec.Struct, frozen=True, array_like=True, cache_hash=True):
     """Registration of an entry instance: the address at which peers reach it."""
 
     instance: InstanceId
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/refresh.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/refresh.py
@@ -99,15 +99,27 @@
         """Request a read as soon as possible."""
         self._is_read_requested = True
 
-    def on_read(self, store_revision: int, began_ms: int) -> None:
-        """Record a successful read by this instance that began at `began_ms`."""
+    def on_read(self, store_revision: int, began_ms: int) -> bool:
+        """Record a successful read by this instance that began at `began_ms`.
+
+        Returns
+        -------
+        bool
+            Whether its result is to be applied: false if the result of another
+            instance's later read arrived meanwhile.
+        """
         if self._n_failures:
             self._steady_since_ms = began_ms
         self._n_failures = 0
         self._failed_at_ms = None
         self._is_read_requested = False
+        if self._read_at_ms is not None and self._read_at_ms > began_ms:
+            return False
+        # Also if the revision is lower: the known one was not true, as reads of the
+        # store are linearizable.
         self.store_revision = store_revision
         self._read_at_ms = began_ms
+        return True
 
     def on_failure(self, now_ms: int) -> None:
         """Record a failed read."""
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/server_state.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/server_state.py
@@ -90,7 +90,6 @@
         """Apply a newer entry of the same incarnation."""
         self.entry = entry
         self.cold_until_ms = now_ms + entry.cold_ms
-        self.missing_since_ms = None
 
     def is_cold(self, now_ms: int) -> bool:
         """Return whether the server is warming up and can handle few requests."""
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/store_snapshot.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/store_snapshot.py
@@ -1,13 +1,112 @@
 """Snapshots of the store, and the changes between two of them."""
 
 import zlib
+from collections.abc import Callable, Iterable, Sequence
+from functools import lru_cache
+from typing import TypeVar
 
 import msgspec
 
-from ..types import InstanceId, ServerId
-from .model import InstanceEntry, OperatorState, ServerEntry
+from ..types import DataCentreId, InstanceId, Revision, ServerId
+from .model import (
+    Configuration,
+    InstanceEntry,
+    OperatorState,
+    Route,
+    ServerEntry,
+    ServiceEntry,
+)
+from .packet import ServiceAddress
 
-__all__ = ["SnapshotChanges", "StoreSnapshot"]
+__all__ = [
+    "ConfigurationChanges",
+    "OperatorChanges",
+    "SnapshotChanges",
+    "StoreSnapshot",
+]
+
+EntryT = TypeVar("EntryT")
+KeyT = TypeVar("KeyT")
+
+# The snapshots of the last reads, and those being compared with them.
+_N_DIGESTS_CACHED = 8
+
+
+class ConfigurationChanges(msgspec.Struct, frozen=True, array_like=True):
+    """Changes from one revision of the configuration to a later one.
+
+    A configuration may have thousands of routes; a change affects few of them.
+
+    Parameters
+    ----------
+    base_revision : Revision
+        Revision that the changes apply to; 0 if there was no configuration.
+    revision : Revision
+        Revision that results.
+    routes : tuple of Route
+        New and changed routes.
+    removed : tuple of ServiceAddress
+        Addresses of removed routes.
+    services : tuple of ServiceEntry
+        All services.
+    flow_idle_ms : int
+        Idle timeout of flows.
+    """
+
+    base_revision: Revision
+    revision: Revision
+    routes: tuple[Route, ...]
+    removed: tuple[ServiceAddress, ...]
+    services: tuple[ServiceEntry, ...]
+    flow_idle_ms: int
+
+    @classmethod
+    def between(
+        cls, older: Configuration | None, newer: Configuration
+    ) -> "ConfigurationChanges":
+        """Return the changes that turn an older configuration into a newer one."""
+        known = _routes_of(older)
+        listed = {route.destination for route in newer.routes}
+        return cls(
+            base_revision=_revision_of(older),
+            revision=newer.revision,
+            routes=tuple(r for r in newer.routes if known.get(r.destination) != r),
+            removed=tuple(known.keys() - listed),
+            services=newer.services,
+            flow_idle_ms=newer.flow_idle_ms,
+        )
+
+    def apply_to(self, configuration: Configuration | None) -> Configuration:
+        """Return the configuration that results."""
+        routes = _routes_of(configuration)
+        for destination in self.removed:
+            routes.pop(destination, None)
+        routes |= {route.destination: route for route in self.routes}
+        return Configuration(
+            self.revision, tuple(routes.values()), self.services, self.flow_idle_ms
+        )
+
+
+class OperatorChanges(msgspec.Struct, frozen=True):
+    """Changes of the operators' state.
+
+    Parameters
+    ----------
+    store_revision : int
+        Store revision of the newer state.
+    change_revision : int
+        Store revision of the newest change included.
+    configurations : tuple of ConfigurationChanges
+        One item for each configuration in between, oldest first, so that a receiver
+        can start at any of them.
+    evacuated : tuple of DataCentreId
+        All evacuated data centres.
+    """
+
+    store_revision: int
+    change_revision: int
+    configurations: tuple[ConfigurationChanges, ...]
+    evacuated: tuple[DataCentreId, ...]
 
 
 class SnapshotChanges(msgspec.Struct, frozen=True):
@@ -15,8 +114,8 @@
 
     Parameters
     ----------
-    operator_state : OperatorState or None
-        The newer state; None if it is the same.
+    operator : OperatorChanges or None
+        Changes of the operators' state; None if it is the same.
     servers : tuple of ServerEntry
         New and changed entries.
     gone_servers : tuple of ServerId
@@ -27,16 +126,16 @@
         Instances that are no longer registered.
     """
 
-    operator_state: OperatorState | None
-    servers: tuple[ServerEntry, ...]
-    gone_servers: tuple[ServerId, ...]
-    instances: tuple[InstanceEntry, ...]
-    gone_instances: tuple[InstanceId, ...]
+    operator: OperatorChanges | None = None
+    servers: tuple[ServerEntry, ...] = ()
+    gone_servers: tuple[ServerId, ...] = ()
+    instances: tuple[InstanceEntry, ...] = ()
+    gone_instances: tuple[InstanceId, ...] = ()
 
     def is_empty(self) -> bool:
         """Return whether nothing changed."""
         lists = (self.servers, self.gone_servers, self.instances, self.gone_instances)
-        return self.operator_state is None and not any(lists)
+        return self.operator is None and not any(lists)
 
 
 class StoreSnapshot(msgspec.Struct, frozen=True):
@@ -49,49 +148,144 @@
     def digest(self) -> int:
         """Return a checksum of the state that must agree on all instances."""
         state = self.operator_state
-        revision = state.configuration.revision if state.configuration else 0
-        parts = [
-            (e.server, e.started_at_ms, e.address, e.is_draining, e.cold_ms > 0)
-            for e in self.servers
-        ]
-        instances = sorted((e.instance, e.address) for e in self.instances)
-        content = (revision, sorted(state.evacuated), sorted(parts), instances)
+        content = (
+            _revision_of(state.configuration),
+            sorted(state.evacuated),
+            _digest_servers(self.servers),
+            _digest_instances(self.instances),
+        )
         return zlib.crc32(repr(content).encode())
 
-    def changes_since(self, older: "StoreSnapshot") -> SnapshotChanges:
-        """Return the changes that turn an older snapshot into this one."""
-        servers = {entry.server: entry for entry in older.servers}
-        instances = {entry.instance: entry for entry in older.instances}
+    def changes_since(self, *older: "StoreSnapshot") -> SnapshotChanges:
+        """Return the changes that turn an older snapshot into this one.
+
+        Parameters
+        ----------
+        *older : StoreSnapshot
+            The older snapshot, then those between it and this one, oldest first.
+        """
+        base = older[0]
+        servers, gone_servers = _difference(self.servers, base.servers, _server_of)
+        instances, gone_instances = _difference(
+            self.instances, base.instances, _instance_of
+        )
         return SnapshotChanges(
-            operator_state=self._changed_operator_state(older),
-            servers=tuple(e for e in self.servers if servers.get(e.server) != e),
-            gone_servers=tuple(servers.keys() - {e.server for e in self.servers}),
-            instances=tuple(
-                e for e in self.instances if instances.get(e.instance) != e
-            ),
-            gone_instances=tuple(
-                instances.keys() - {e.instance for e in self.instances}
-            ),
+            self._operator_changes(older),
+            servers,
+            gone_servers,
+            instances,
+            gone_instances,
         )
 
     def with_changes(self, changes: SnapshotChanges) -> "StoreSnapshot":
-        """Return a copy with changes applied; ignores an older operators' state."""
-        servers = {entry.server: entry for entry in self.servers}
-        servers |= {entry.server: entry for entry in changes.servers}
-        instances = {entry.instance: entry for entry in self.instances}
-        instances |= {entry.instance: entry for entry in changes.instances}
-        for server in changes.gone_servers:
-            servers.pop(server, None)
-        for instance in changes.gone_instances:
-            instances.pop(instance, None)
-        state = changes.operator_state
-        if state is None or state.store_revision < self.operator_state.store_revision:
-            state = self.operator_state
-        return StoreSnapshot(state, tuple(servers.values()), tuple(instances.values()))
-
-    def _changed_operator_state(self, older: "StoreSnapshot") -> OperatorState | None:
-        new, old = self.operator_state, older.operator_state
-        is_same = new.configuration == old.configuration and set(new.evacuated) == set(
-            old.evacuated
+        """Return a copy with changes applied.
+
+        An older operators' state is ignored, and one that this snapshot's configuration
+        is no base for. The entries are the same object if none of them changed.
+        """
+        return StoreSnapshot(
+            self._changed_operator_state(changes.operator),
+            _apply(self.servers, changes.servers, changes.gone_servers, _server_of),
+            _apply(
+                self.instances,
+                changes.instances,
+                changes.gone_instances,
+                _instance_of,
+            ),
+        )
+
+    def _changed_operator_state(self, changes: OperatorChanges | None) -> OperatorState:
+        state = self.operator_state
+        if changes is None or changes.store_revision < state.store_revision:
+            return state
+        configuration = state.configuration
+        for step in changes.configurations:
+            if step.base_revision == _revision_of(configuration):
+                configuration = step.apply_to(configuration)
+        newest = changes.configurations[-1:]
+        if newest and newest[0].revision > _revision_of(configuration):
+            return state
+        return OperatorState(
+            changes.store_revision,
+            changes.change_revision,
+            configuration,
+            changes.evacuated,
         )
-        return None if is_same else new
+
+    def _operator_changes(
+        self, older: Sequence["StoreSnapshot"]
+    ) -> OperatorChanges | None:
+        states = [snapshot.operator_state for snapshot in (*older, self)]
+        first, last = states[0], states[-1]
+        steps = tuple(
+            ConfigurationChanges.between(before.configuration, after.configuration)
+            for before, after in zip(states, states[1:], strict=False)
+            if after.configuration is not None
+            and _revision_of(before.configuration) != after.configuration.revision
+        )
+        if not steps and set(first.evacuated) == set(last.evacuated):
+            return None
+        return OperatorChanges(
+            last.store_revision, last.change_revision, steps, last.evacuated
+        )
+
+
+def _difference(
+    newer: tuple[EntryT, ...],
+    older: tuple[EntryT, ...],
+    key_of: Callable[[EntryT], KeyT],
+) -> tuple[tuple[EntryT, ...], tuple[KeyT, ...]]:
+    """Return the new and changed entries, and the keys of the removed ones."""
+    if newer == older:
+        return (), ()
+    known = {key_of(entry): entry for entry in older}
+    changed = tuple(entry for entry in newer if known.get(key_of(entry)) != entry)
+    return changed, tuple(known.keys() - {key_of(entry) for entry in newer})
+
+
+def _apply(
+    entries: tuple[EntryT, ...],
+    changed: Iterable[EntryT],
+    gone: Iterable[KeyT],
+    key_of: Callable[[EntryT], KeyT],
+) -> tuple[EntryT, ...]:
+    """Return the entries with changes applied; the same object if none changed."""
+    by_key = {key_of(entry): entry for entry in entries}
+    by_key |= {key_of(entry): entry for entry in changed}
+    for key in gone:
+        by_key.pop(key, None)
+    result = tuple(by_key.values())
+    return entries if result == entries else result
+
+
+def _server_of(entry: ServerEntry) -> ServerId:
+    return entry.server
+
+
+def _instance_of(entry: InstanceEntry) -> InstanceId:
+    return entry.instance
+
+
+def _revision_of(configuration: Configuration | None) -> Revision:
+    return Revision(0) if configuration is None else configuration.revision
+
+
+def _routes_of(configuration: Configuration | None) -> dict[ServiceAddress, Route]:
+    routes = () if configuration is None else configuration.routes
+    return {route.destination: route for route in routes}
+
+
+# Nearly all reads find the same entries, and comparing them is faster than a checksum.
+@lru_cache(maxsize=_N_DIGESTS_CACHED)
+def _digest_servers(entries: tuple[ServerEntry, ...]) -> int:
+    parts = [
+        (e.server, e.started_at_ms, e.address, e.is_draining, e.cold_ms > 0)
+        for e in entries
+    ]
+    return zlib.crc32(repr(sorted(parts)).encode())
+
+
+@lru_cache(maxsize=_N_DIGESTS_CACHED)
+def _digest_instances(entries: tuple[InstanceEntry, ...]) -> int:
+    parts = sorted((e.instance, e.address) for e in entries)
+    return zlib.crc32(repr(parts).encode())
--- a/packages/sapphirerail-core/tests/steering/test_engine.py
+++ b/packages/sapphirerail-core/tests/steering/test_engine.py
@@ -1,3 +1,4 @@
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -55,6 +56,37 @@
     assert fleet.send(opening(1, 77 << 16)) == Reset(Reason.NO_ROUTE)
 
 
+def test_a_route_without_a_valid_service_is_refused_as_such(fleet):
+    invalid = Route(FEED, "feed", RequestKind.SAFE, ())
+    hold = Route(HOLD, "hold", RequestKind.UNSAFE, (Share(BOOKINGS, 1),))
+    fleet.configure(configuration(2, routes=(invalid, hold)))
+    assert fleet.send(opening(1)) == Reset(Reason.ROUTE_INVALID)
+    assert isinstance(fleet.send(opening(2, HOLD)), Open)
+
+
+def test_an_opening_is_not_repeated_once_its_route_has_become_invalid(fleet):
+    fleet.send(opening(1))
+    fleet.configure(
+        configuration(2, routes=(Route(FEED, "feed", RequestKind.SAFE, ()),))
+    )
+    fleet.advance(25)
+    assert fleet.engine.retry_openings(fleet.now_ms) == []
+
+
+@pytest.mark.parametrize("kind", list(RequestKind))
+def test_only_flows_of_idempotent_requests_are_reset(fleet, kind):
+    # A caller repeats a request after a reset; only an idempotent one may run again.
+    fleet.configure(
+        configuration(2, routes=(Route(FEED, "feed", kind, (Share(BOOKINGS, 1),)),))
+    )
+    tag = failed_server(fleet)
+    action = fleet.send(later_packet(1, tag, sequence=2_000, n_data_bytes=10))
+    if kind in (RequestKind.SAFE, RequestKind.DOWNLOAD):
+        assert action.reason is Reason.SERVER_FAILED
+    else:
+        assert isinstance(action, Forward)
+
+
 def test_before_configuration_and_servers_are_read_nothing_is_refused():
     fleet = SteeringFleet()
     assert fleet.send(opening(1)) == Drop(Reason.NOT_READY)
--- a/packages/sapphirerail-core/tests/steering/test_refresh.py
+++ b/packages/sapphirerail-core/tests/steering/test_refresh.py
@@ -69,3 +69,21 @@
     refresh.request_read()
     assert refresh.wait_ms(0, 5, 1_001) == CONFIG.min_interval_ms - 1
     assert refresh.wait_ms(0, 5, 1_000 + CONFIG.min_interval_ms) == 0
+
+
+def test_a_read_that_was_overtaken_by_another_instances_is_not_applied():
+    refresh = Refresh(CONFIG, 0)
+    refresh.on_read(5, 1_000)
+    refresh.on_failure(1_400)
+    assert refresh.on_update(9, 10, 9_000, 2_000)
+    assert not refresh.on_read(8, 1_800)
+    assert (refresh.store_revision, refresh.read_at_ms()) == (9, 1_990)
+    assert refresh.wait_ms(0, 0, 1_990) == CONFIG.interval_ms
+
+
+def test_an_own_read_corrects_a_revision_that_the_store_never_had():
+    refresh = Refresh(CONFIG, 0)
+    assert refresh.on_update(2**62, 0, 9_000, 1_000)
+    assert refresh.on_read(7, 1_500)
+    assert refresh.store_revision == 7
+    assert refresh.on_update(8, 0, 9_000, 2_000)
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/peer_service.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/peer_service.py
@@ -151,7 +151,7 @@
         bytes or None
             None if nothing changed or the changes are too large.
         """
-        changes = snapshot.changes_since(self._earlier_snapshots[0])
+        changes = snapshot.changes_since(*self._earlier_snapshots)
         if changes.is_empty():
             return None
         packed = zlib.compress(self._encoder.encode(changes))
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/ports.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/ports.py
@@ -50,12 +50,12 @@
     ----------
     snapshot : StoreSnapshot
         The decoded data that steering depends on.
-    n_malformed : int
-        Server entries that could not be decoded.
+    n_malformed : dict of str to int
+        Entries and parts of entries that could not be decoded, by kind.
     """
 
     snapshot: StoreSnapshot
-    n_malformed: int
+    n_malformed: dict[str, int]
 
 
 class PacketCodec(Protocol):
@@ -83,8 +83,16 @@
 class PlatformStore(Protocol):
     """Client of the platform's store; each call may raise `StoreCallError`."""
 
-    async def read(self) -> StoreRead:
-        """Return the operator state, the servers and the registered instances."""
+    async def read(self, known: StoreSnapshot | None, after_revision: int) -> StoreRead:
+        """Return the operator state, the servers and the registered instances.
+
+        Parameters
+        ----------
+        known : StoreSnapshot or None
+            Contents at `after_revision`, so that only the changes need be read.
+        after_revision : int
+            Store revision of `known`.
+        """
         ...
 
     async def register(self, entry: InstanceEntry, ttl_ms: int) -> RegistrationId:
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/state_api.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/state_api.py
@@ -54,7 +54,11 @@
 
 async def fetch_snapshot(address: Address) -> StateSnapshot:
     """Fetch the state of another instance, or raise `HttpError`."""
-    client = HttpClient(address)
+    client = HttpClient(address, accepts_deflate=True)
     return await client.call_json(
-        StateSnapshot, "GET", STATE_PATH, timeout_ms=FETCH_TIMEOUT_MS
+        StateSnapshot,
+        "GET",
+        STATE_PATH,
+        timeout_ms=FETCH_TIMEOUT_MS,
+        is_restarted_by_data=True,
     )
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/store_service.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/store_service.py
@@ -7,6 +7,7 @@
 from typing import TypeVar
 
 from sapphirerail_core.steering import SteeringEngine
+from sapphirerail_core.steering.store_snapshot import StoreSnapshot
 from sapphirerail_transport.udp import Address
 
 from ..clock import monotonic_ms
@@ -171,19 +172,30 @@
     async def _read(self) -> None:
         started_at_ms = monotonic_ms()
         refresh = self._engine.refresh
+        known = self._known_snapshot()
         try:
-            read = await self._call("read", self.store.read)
+            read = await self._call(
+                "read", self.store.read, known, refresh.store_revision
+            )
         except StoreCallError:
             refresh.on_failure(monotonic_ms())
             return
-        if read.n_malformed:
-            self._metrics.count("entries", "malformed", read.n_malformed)
-        is_first = refresh.read_at_ms() is None
-        previous = None if is_first else self._engine.store_snapshot()
-        refresh.on_read(read.snapshot.operator_state.store_revision, started_at_ms)
+        for kind, n_malformed in read.n_malformed.items():
+            self._metrics.count("entries", "malformed", n_malformed)
+            self._metrics.count("entries_malformed", kind, n_malformed)
+        previous = self._known_snapshot()
+        store_revision = read.snapshot.operator_state.store_revision
+        if not refresh.on_read(store_revision, started_at_ms):
+            return
         self._engine.apply_store_snapshot(read.snapshot, started_at_ms)
         self._peers.publish_changes(previous)
 
+    def _known_snapshot(self) -> StoreSnapshot | None:
+        """Return what this instance knows of the store; None before the first read."""
+        if self._engine.refresh.read_at_ms() is None:
+            return None
+        return self._engine.store_snapshot()
+
     def _ranks(self, now_ms: int) -> tuple[int, int]:
         """Return the rank of the local data centre and of this instance within it."""
         peers = self._engine.peers
--- a/packages/sapphirerail-node/tests/platform/test_entries.py
+++ b/packages/sapphirerail-node/tests/platform/test_entries.py
@@ -1,8 +1,9 @@
+import copy
 import json
 
 import msgspec
 import pytest
-from hypothesis import given
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from sapphirerail_core.errors import InputError
@@ -110,15 +111,25 @@
 
 
 @given(st.binary(max_size=200) | st.text(max_size=200).map(str.encode))
+@example(b"[" * 100_000)
+@example(b'{"version": 1, "routes": ' + b"[" * 100_000)
 def test_random_bytes_are_rejected(value):
+    # Deep nesting once raised an error that stopped all reads of the store.
     with pytest.raises(InputError):
         decode_server("i-1", value)
     with pytest.raises(InputError):
         decode_configuration(value)
 
 
+@pytest.mark.parametrize("field", ["slots", "warmupLeftMs", "born"])
+def test_numbers_too_large_for_messages_between_instances_are_rejected(field):
+    for number in (2**63, 10**400, -1, 1e308):
+        with pytest.raises(InputError, match="server.invalid"):
+            decode_server("i-1", encode(SERVER, **{field: number}))
+
+
 def test_configuration_is_decoded():
-    configuration = decode_configuration(encode(CONFIG))
+    configuration, malformed = decode(CONFIG)
     plain, weighted = configuration.routes
     assert plain.destination == 0xC6120001 << 16 | 8080
     assert plain.kind is RequestKind.UNSAFE
@@ -127,25 +138,160 @@
     (service,) = configuration.services
     assert (service.cold_ms, service.n_cold_per_s) == (2_000, 7.5)
     assert (configuration.revision, configuration.flow_idle_ms) == (7, 15_000)
+    assert malformed == ()
+
+
+def decode(table, previous=None):
+    decoded = decode_configuration(json.dumps(table).encode(), previous)
+    return decoded.configuration, decoded.malformed
+
+
+def with_route(**changes):
+    """Return the example configuration with its first route changed."""
+    return CONFIG | {"routes": [CONFIG["routes"][0] | changes, CONFIG["routes"][1]]}
+
+
+@pytest.mark.parametrize(
+    ("word", "kind", "is_idempotent"),
+    [
+        ("safe", RequestKind.SAFE, True),
+        ("download", RequestKind.DOWNLOAD, True),
+        ("unsafe", RequestKind.UNSAFE, False),
+        ("upload", RequestKind.UPLOAD, False),
+    ],
+)
+def test_each_kind_of_request_is_decoded(word, kind, is_idempotent):
+    configuration, malformed = decode(with_route(kind=word))
+    assert configuration.routes[0].kind is kind
+    assert kind.is_idempotent is is_idempotent
+    assert malformed == ()
+
+
+@pytest.mark.parametrize("kind", ["odd", None, 5, ["safe"]])
+def test_route_of_unknown_kind_is_served_without_repetitions(kind):
+    # Guards against the refusal of the whole configuration: one route of a kind that
+    # was not known stopped a deployment.
+    configuration, (part,) = decode(with_route(kind=kind))
+    route = configuration.routes[0]
+    assert (route.kind, len(route.shares)) == (RequestKind.UNSAFE, 1)
+    assert (part.kind, part.name, part.served_instead) == ("route", "r-1", "unsafe")
+    assert len(configuration.routes) == 2
 
 
 @pytest.mark.parametrize(
     "changes",
     [
-        {"version": "seven"},
-        {"routes": [CONFIG["routes"][0] | {"host": "here"}]},
-        {"routes": [CONFIG["routes"][0] | {"prefix": "/x/"}]},
-        {"routes": [CONFIG["routes"][0] | {"service": None}]},
-        {"routes": [CONFIG["routes"][0] | {"kind": "odd"}]},
-        {"limits": {}},
+        {"host": "here"},
+        {"prefix": "/x/"},
+        {"prefix": "/70000/"},
+        {"service": None},
+        {"service": None, "backends": [{"service": "huvo11a", "weight": 0}]},
+        {"service": None, "backends": [{"service": "huvo11a", "weight": -1}]},
+        {"backends": "huvo11a"},
     ],
 )
-def test_invalid_configuration_is_rejected(changes):
+def test_malformed_route_keeps_the_one_in_force(changes):
+    in_force, _ = decode(CONFIG)
+    table = with_route(**changes) | {"version": 8}
+    configuration, (part,) = decode(table, in_force)
+    assert configuration.routes == in_force.routes
+    assert configuration.revision == 8
+    assert (part.kind, part.name) == ("route", "r-1")
+    assert part.served_instead == "route in force r-1"
+
+
+def test_new_malformed_route_is_lost_alone():
+    configuration, (part,) = decode(with_route(host="here"))
+    assert [route.name for route in configuration.routes] == ["r-2"]
+    assert part.served_instead == "nothing"
+
+
+def test_new_route_without_a_target_is_known_but_has_no_shares():
+    # So its callers are told that the route is invalid, not that there is none.
+    configuration, _ = decode(with_route(service=None))
+    assert [len(route.shares) for route in configuration.routes] == [0, 2]
+
+
+def test_a_backend_without_weight_gets_nothing():
+    table = copy.deepcopy(CONFIG)
+    table["routes"][1]["backends"][0]["weight"] = 0
+    configuration, _ = decode(table)
+    assert [s.service for s in configuration.routes[1].shares] == ["wuno96b"]
+
+
+def test_of_two_routes_with_one_address_the_first_is_used():
+    table = copy.deepcopy(CONFIG)
+    table["routes"].append(table["routes"][0] | {"name": "r-3"})
+    configuration, (part,) = decode(table)
+    assert [route.name for route in configuration.routes] == ["r-1", "r-2"]
+    assert (part.name, part.served_instead) == ("r-3", "r-1")
+
+
+@pytest.mark.parametrize("services", [None, "x", [{"name": "huvo11a", "warmupS": "x"}]])
+def test_malformed_services_keep_those_in_force(services):
+    in_force, _ = decode(CONFIG)
+    configuration, (part,) = decode(CONFIG | {"services": services}, in_force)
+    assert configuration.services == in_force.services
+    assert configuration.routes == in_force.routes
+    assert part.kind == "service"
+
+
+@pytest.mark.parametrize("limits", [None, {}, {"idleTimeoutMs": "long"}, []])
+def test_malformed_limits_keep_those_in_force(limits):
+    in_force, _ = decode(CONFIG)
+    configuration, (part,) = decode(CONFIG | {"limits": limits}, in_force)
+    assert configuration == in_force
+    assert part.kind == "limits"
+
+
+@pytest.mark.parametrize(
+    "changes", [{"version": "seven"}, {"version": -1}, {"routes": "none"}]
+)
+def test_configuration_without_version_or_routes_is_rejected(changes):
     with pytest.raises(InputError, match="configuration.invalid"):
         decode_configuration(encode(CONFIG, **changes))
 
 
+JUNK = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats(allow_nan=False, allow_infinity=False)
+    | st.text(max_size=20),
+    lambda values: (
+        st.lists(values, max_size=3)
+        | st.dictionaries(st.text(max_size=5), values, max_size=3)
+    ),
+    max_leaves=5,
+)
+
+
+def many_routes(n_routes):
+    routes = [
+        CONFIG["routes"][n % 2] | {"name": f"r-{n}", "prefix": f"/{8000 + n}/"}
+        for n in range(n_routes)
+    ]
+    return CONFIG | {"routes": routes}
+
+
+@settings(derandomize=True, max_examples=300)
+@given(st.integers(0, 5), st.sampled_from(sorted(CONFIG["routes"][0])), JUNK)
+def test_any_change_of_one_route_leaves_the_others_as_they_are(position, field, junk):
+    table = copy.deepcopy(many_routes(6))
+    in_force, _ = decode(table)
+    name = f"r-{position}"
+    table["routes"][position][field] = junk
+    for previous in (None, in_force):
+        configuration, _ = decode(table, previous)
+        others = [r for r in in_force.routes if r.name != name]
+        by_destination = {r.destination: r for r in configuration.routes}
+        assert all(by_destination[r.destination] == r for r in others)
+        assert len(configuration.routes) <= 6
+        assert configuration.services == in_force.services
+        msgspec.msgpack.encode(configuration)
+
+
 def test_decoded_configuration_survives_json_encoding():
-    configuration = decode_configuration(encode(CONFIG))
+    configuration, _ = decode(CONFIG)
     payload = msgspec.json.encode(configuration)
     assert msgspec.json.decode(payload, type=type(configuration)) == configuration
--- a/packages/sapphirerail-node/tests/platform/test_store.py
+++ b/packages/sapphirerail-node/tests/platform/test_store.py
@@ -1,8 +1,10 @@
 import asyncio
+import time
 
 import pytest
 
 from sapphirerail_node.platform.store import HttpPlatformStore
+from sapphirerail_standins.paced_relay import PacedRelay
 from sapphirerail_standins.platform_store import PlatformStoreStandIn
 
 CONFIGURATION = {
@@ -46,6 +48,22 @@
     asyncio.run(run())
 
 
+class Reader:
+    """Reads the store again and again, each time from what it read before."""
+
+    def __init__(self, store):
+        self.store = store
+        self.snapshot = None
+
+    async def read(self):
+        revision = 0
+        if self.snapshot is not None:
+            revision = self.snapshot.operator_state.store_revision
+        read = await self.store.read(self.snapshot, revision)
+        self.snapshot = read.snapshot
+        return read
+
+
 def test_read_decodes_all_kinds_of_entries_and_skips_the_rest():
     async def scenario(standin, store):
         await standin.put("aside/other", b"\xff")
@@ -53,11 +71,13 @@
         await standin.put("op/evacuate/tema", {})
         await standin.put("servers/i-00000001", SERVER)
         await standin.put("servers/i-00000002", b"not an entry")
-        read = await store.read()
+        await standin.put("sapphirerail/instances/osu-1", b"[" * 100_000)
+        read = await store.read(None, 0)
         assert read.snapshot.operator_state.configuration.revision == 7
         assert read.snapshot.operator_state.evacuated == ("tema",)
         assert [server.server for server in read.snapshot.servers] == ["i-00000001"]
-        assert (read.n_malformed, read.snapshot.instances) == (1, ())
+        assert read.n_malformed == {"server": 1, "instance": 1}
+        assert read.snapshot.instances == ()
         assert standin.n_calls == 1
 
     run_scenario(scenario)
@@ -71,23 +91,120 @@
                 f"a{character}{number:04}" if number % 2 else f"servers/i-{number:08x}"
             )
             await standin.put(key, SERVER)
-        read = await store.read()
+        read = await store.read(None, 0)
         assert len(read.snapshot.servers) == 550
         assert standin.n_calls == 3
 
     run_scenario(scenario)
 
 
-def test_invalid_configuration_keeps_the_last_valid_one():
+def test_a_later_read_gets_only_what_changed():
+    # Guards against reads of the whole store: with 1,280 routes each of them took
+    # longer over a slow link than its timeout, and no instance learned of a drain.
     async def scenario(standin, store):
+        reader = Reader(store)
         await standin.put("op/config", CONFIGURATION)
-        await store.read()
-        route = CONFIGURATION["routes"][0] | {"host": "not-a-host"}
-        await standin.put("op/config", CONFIGURATION | {"routes": [route]})
-        read = await store.read()
+        for number in range(300):
+            await standin.put(f"servers/i-{number:08x}", SERVER)
+        await reader.read()
+        before = reader.snapshot
+        assert (await reader.read()).snapshot == before
+        assert reader.snapshot.servers is before.servers
+        await standin.put("servers/i-00000001", SERVER | {"state": "draining"})
+        await standin.put("servers/i-00000002", b"not an entry")
+        await standin.remove("servers/i-00000003")
+        await standin.put("op/evacuate/tema", {})
+        await standin.put("op/config", CONFIGURATION | {"version": 9})
+        read = await reader.read()
+        assert standin.n_calls == 3
+        servers = {server.server: server for server in read.snapshot.servers}
+        assert len(servers) == 298
+        assert servers["i-00000001"].is_draining
+        assert read.snapshot.operator_state.configuration.revision == 9
+        assert read.snapshot.operator_state.evacuated == ("tema",)
+        assert read.snapshot.operator_state.store_revision == standin.revision
+
+    run_scenario(scenario)
+
+
+def test_an_entry_that_was_removed_and_written_again_is_there():
+    async def scenario(standin, store):
+        reader = Reader(store)
+        await reader.read()
+        for _ in range(2):
+            await standin.put("servers/i-00000001", SERVER)
+            await standin.remove("servers/i-00000001")
+        await standin.put("servers/i-00000001", SERVER)
+        assert len((await reader.read()).snapshot.servers) == 1
+
+    run_scenario(scenario)
+
+
+def test_the_whole_store_is_read_if_its_history_is_gone():
+    async def scenario(standin, store):
+        reader = Reader(store)
+        await standin.put("op/config", CONFIGURATION)
+        await standin.put("servers/i-00000001", SERVER)
+        await reader.read()
+        await standin.remove("servers/i-00000001")
+        await standin.put("servers/i-00000002", SERVER)
+        standin.forget_history()
+        read = await reader.read()
+        assert [server.server for server in read.snapshot.servers] == ["i-00000002"]
         assert read.snapshot.operator_state.configuration.revision == 7
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("is_refused", [False, True])
+def test_the_whole_store_is_read_if_the_known_revision_is_not_its_own(is_refused):
+    # Guards against a wrong revision in one message between instances: the instance
+    # would have waited for it for good.
+    async def scenario(standin, store):
+        reader = Reader(store)
+        await standin.put("servers/i-00000001", SERVER)
+        await reader.read()
+        await standin.remove("servers/i-00000001")
+        standin.refuses_later_revisions = is_refused
+        read = await store.read(reader.snapshot, 2**62)
+        assert read.snapshot.servers == ()
+        assert read.snapshot.operator_state.store_revision == standin.revision
+
+    run_scenario(scenario)
+
+
+def test_malformed_parts_of_a_configuration_keep_those_in_force():
+    async def scenario(standin, store):
+        reader = Reader(store)
+        await standin.put("op/config", CONFIGURATION)
+        await reader.read()
+        routes = reader.snapshot.operator_state.configuration.routes
+        broken = CONFIGURATION["routes"][0] | {"host": "not-a-host"}
+        changed = CONFIGURATION | {"version": 8, "routes": [broken]}
+        await standin.put("op/config", changed)
+        read = await reader.read()
+        assert read.snapshot.operator_state.configuration.revision == 8
+        assert read.snapshot.operator_state.configuration.routes == routes
+        assert read.n_malformed == {"route": 1}
+        standin.forget_history()
+        assert (await reader.read()).snapshot.operator_state.configuration.routes == (
+            routes
+        )
+
+    run_scenario(scenario)
+
+
+def test_unreadable_configuration_keeps_the_one_in_force():
+    async def scenario(standin, store):
+        reader = Reader(store)
+        await standin.put("op/config", CONFIGURATION)
+        await reader.read()
+        await standin.put("op/config", b"{")
+        read = await reader.read()
+        assert read.snapshot.operator_state.configuration.revision == 7
+        assert read.n_malformed == {"configuration": 1}
         await standin.put("op/config", CONFIGURATION | {"version": 9})
-        read = await store.read()
+        read = await reader.read()
         assert read.snapshot.operator_state.configuration.revision == 9
 
     run_scenario(scenario)
@@ -95,9 +212,69 @@
 
 def test_ended_evacuation_is_absent_from_the_next_read():
     async def scenario(standin, store):
+        reader = Reader(store)
         await standin.put("op/evacuate/tema", {})
-        assert (await store.read()).snapshot.operator_state.evacuated == ("tema",)
+        assert (await reader.read()).snapshot.operator_state.evacuated == ("tema",)
         await standin.remove("op/evacuate/tema")
-        assert (await store.read()).snapshot.operator_state.evacuated == ()
+        assert (await reader.read()).snapshot.operator_state.evacuated == ()
 
     run_scenario(scenario)
+
+
+# Half of the slowest link of the deployments.
+SLOW_LINK_BYTES_PER_S = 2.5e6 / 8
+CONFIG_APPLY_S = 3.0
+RECOVERY_S = 12.0
+
+
+def configuration_of(n_routes):
+    routes = [
+        CONFIGURATION["routes"][0]
+        | {"name": f"route-{n}", "host": f"198.18.{n // 250}.{n % 250}"}
+        for n in range(n_routes)
+    ]
+    return CONFIGURATION | {"routes": routes}
+
+
+def run_behind_slow_link(scenario):
+    async def through_relay(standin, store):
+        relay = PacedRelay(store.address, SLOW_LINK_BYTES_PER_S)
+        try:
+            await scenario(standin, Reader(HttpPlatformStore(await relay.start())))
+        finally:
+            await relay.close()
+
+    run_scenario(through_relay)
+
+
+@pytest.mark.parametrize("n_routes", [1_500, 5_000])
+def test_large_configuration_is_read_over_a_slow_link(n_routes):
+    # Guards against a fixed timeout: a read that took longer than a second failed, and
+    # was begun again from its start, until the end of the deployment.
+    async def scenario(standin, reader):
+        await standin.put("op/config", configuration_of(n_routes))
+        began_s = time.monotonic()
+        read = await reader.read()
+        assert time.monotonic() - began_s < RECOVERY_S
+        assert len(read.snapshot.operator_state.configuration.routes) == n_routes
+
+    run_behind_slow_link(scenario)
+
+
+def test_changes_behind_a_large_configuration_are_read_in_time():
+    async def scenario(standin, reader):
+        table = configuration_of(1_500)
+        await standin.put("op/config", table)
+        await reader.read()
+        began_s = time.monotonic()
+        await standin.put("servers/i-00000001", SERVER | {"state": "draining"})
+        (server,) = (await reader.read()).snapshot.servers
+        assert server.is_draining
+        assert time.monotonic() - began_s < CONFIG_APPLY_S / 10
+        del table["routes"][7]
+        await standin.put("op/config", table | {"version": 8})
+        read = await reader.read()
+        assert time.monotonic() - began_s < CONFIG_APPLY_S
+        assert len(read.snapshot.operator_state.configuration.routes) == 1_499
+
+    run_behind_slow_link(scenario)
--- a/packages/sapphirerail-node/tests/steering/test_peer_service.py
+++ b/packages/sapphirerail-node/tests/steering/test_peer_service.py
@@ -3,13 +3,15 @@
 
 import msgspec
 import pytest
-from hypothesis import given
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
+from sapphirerail_core.steering import Open
 from sapphirerail_core.steering.messages import (
     DirectoryUpdate,
     LoadReport,
     PeerMessage,
+    ServerLoad,
 )
 from sapphirerail_core.steering.model import (
     InstanceEntry,
@@ -19,6 +21,7 @@
     Share,
 )
 from sapphirerail_core.steering.store_snapshot import SnapshotChanges
+from sapphirerail_core.steering.tag import server_tag
 from sapphirerail_node.steering.metrics import SteeringMetrics
 from sapphirerail_node.steering.peer_service import (
     CHANGES_MAX_BYTES,
@@ -27,12 +30,15 @@
 )
 from sapphirerail_standins.steering_fleet import (
     BOOKINGS,
+    FEED,
     SteeringFleet,
     configuration,
+    opening,
     server_entry,
 )
 
 READER = InstanceEntry("osu-9", "osu", "10.0.0.9:7720")
+KEYS = ("received", "malformed")
 PEER = InstanceEntry("osu-1", "osu", "10.0.0.1:7720")
 
 
@@ -178,6 +184,76 @@
         assert peer._engine.routes.is_evacuated("osu")
 
 
+def large_configuration(revision, n_routes, **changes):
+    """Return a configuration of many routes; keyword arguments replace some."""
+    routes = {
+        f"r{n}": Route(
+            n << 16 | 80, f"route-{n}", RequestKind.SAFE, (Share(BOOKINGS, 1),)
+        )
+        for n in range(n_routes)
+    }
+    routes |= changes
+    return configuration(revision, routes=tuple(r for r in routes.values() if r))
+
+
+def test_a_change_of_a_large_configuration_tells_the_changed_routes_only():
+    # Guards against sending the whole configuration: with 1,280 routes it was too large
+    # for a message, and each change made all instances read it from the store at once,
+    # which filled their links.
+    network = Network()
+    engines = [peer._engine for peer in (network.reader, *network.peers)]
+    for engine in engines:
+        engine.apply_operator_state(
+            OperatorState(10, 10, large_configuration(3, 5_000), ()), 0
+        )
+        engine.refresh.on_read(10, -500)
+    unsafe = Route(9 << 16 | 80, "r9", RequestKind.UNSAFE, (Share(BOOKINGS, 1),))
+    newer = large_configuration(4, 5_000, r7=None, r9=unsafe)
+    network.read(OperatorState(20, 18, newer, ()))
+    assert max(len(payload) for payload in network.sent) < 400
+    network.deliver()
+    for engine in engines:
+        assert engine.routes.revision == 4
+        assert engine.routes.route(7 << 16 | 80) is None
+        assert engine.routes.route(9 << 16 | 80) == unsafe
+        assert len(engine.routes.state.configuration.routes) == 4_999
+
+
+@pytest.mark.parametrize("n_missed", [1, 2, 3])
+def test_configurations_in_quick_succession_are_applied_in_order(n_missed):
+    network = Network()
+    for revision in range(1, 5):
+        changed = Route(
+            1 << 16 | 80, f"r{revision % 2}", RequestKind.SAFE, (Share(BOOKINGS, 1),)
+        )
+        newer = large_configuration(revision, 10, r1=changed)
+        network.read(OperatorState(10 * revision, 10 * revision, newer, ()))
+        if 1 < revision <= n_missed:
+            network.sent.clear()
+        network.deliver()
+    for peer in network.peers:
+        state = peer._engine.routes.state
+        assert state.configuration.revision == 4
+        assert peer._engine.routes.route(1 << 16 | 80).name == "r0"
+        reader = network.reader._engine.store_snapshot()
+        assert peer._engine.store_snapshot().digest() == reader.digest()
+
+
+def test_changes_of_an_unknown_configuration_make_the_others_read_the_store():
+    network = Network()
+    for revision in (1, 2, 3, 4):
+        network.read(
+            OperatorState(10 * revision, 10, large_configuration(revision, 10), ())
+        )
+        network.sent.clear()
+    network.read(OperatorState(50, 50, large_configuration(5, 10), ("osu",)))
+    network.deliver()
+    for peer in network.peers:
+        assert peer._engine.routes.state.configuration is None
+        assert not peer._engine.routes.is_evacuated("osu")
+        assert peer._engine.refresh.wait_ms(0, 0, 0) == 0
+
+
 def test_too_large_changes_make_the_others_read_the_store():
     network = Network()
     routes = tuple(
@@ -236,10 +312,50 @@
     assert metrics.counters["peer_messages", "malformed"] == 1
 
 
+JUNK = st.recursive(
+    st.none() | st.booleans() | st.integers(-(2**63), 2**64 - 1) | st.text(max_size=9),
+    lambda values: st.lists(values, max_size=3),
+    max_leaves=4,
+)
+
+
+def mutate(value, path, junk):
+    """Replace one part of nested lists, which `path` selects by its positions."""
+    if not path or not isinstance(value, list) or not value:
+        return junk
+    position = path[0] % len(value)
+    changed = mutate(value[position], path[1:], junk)
+    return value[:position] + [changed] + value[position + 1 :]
+
+
+@settings(derandomize=True, max_examples=300)
+@given(st.sampled_from(["report", "update"]), st.lists(st.integers(0, 9)), JUNK)
+@example("update", [6], [[[[]]]])
+def test_a_message_with_any_changed_field_costs_no_server_or_route(kind, path, junk):
+    peer, metrics = make_service()
+    engine = peer._engine
+    engine.apply_operator_state(OperatorState(10, 10, configuration(3), ()), 0)
+    engine.refresh.on_read(10, 0)
+    engine.apply_servers([server_entry(1), server_entry(2)], 0)
+    message = LoadReport(READER, 9, (ServerLoad(server_tag(1), 0.5, 0, False),))
+    if kind == "update":
+        digest = engine.store_snapshot().digest()
+        message = DirectoryUpdate(READER, 12, 5, 5, 10, digest, None)
+    plain = msgspec.msgpack.decode(msgspec.msgpack.encode(message))
+    # The first element is the type of the message.
+    changed = [plain[0], *mutate(plain[1:], path, [junk])]
+    peer._on_datagram(msgspec.msgpack.encode(changed), ("10.0.0.9", 7720))
+    assert sum(metrics.counters[("peer_messages", key)] for key in KEYS) == 1
+    assert engine.routes.revision == 3
+    assert len(list(engine.directory.servers())) == 2
+    action = engine.on_packet(opening(1, FEED), 1)
+    assert isinstance(action, Open)
+
+
 def test_changes_with_invalid_address_are_rejected():
     peer, metrics = make_service()
     broken = InstanceEntry("osu-8", "osu", "10.0.0.8:x")
-    changes = msgspec.msgpack.encode(SnapshotChanges(None, (), (), (broken,), ()))
+    changes = msgspec.msgpack.encode(SnapshotChanges(instances=(broken,)))
     update = DirectoryUpdate(READER, 5, 0, 0, 0, 0, zlib.compress(changes))
     peer._on_datagram(msgspec.msgpack.encode(update), ("10.0.0.9", 7720))
     assert metrics.counters["peer_messages", "malformed"] == 1
--- a/packages/sapphirerail-node/tests/steering/test_store_service.py
+++ b/packages/sapphirerail-node/tests/steering/test_store_service.py
@@ -22,12 +22,12 @@
         self.errors = list(errors)
         self.calls = []
 
-    async def read(self):
+    async def read(self, known, after_revision):
         self.calls.append("read")
         if self.errors:
             raise self.errors.pop(0)
         state = OperatorState(500, 500, configuration(), ())
-        return StoreRead(StoreSnapshot(state, (server_entry(1),), ()), 0)
+        return StoreRead(StoreSnapshot(state, (server_entry(1),), ()), {})
 
     async def register(self, entry, ttl_ms):
         self.calls.append("register")
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/platform_store.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/platform_store.py
@@ -41,6 +41,12 @@
     lease: int = 0
 
 
+class _Deletion(msgspec.Struct):
+    key: str
+    revision: int
+    deleted: bool = True
+
+
 class _Put(msgspec.Struct):
     key: str
     value: str
@@ -71,6 +77,8 @@
         Current fault of all calls.
     n_calls : int
         Number of calls received.
+    refuses_later_revisions : bool
+        Whether a watch after a revision that does not exist yet is refused.
     """
 
     def __init__(self) -> None:
@@ -78,6 +86,9 @@
         self.n_calls = 0
         self.revision = 1
         self._items: dict[str, _Item] = {}
+        self.refuses_later_revisions = False
+        self._history: list[_Item | _Deletion] = []
+        self._history_start = self.revision
         self._leases: dict[int, tuple[float, int]] = {}
         self._server = HttpServer(self._handle)
         self._timer: asyncio.Task[None] | None = None
@@ -113,11 +124,13 @@
         item = self._items.get(key)
         created = self.revision if item is None else item.created_rev
         self._items[key] = _Item(key, value, self.revision, created, lease)
+        self._history.append(self._items[key])
 
     def _remove(self, keys: Iterable[str]) -> None:
         for key in keys:
             if self._items.pop(key, None) is not None:
                 self.revision += 1
+                self._history.append(_Deletion(key, self.revision))
 
     async def _expire_leases(self) -> None:
         loop = asyncio.get_running_loop()
@@ -153,6 +166,8 @@
         name, _, rest = request.path.removeprefix("/").partition("/")
         if name == "kv-range":
             return self._range(request.query)
+        if name == "kv-watch":
+            return self._events_after(request.query)
         if name == "kv-txn":
             return await self._transact(request.json(_Transaction))
         if name == "kv-lease":
@@ -176,6 +191,25 @@
             }
         )
 
+    def _events_after(self, query: dict[str, str]) -> HttpResponse:
+        """Answer a watch at once, as if its waiting time were over."""
+        after = int(query["after"])
+        if after > self.revision and self.refuses_later_revisions:
+            raise HttpError(400, "after", f"there is no revision {after} yet")
+        if after < self._history_start:
+            raise HttpError(410, "gone", "the history does not go back that far")
+        events = [
+            event
+            for event in self._history
+            if event.revision > after and event.key.startswith(query["prefix"])
+        ]
+        return HttpResponse({"events": events, "storeRevision": self.revision})
+
+    def forget_history(self) -> None:
+        """Discard the history of changes."""
+        self._history.clear()
+        self._history_start = self.revision
+
     async def _transact(self, body: _Transaction) -> HttpResponse:
         for row in body.expected_rev:
             item = self._items.get(row.key)
--- a/packages/sapphirerail-transport/src/sapphirerail_transport/http.py
+++ b/packages/sapphirerail-transport/src/sapphirerail_transport/http.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import socket
+import zlib
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Any, TypeVar
 
@@ -36,6 +37,12 @@
 SIGNATURE_HEADER = "x-sapphirerail-signature"
 BODY_MAX_BYTES = 16 * 1024 * 1024
 READ_BYTES = 65536
+# Bounds a response whose parts keep restarting its timeout: the largest value that the
+# platform's store holds passes over a link of 2.5 Mbit/s in a quarter of this time.
+TRANSFER_MAX_MS = 20_000
+# Content coding of compressed responses (zlib format), and from which size on.
+DEFLATE = "deflate"
+DEFLATE_MIN_BYTES = 1_024
 
 
 class HttpError(SapphirerailError):
@@ -160,7 +167,8 @@
             if received is None:
                 return
             response = await self._answer(*received)
-            writer.write(_encode_response(connection, response))
+            accepts_deflate = _accepts_deflate(received[0])
+            writer.write(_encode_response(connection, response, accepts_deflate))
             await writer.drain()
             if connection.our_state is h11.MUST_CLOSE:
                 return
@@ -239,13 +247,20 @@
     return HttpResponse(ErrorBody(error.code, error.message), error.status)
 
 
-def _encode_response(connection: h11.Connection, response: HttpResponse) -> bytes:
+def _accepts_deflate(head: h11.Request) -> bool:
+    return dict(head.headers).get(b"accept-encoding") == DEFLATE.encode()
+
+
+def _encode_response(
+    connection: h11.Connection, response: HttpResponse, accepts_deflate: bool
+) -> bytes:
     is_text = isinstance(response.value, bytes)
     body = response.value if is_text else msgspec.json.encode(response.value)
-    headers = [
-        ("content-type", "text/plain" if is_text else "application/json"),
-        ("content-length", str(len(body))),
-    ]
+    headers = [("content-type", "text/plain" if is_text else "application/json")]
+    if accepts_deflate and len(body) >= DEFLATE_MIN_BYTES:
+        body = zlib.compress(body)
+        headers.append(("content-encoding", DEFLATE))
+    headers.append(("content-length", str(len(body))))
     head = connection.send(h11.Response(status_code=response.status, headers=headers))
     data = connection.send(h11.Data(data=body))
     end = connection.send(h11.EndOfMessage())
@@ -261,11 +276,20 @@
         Host and port of the server.
     signer : Signer or None
         Signs each request; None sends unsigned requests.
+    accepts_deflate : bool
+        Whether the server may compress its responses.
     """
 
-    def __init__(self, address: Address, signer: Signer | None = None) -> None:
+    def __init__(
+        self,
+        address: Address,
+        signer: Signer | None = None,
+        *,
+        accepts_deflate: bool = False,
+    ) -> None:
         self.address = address
         self._signer = signer
+        self._accepts_deflate = accepts_deflate
 
     async def call(
         self,
@@ -274,6 +298,7 @@
         value: Any = None,
         *,
         timeout_ms: int = 5000,
+        is_restarted_by_data: bool = False,
     ) -> bytes:
         """Send a request and return the body of the successful response.
 
@@ -287,6 +312,10 @@
             Encoded as the JSON body; None sends an empty body.
         timeout_ms : int
             Timeout of the whole call, in milliseconds.
+        is_restarted_by_data : bool
+            Whether the timeout starts again with each part of the response, so that a
+            large response can pass over a slow link; at most until
+            `TRANSFER_MAX_MS`.
 
         Returns
         -------
@@ -300,9 +329,17 @@
             no response, else with the status and code of the error response.
         """
         body = b"" if value is None else msgspec.json.encode(value)
+        loop = asyncio.get_running_loop()
+        ends_at_s = loop.time() + TRANSFER_MAX_MS / 1000
         try:
-            async with asyncio.timeout(timeout_ms / 1000):
-                status, answer = await self._exchange(method, target, body)
+            async with asyncio.timeout(timeout_ms / 1000) as timeout:
+
+                def restart() -> None:
+                    if is_restarted_by_data:
+                        at_s = loop.time() + timeout_ms / 1000
+                        timeout.reschedule(min(at_s, ends_at_s))
+
+                status, answer = await self._exchange(method, target, body, restart)
         except TimeoutError as error:
             text = f"no response within {timeout_ms} ms"
             raise HttpError(0, "http.timeout", text) from error
@@ -320,6 +357,7 @@
         value: Any = None,
         *,
         timeout_ms: int = 5000,
+        is_restarted_by_data: bool = False,
     ) -> AnswerT:
         """Send a request and decode the JSON body of the successful response.
 
@@ -329,21 +367,27 @@
             As `call` does, and with status 0 and ``http.bad_answer`` if the body is
             not JSON of the type.
         """
-        body = await self.call(method, target, value, timeout_ms=timeout_ms)
+        body = await self.call(
+            method,
+            target,
+            value,
+            timeout_ms=timeout_ms,
+            is_restarted_by_data=is_restarted_by_data,
+        )
         try:
             return msgspec.json.decode(body, type=kind)
         except msgspec.MsgspecError as error:
             raise HttpError(0, "http.bad_answer", str(error)) from error
 
     async def _exchange(
-        self, method: str, target: str, body: bytes
+        self, method: str, target: str, body: bytes, on_data: Callable[[], None]
     ) -> tuple[int, bytes]:
         reader, writer = await asyncio.open_connection(*self.address)
         try:
             connection = h11.Connection(h11.CLIENT)
             writer.write(self._encode_request(connection, method, target, body))
             await writer.drain()
-            return await _read_response(connection, reader)
+            return await _read_response(connection, reader, on_data)
         finally:
             writer.close()
 
@@ -355,6 +399,8 @@
             ("connection", "close"),
             ("content-length", str(len(body))),
         ]
+        if self._accepts_deflate:
+            headers.append(("accept-encoding", DEFLATE))
         if self._signer is not None:
             tag = self._signer.tag(_signed_part(method, target, body))
             headers.append((SIGNATURE_HEADER, tag.hex()))
@@ -367,9 +413,12 @@
 
 
 async def _read_response(
-    connection: h11.Connection, reader: asyncio.StreamReader
+    connection: h11.Connection,
+    reader: asyncio.StreamReader,
+    on_data: Callable[[], None],
 ) -> tuple[int, bytes]:
     status = 0
+    is_compressed = False
     body = bytearray()
     while True:
         event = connection.next_event()
@@ -378,19 +427,28 @@
             if not data and not status:
                 # The message of h11 for this case names only its internal states.
                 raise ConnectionError("the connection ended without an answer")
+            on_data()
             connection.receive_data(data)
         elif isinstance(event, h11.Response):
             status = event.status_code
+            is_compressed = (b"content-encoding", DEFLATE.encode()) in event.headers
         elif isinstance(event, h11.Data):
             body += event.data
         elif isinstance(event, h11.EndOfMessage):
-            return status, bytes(body)
+            return status, _decompress(body) if is_compressed else bytes(body)
         else:
             raise ConnectionError(
                 "the connection closed before the response was complete"
             )
 
 
+def _decompress(body: bytearray) -> bytes:
+    try:
+        return zlib.decompressobj().decompress(body, BODY_MAX_BYTES)
+    except zlib.error as error:
+        raise ConnectionError(f"the response cannot be decompressed: {error}") from None
+
+
 def _error_from(status: int, body: bytes) -> HttpError:
     try:
         decoded = msgspec.json.decode(body, type=ErrorBody)
--- a/packages/sapphirerail-transport/tests/test_http.py
+++ b/packages/sapphirerail-transport/tests/test_http.py
@@ -114,3 +114,79 @@
     with pytest.raises(HttpError) as caught:
         asyncio.run(scenario(list[str]))
     assert (caught.value.status, caught.value.code) == (0, "http.bad_answer")
+
+
+async def _call_slow_server(parts, gap_s, **options):
+    """Call a server that sends its response in parts, with a pause before each."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        for part in parts:
+            await asyncio.sleep(gap_s)
+            writer.write(part)
+        await reader.read()
+        writer.close()
+        await writer.wait_closed()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    try:
+        client = HttpClient(server.sockets[0].getsockname()[:2])
+        return await client.call("GET", "/", **options)
+    finally:
+        server.close()
+
+
+SLOW_PARTS = [b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\n", *[b"x"] * 4]
+
+
+def test_timeout_may_start_again_with_each_part_of_a_response():
+    body = asyncio.run(
+        _call_slow_server(SLOW_PARTS, 0.1, timeout_ms=300, is_restarted_by_data=True)
+    )
+    assert body == b"xxxx"
+
+
+@pytest.mark.parametrize("parts", [SLOW_PARTS[:3], []])
+def test_response_that_stops_coming_times_out(parts):
+    with pytest.raises(HttpError, match="no response"):
+        asyncio.run(
+            _call_slow_server(parts, 0.05, timeout_ms=200, is_restarted_by_data=True)
+        )
+
+
+def test_response_that_trickles_for_ever_times_out(monkeypatch):
+    monkeypatch.setattr("sapphirerail_transport.http.TRANSFER_MAX_MS", 300)
+    with pytest.raises(HttpError, match="no response"):
+        asyncio.run(
+            _call_slow_server(
+                SLOW_PARTS, 0.1, timeout_ms=200, is_restarted_by_data=True
+            )
+        )
+
+
+@pytest.mark.parametrize("size", [10, 100_000])
+def test_large_responses_are_compressed_for_clients_that_accept_it(size):
+    sent = []
+
+    async def scenario():
+        async def answer(request):
+            return HttpResponse(b"x" * size)
+
+        server = HttpServer(answer)
+        address = await server.start(("127.0.0.1", 0))
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(
+            b"GET / HTTP/1.1\r\nhost: a\r\naccept-encoding: deflate\r\n"
+            b"connection: close\r\n\r\n"
+        )
+        sent.append(await reader.read())
+        writer.close()
+        await writer.wait_closed()
+        client = HttpClient(address, accepts_deflate=True)
+        try:
+            return await client.call("GET", "/")
+        finally:
+            await server.close()
+
+    assert asyncio.run(scenario()) == b"x" * size
+    assert len(sent[0]) < 1_000
