Count a failed probe only if the own link answers, and restart the steady time after a gap

Change: (a) an unanswered probe counts only if a live peer of the data centre accepts or refuses a connection in the same time, or if nothing is received at all (cut off), or if no peer lives; and not if its timeout came late. Otherwise the server stays suspect and is probed again after 250 ms. (b) A time of 2.4 s without news restarts the steady time.

Ruled out: longer timeouts (slower resets for callers of servers that did crash), and the store as the control (it may be away).

--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/config.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/config.py
@@ -18,11 +18,16 @@
     probe_ms, probe_max_ms : int
         Initial and maximum backoff between probes of a failed server.
     probe_expedited_ms : int
-        Time between probes while callers are refused because all servers failed.
+        Time between probes while callers are refused because all servers failed, and
+        after a probe that says nothing about its server.
     probe_timeout_ms : int
         Connect timeout of a probe; a hundred round trips between data centres.
     probe_repeat_ms : int
-        Time after which a probe opens a second connection, in case a packet was lost.
+        Time after which a probe opens a second connection, in case a packet was lost,
+        and after which this instance checks its own link.
+    probe_delay_max_ms : int
+        Delay of a probe's timeout from which on its failure is attributed to this
+        instance, which was suspended or overloaded.
     store_probe_ms : int
         Interval of store probes by an instance that reaches no server of some remote
         data centre; half of the routers' interval, so that the start and the end of a
@@ -88,6 +93,7 @@
     probe_expedited_ms: int = 250
     probe_timeout_ms: int = 250
     probe_repeat_ms: int = 100
+    probe_delay_max_ms: int = 100
     store_probe_ms: int = 250
     remote_probe_interval_ms: int = 2_000
     retransmission_ms: int = 150
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/failure_detector.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/failure_detector.py
@@ -97,6 +97,10 @@
         elif health is Health.ANSWERING:
             self._record(StateChange.SERVER_RECOVERED, server, unresponsive_ms, now_ms)
 
+    def on_inconclusive_probe(self, server: KnownServer, now_ms: int) -> None:
+        """Record a probe that says nothing about its server; it is repeated soon."""
+        server.on_inconclusive_probe(now_ms)
+
     def _suspect_data_centre(
         self, failed: KnownServer, since_ms: int, now_ms: int
     ) -> None:
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/peers.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/peers.py
@@ -41,6 +41,8 @@
         self._live_ms = live_ms
         self._started_at_ms = now_ms
         self._peers: dict[InstanceId, Peer] = {}
+        # Time of the last message from any instance.
+        self.last_contact_ms = _NEVER_MS
         # Entries of the last read of the store; instances that are known only by their
         # messages are not included.
         self.registered: tuple[InstanceEntry, ...] = ()
@@ -81,7 +83,7 @@
         if peer is None or peer.entry.address != entry.address:
             peer = Peer(entry)
             self._peers[entry.instance] = peer
-        peer.last_contact_ms = now_ms
+        peer.last_contact_ms = self.last_contact_ms = now_ms
         return peer
 
     def on_stopped(self, instance: InstanceId) -> None:
@@ -95,13 +97,13 @@
 
     def live_local_instances(self, now_ms: int) -> list[InstanceId]:
         """Return the live instances of the local data centre, including this one."""
-        live = [
-            peer.entry.instance
-            for peer in self.local_peers()
-            if self._is_live(peer, now_ms)
-        ]
+        live = [peer.entry.instance for peer in self.live_local_peers(now_ms)]
         return [self.local.instance, *live]
 
+    def live_local_peers(self, now_ms: int) -> list[Peer]:
+        """Return the live peers in the local data centre."""
+        return [peer for peer in self.local_peers() if self._is_live(peer, now_ms)]
+
     def _is_live(self, peer: Peer, now_ms: int) -> bool:
         return now_ms - peer.last_contact_ms <= self._live_ms
 
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/refresh.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/refresh.py
@@ -20,6 +20,9 @@
         Age at which every instance reads; below the 3 s in which drains must apply.
     min_interval_ms : int
         Minimum time between two reads, also when a read is requested.
+    gap_ms : int
+        Age from which on this instance counts as having been cut off; above
+        `max_age_ms`, at which it reads itself, by a call of a slow store.
     retry_ms, retry_max_ms : int
         Initial and maximum backoff after a failed read.
     """
@@ -29,6 +32,7 @@
     rank_step_ms: int = 250
     max_age_ms: int = 1_600
     min_interval_ms: int = 200
+    gap_ms: int = 2_400
     retry_ms: int = 200
     retry_max_ms: int = 1_000
 
@@ -52,6 +56,9 @@
         self.config = config
         self._read_at_ms: int | None = None
         self._steady_since_ms = now_ms
+        # End of the last time without any news, in which this instance and servers near
+        # it may have been cut off together.
+        self._regained_at_ms = now_ms
         self._failed_at_ms: int | None = None
         self._n_failures = 0
         self._is_read_requested = True
@@ -66,8 +73,13 @@
         return self._read_at_ms
 
     def steady_ms(self, now_ms: int) -> int:
-        """Return how long the store has answered without a failure."""
-        return now_ms - self._steady_since_ms
+        """Return how long the store has answered without a failure.
+
+        Also counts from the end of a time without news: entries of servers that were
+        cut off with this instance have expired meanwhile, and are not back yet, though
+        the store has answered other instances all along.
+        """
+        return now_ms - max(self._steady_since_ms, self._regained_at_ms)
 
     def delay_ms(self, data_centre_rank: int, rank: int) -> int:
         """Return the age at which an instance with these ranks reads."""
@@ -115,6 +127,7 @@
         self._is_read_requested = False
         if self._read_at_ms is not None and self._read_at_ms > began_ms:
             return False
+        self._note_gap(began_ms)
         # Also if the revision is lower: the known one was not true, as reads of the
         # store are linearizable.
         self.store_revision = store_revision
@@ -135,8 +148,15 @@
         began_ms = now_ms - age_ms
         if self._read_at_ms is not None and began_ms <= self._read_at_ms:
             return False
+        self._note_gap(now_ms)
         self.store_revision = store_revision
         self._read_at_ms = began_ms
         self._is_read_requested = False
         self._steady_since_ms = began_ms - steady_ms
         return True
+
+    def _note_gap(self, now_ms: int) -> None:
+        """Record the end of a time without news, if there was one."""
+        age_ms = self.age_ms(now_ms)
+        if age_ms is not None and age_ms > self.config.gap_ms:
+            self._regained_at_ms = now_ms
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/server_state.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/server_state.py
@@ -192,6 +192,12 @@
         self.health = Health.FAILED
         return Health.FAILED
 
+    def on_inconclusive_probe(self, now_ms: int) -> None:
+        """Record a probe that failed because of this instance's own link or delay."""
+        self.is_probe_in_flight = False
+        self._probe_ended_ms = now_ms
+        self._probe_at_ms = now_ms + self._config.probe_expedited_ms
+
     def expedite_probe(self) -> None:
         """Bring the next probe forward, as callers are waiting for the server."""
         soon_ms = self._probe_ended_ms + self._config.probe_expedited_ms
--- a/packages/sapphirerail-core/tests/steering/test_refresh.py
+++ b/packages/sapphirerail-core/tests/steering/test_refresh.py
@@ -87,3 +87,29 @@
     assert refresh.on_read(7, 1_500)
     assert refresh.store_revision == 7
     assert refresh.on_update(8, 0, 9_000, 2_000)
+
+
+def test_the_steady_time_starts_anew_after_a_time_without_news():
+    # Guards against the steady time of a reader that was not cut off: after a cut, the
+    # instances of the data centre took their own servers, whose entries had expired
+    # behind the cut, for departed, and reset their open flows.
+    refresh = Refresh(CONFIG, 0)
+    refresh.on_read(1, 10_000)
+    assert refresh.on_update(2, 20, 9_000, 15_000)
+    assert refresh.steady_ms(15_000) == 0
+    assert refresh.on_update(3, 20, 9_500, 15_500)
+    assert refresh.steady_ms(15_500) == 500
+
+
+def test_a_late_read_of_a_slow_store_is_no_time_without_news():
+    refresh = Refresh(CONFIG, 0)
+    refresh.on_read(1, 10_000)
+    assert refresh.on_update(2, 20, 9_000, 10_000 + CONFIG.max_age_ms + 300)
+    assert refresh.steady_ms(12_000) > 9_000
+
+
+def test_an_own_read_after_a_time_without_news_starts_the_steady_time():
+    refresh = Refresh(CONFIG, 0)
+    refresh.on_read(1, 10_000)
+    refresh.on_read(2, 16_000)
+    assert refresh.steady_ms(16_500) == 500
--- a/packages/sapphirerail-core/tests/steering/test_server_state.py
+++ b/packages/sapphirerail-core/tests/steering/test_server_state.py
@@ -118,3 +118,14 @@
     assert not server.is_cold(2_000)
     server.update(server_entry(1, cold_ms=0), 1_000)
     assert not server.is_cold(1_001)
+
+
+def test_an_inconclusive_probe_leaves_the_server_suspect_and_is_repeated_soon():
+    server = KnownServer(server_entry(1), CONFIG, 0)
+    server.on_no_response(1_000)
+    server.is_probe_in_flight = True
+    server.on_inconclusive_probe(1_250)
+    assert server.health is Health.SUSPECT
+    assert not server.needs_probe(1_250)
+    assert server.needs_probe(1_250 + CONFIG.probe_expedited_ms)
+    assert server.on_probe(False, 1_800) is Health.FAILED
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/application.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/application.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import random
 import signal
 import socket
 import time
@@ -15,6 +16,7 @@
     SteeringEngine,
 )
 from sapphirerail_core.steering.model import InstanceEntry
+from sapphirerail_core.steering.peers import Peer
 from sapphirerail_transport.http import (
     HttpError,
     HttpRequest,
@@ -57,6 +59,8 @@
 # Time left to close sockets and tasks before the process is killed.
 STOP_MARGIN_MS = 1_500
 STOP_CHECK_MS = 100
+# Peers to connect to when this instance checks its own link; one may have just failed.
+N_LINK_CHECK_PEERS = 2
 
 SettingsReader = Callable[[], SteeringSettings]
 
@@ -110,6 +114,7 @@
         self.packets = PacketService(self.engine, codec, self.log, self.metrics)
         self.peers = PeerService(self.engine, self.metrics)
         self.packets.on_state_change = self.peers.schedule_report
+        self.packets.link_check_addresses = self._live_peer_addresses
         self.store = StoreService(
             store,
             settings.store_address,
@@ -218,10 +223,8 @@
     def _state_addresses(self) -> list[Address]:
         """Return the state addresses of known local peers and of the seeds."""
         local_address = self.settings.state_address
-        # All instances use the same port for their state.
         peer_addresses = [
-            (parse_address(peer.entry.address)[0], local_address[1])
-            for peer in self.engine.peers.local_peers()
+            self._state_address(peer) for peer in self.engine.peers.local_peers()
         ]
         return [
             address
@@ -229,6 +232,16 @@
             if address != local_address
         ]
 
+    def _state_address(self, peer: Peer) -> Address:
+        """Return a peer's state address; all instances use the same port."""
+        return parse_address(peer.entry.address)[0], self.settings.state_address[1]
+
+    def _live_peer_addresses(self) -> list[Address]:
+        """Return the state addresses of some live peers in the local data centre."""
+        live = self.engine.peers.live_local_peers(monotonic_ms())
+        chosen = random.sample(live, min(N_LINK_CHECK_PEERS, len(live)))
+        return [self._state_address(peer) for peer in chosen]
+
     async def _await_ready(self) -> None:
         """Wait for the first read of the store, for `SNAPSHOT_RETRY_MS` at most."""
         for _ in range(SNAPSHOT_RETRY_MS // READY_CHECK_MS):
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/packet_service.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/packet_service.py
@@ -23,7 +23,7 @@
 from .decision_log import DecisionLog, LogClass
 from .metrics import SteeringMetrics
 from .ports import PacketCodec
-from .probe import is_reachable
+from .probe import Reach, is_any_answering, probe
 
 __all__ = ["PacketService"]
 
@@ -59,6 +59,8 @@
         self._send: Callable[[bytes, Address], None] = _discard
         self._retry_timer: asyncio.TimerHandle | None = None
         self.on_state_change: Callable[[], None] | None = None
+        # Addresses of live peers that this instance connects to, to check its own link.
+        self.link_check_addresses: Callable[[], list[Address]] = list
         self._probe_tasks: set[asyncio.Task[None]] = set()
         self.last_packet_ms = 0
         # Arrival time of the packets in a batch, which spans a millisecond at most; 0
@@ -126,12 +128,43 @@
 
     async def _probe_server(self, server: KnownServer) -> None:
         """Probe a suspected server and pass the result to the engine."""
-        address = parse_address(server.entry.address)
-        is_reached = await is_reachable(address, self._engine.config)
-        self._metrics.count("probes", "reached" if is_reached else "unreached")
-        self._engine.failure_detector.on_probe(server, is_reached, monotonic_ms())
+        config, detector = self._engine.config, self._engine.failure_detector
+        began_ms = monotonic_ms()
+        link_check = asyncio.create_task(self._is_link_up())
+        try:
+            reach = await probe(parse_address(server.entry.address), config)
+            is_late = monotonic_ms() - began_ms > (
+                config.probe_timeout_ms + config.probe_delay_max_ms
+            )
+            is_conclusive = reach is not Reach.UNANSWERED or (
+                not is_late and await link_check
+            )
+        finally:
+            link_check.cancel()
+        if is_conclusive:
+            self._metrics.count("probes", reach.value)
+            detector.on_probe(server, reach is Reach.REACHED, monotonic_ms())
+        else:
+            self._metrics.count("probes", "inconclusive")
+            detector.on_inconclusive_probe(server, monotonic_ms())
         self.log_events()
 
+    async def _is_link_up(self) -> bool:
+        """Return whether an unanswered probe tells something about its server.
+
+        It does if a live peer answers a connection in the same time. If no peer does,
+        the link of this instance may be full; but if nothing is received either, this
+        instance is cut off, and the server is out of its reach.
+        """
+        config, peers = self._engine.config, self._engine.peers
+        began_ms = monotonic_ms()
+        await asyncio.sleep(config.probe_repeat_ms / 1000)
+        addresses = self.link_check_addresses()
+        timeout_ms = config.probe_timeout_ms - config.probe_repeat_ms
+        if not addresses or await is_any_answering(addresses, timeout_ms):
+            return True
+        return peers.last_contact_ms < began_ms
+
     def _versions(self) -> dict[str, object]:
         """Return the version and age of the data that decisions depend on."""
         refresh = self._engine.refresh
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/probe.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/probe.py
@@ -1,15 +1,27 @@
-"""Reachability probe: a TCP connection without a request."""
+"""Reachability probes: TCP connections without a request."""
 
 import asyncio
+from enum import Enum
 
 from sapphirerail_core.steering import SteeringConfig
 from sapphirerail_transport.udp import Address
 
-__all__ = ["is_reachable"]
+__all__ = ["Reach", "is_any_answering", "probe"]
 
 
-async def is_reachable(address: Address, config: SteeringConfig) -> bool:
-    """Return whether one of two connection attempts succeeds before the timeout.
+class Reach(Enum):
+    """Result of a probe.
+
+    A refused connection shows that the way to the host is open.
+    """
+
+    REACHED = "reached"
+    REFUSED = "refused"
+    UNANSWERED = "unreached"
+
+
+async def probe(address: Address, config: SteeringConfig) -> Reach:
+    """Return how an address answers one of two connection attempts.
 
     The second attempt starts `probe_repeat_ms` after the first. A connection without a
     request takes no slot of a server and does not count as a call of a store.
@@ -18,33 +30,45 @@
         asyncio.create_task(_connect(address, 0)),
         asyncio.create_task(_connect(address, config.probe_repeat_ms)),
     ]
-    try:
-        return await _any_succeeds(attempts, config.probe_timeout_ms)
-    finally:
-        for task in attempts:
-            task.cancel()
-        await asyncio.gather(*attempts, return_exceptions=True)
+    return await _first_result(attempts, {Reach.REACHED}, config.probe_timeout_ms)
+
+
+async def is_any_answering(addresses: list[Address], timeout_ms: int) -> bool:
+    """Return whether any host accepts or refuses a connection before the timeout."""
+    attempts = [asyncio.create_task(_connect(address, 0)) for address in addresses]
+    answers = {Reach.REACHED, Reach.REFUSED}
+    return await _first_result(attempts, answers, timeout_ms) in answers
 
 
-async def _connect(address: Address, delay_ms: int) -> bool:
-    """Return whether a connection is established."""
+async def _connect(address: Address, delay_ms: int) -> Reach:
     await asyncio.sleep(delay_ms / 1000)
     try:
         _, writer = await asyncio.open_connection(*address)
+    except ConnectionError:
+        return Reach.REFUSED
     except OSError:
-        # A refused connection or an unreachable host is a result of the probe.
-        return False
+        # An unreachable host is a result of the probe.
+        return Reach.UNANSWERED
     writer.close()
-    return True
+    return Reach.REACHED
 
 
-async def _any_succeeds(attempts: list[asyncio.Task[bool]], timeout_ms: int) -> bool:
-    """Return whether any of the attempts succeeds before the timeout."""
+async def _first_result(
+    attempts: list[asyncio.Task[Reach]], wanted: set[Reach], timeout_ms: int
+) -> Reach:
+    """Return the first wanted result, else the last one before the timeout."""
+    result = Reach.UNANSWERED
     try:
         async with asyncio.timeout(timeout_ms / 1000):
             for finished in asyncio.as_completed(attempts):
-                if await finished:
-                    return True
+                result = await finished
+                if result in wanted:
+                    break
     except TimeoutError:
-        return False
-    return False
+        # The attempts that have not ended yet remain unanswered.
+        pass
+    finally:
+        for task in attempts:
+            task.cancel()
+        await asyncio.gather(*attempts, return_exceptions=True)
+    return result
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/store_service.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/store_service.py
@@ -20,7 +20,7 @@
     RegistrationId,
     StoreCallError,
 )
-from .probe import is_reachable
+from .probe import Reach, probe
 
 __all__ = ["StoreService"]
 
@@ -156,7 +156,8 @@
             self._probe_task = asyncio.create_task(self._probe())
 
     async def _probe(self) -> None:
-        is_reached = await is_reachable(self._address, self._engine.config)
+        reach = await probe(self._address, self._engine.config)
+        is_reached = reach is Reach.REACHED
         self._engine.isolation.on_store_probe(is_reached, monotonic_ms())
 
     async def _refresh(self) -> None:
