--- a/packages/sapphirerail-core/src/sapphirerail_core/load/config.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/load/config.py
@@ -36,6 +36,8 @@
     n_probes_to_eject : int
         Consecutive unanswered probes, without any other response, after which a
         server is ejected.
+    stalled_probe_ms : int
+        Interval of probes to a server that has sent nothing since a request stalled.
     stall_factor : float
         An unanswered request older than this multiple of the mean latency is stalled;
         its slot stays occupied at least that long.
@@ -60,6 +62,7 @@
     ejection_max_ms: int = 16_000
     n_sheds_to_eject: int = 8
     n_probes_to_eject: int = 3
+    stalled_probe_ms: int = 600
     stall_factor: float = 3.0
     stall_floor_ms: int = 250
     deadline_grace_ms: int = 100
--- a/packages/sapphirerail-core/src/sapphirerail_core/load/gate.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/load/gate.py
@@ -79,6 +79,8 @@
         # When the newest of the answered requests was sent.
         self._answered_sent_at_ms = -1
         self._n_probes_unanswered = 0
+        self._probe_sent_at_ms = -1
+        self._responded_at_ms = -1
         self._inherited: dict[str, InheritedRequests] = {}
 
     def n_in_flight(self, now_ms: int) -> int:
@@ -185,6 +187,21 @@
         if self.is_unreachable():
             self.limit.on_unreachable(now_ms)
         self._n_probes_unanswered += 1
+        self._probe_sent_at_ms = now_ms
+
+    def needs_early_probe(self, now_ms: int) -> bool:
+        """Return whether to probe before the next notice, as callers may be waiting.
+
+        They are if a request has stalled and the server has sent nothing since.
+        """
+        if now_ms - self._probe_sent_at_ms < self._config.stalled_probe_ms:
+            return False
+        return any(
+            request.sent_at_ms > self._responded_at_ms
+            and not request.is_overdue
+            and self.has_stalled(request.sent_at_ms, now_ms)
+            for request in self.in_flight.values()
+        )
 
     def is_unreachable(self) -> bool:
         """Return whether the server answered none of the last probes."""
@@ -192,13 +209,13 @@
 
     def on_report(self, report: HealthReport, now_ms: int) -> None:
         """Update the state after a health report, which also answers a probe."""
-        self._n_probes_unanswered = 0
+        self._on_response(now_ms)
         self.n_flows = report.n_flows
         self.limit.on_report(report, now_ms)
 
     def on_answer(self, key: int, now_ms: int) -> None:
         """Release the slot of a request that was answered."""
-        self._n_probes_unanswered = 0
+        self._on_response(now_ms)
         request = self.in_flight.pop(key, None)
         if request is not None:
             self._answered_sent_at_ms = max(
@@ -208,11 +225,15 @@
 
     def on_refusal(self, key: int, is_shed: bool, now_ms: int) -> None:
         """Release the slot of a request that the server refused."""
-        self._n_probes_unanswered = 0
+        self._on_response(now_ms)
         request = self.in_flight.pop(key, None)
         if request is not None and is_shed:
             self.limit.on_shed(now_ms)
 
+    def _on_response(self, now_ms: int) -> None:
+        self._n_probes_unanswered = 0
+        self._responded_at_ms = now_ms
+
     def release_slot(self, key: int) -> None:
         """Release the slot of a request that was sent to another server instead."""
         self.in_flight.pop(key, None)
--- a/packages/sapphirerail-core/src/sapphirerail_core/request/gates.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/request/gates.py
@@ -102,7 +102,7 @@
         for server in self._roles.servers(RoleState.RELEASED):
             effects += self._report_to_holder(server, now_ms)
         if now_ms < self._notice_at_ms:
-            return effects
+            return effects + self._send_early_probes(now_ms)
         self._notice_at_ms = now_ms + self._context.config.notice_ms
         effects += self._resend_reports(now_ms)
         for server in self._roles.servers(RoleState.ACTIVE):
@@ -120,6 +120,15 @@
                 effects += self._send_probe(gate, now_ms)
         return effects
 
+    def _send_early_probes(self, now_ms: int) -> list[Effect]:
+        effects: list[Effect] = []
+        for state in (RoleState.ACTIVE, RoleState.RELEASED):
+            for server in self._roles.servers(state):
+                gate = self._gates.get(server)
+                if gate is not None and gate.needs_early_probe(now_ms):
+                    effects += self._send_probe(gate, now_ms)
+        return effects
+
     def _send_probe(self, gate: ServerGate, now_ms: int) -> list[Effect]:
         probe = self._probe(gate.server)
         if probe:
--- a/packages/sapphirerail-core/tests/request/test_admission.py
+++ b/packages/sapphirerail-core/tests/request/test_admission.py
@@ -152,6 +152,24 @@
     assert RefusalCode.NO_SERVER not in codes
 
 
+def test_opening_at_a_server_that_fell_silent_is_moved_with_time_left():
+    # Probes were sent once a second whether callers waited or not: an opening was moved
+    # after some 4 s, and with a deadline of 5 s it came too late now and then.
+    world = RequestWorld(small_plan(1, 2), n_instances=2)
+    world.run(1_000)
+    world.request(1, 0, kind=Kind.OPEN, deadline_ms=5_000)
+    world.run(100)
+    (silent,) = {
+        server for server, model in world.servers.items() if model.n_answered
+    } or {"s0"}
+    world.servers[silent].is_unreachable = True
+    flows = range(101, 101 + N_FLOWS)
+    for flow in flows:
+        world.request(flow, 0, kind=Kind.OPEN, deadline_ms=5_000)
+    world.run(2_500)
+    assert [flow for flow in flows if (flow, 0) not in world.answers] == []
+
+
 def test_a_retransmission_that_goes_round_during_a_planned_stop_refuses_nothing():
     # While a stopping owner and its successor each considered the other one the
     # holder, a retransmission used up its hops within milliseconds and was refused as
