--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -25,6 +25,7 @@
     "peer_traffic",
     "limits",
     "steering_path",
+    "steering_slopes",
 )
 KNOWN_RED_PATH = Path(__file__).parent.parent / "KNOWN-RED.txt"
 ENTRY_PREFIX = "figure: "
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/directory.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/directory.py
@@ -70,7 +70,8 @@
             The detected changes.
         """
         entries = tuple(entries)
-        if entries == self.entries and not self._has_missing:
+        is_unchanged = entries is self.entries or entries == self.entries
+        if is_unchanged and not self._has_missing:
             return []
         events = []
         self.entries = entries
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
@@ -147,17 +147,18 @@
 
     def apply_load_report(self, report: LoadReport, now_ms: int) -> None:
         """Apply a load report of a peer in the local data centre."""
-        self.peers.on_contact(report.sender, now_ms).report = report
+        peer = self.peers.on_contact(report.sender, now_ms)
+        self._add_peer_loads(peer.report, -1)
+        self._add_peer_loads(report, 1)
+        peer.report = report
         for load in report.loads:
             server = self.directory.by_tag(load.tag)
             if server is None:
                 continue
             if load.is_failed:
-                peer = report.sender.instance
                 self.failure_detector.on_peer_failure_report(
-                    server, peer, load.unresponsive_ms, now_ms
+                    server, report.sender.instance, load.unresponsive_ms, now_ms
                 )
-        self._sum_peer_loads(now_ms)
 
     def check_isolation(self, now_ms: int) -> bool:
         """Check whether this instance is isolated; starts more probes if it may be.
@@ -422,11 +423,25 @@
                 flow.server, flow.request_sent_at_ms, now_ms
             )
 
+    def _add_peer_loads(self, report: LoadReport | None, sign: int) -> None:
+        """Add the loads of a report to those of the servers, or subtract them."""
+        for load in () if report is None else report.loads:
+            server = self.directory.by_tag(load.tag)
+            if server is not None:
+                server.peer_load = max(0.0, server.peer_load + sign * load.load)
+
     def _sum_peer_loads(self, now_ms: int) -> None:
+        """Sum the loads of all reports anew, without those of lost peers.
+
+        In between, each report adds only its own difference: with a sum at each report
+        the work of an instance grew with the square of its data centre.
+        """
         totals: dict[int, float] = {}
         for peer in self.peers.local_peers():
             is_live = now_ms - peer.last_contact_ms <= self.config.peer_load_ttl_ms
-            if peer.report is None or not is_live:
+            if not is_live:
+                peer.report = None
+            if peer.report is None:
                 continue
             for load in peer.report.loads:
                 totals[load.tag] = totals.get(load.tag, 0.0) + load.load
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/model.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/model.py
@@ -109,7 +109,7 @@
     evacuated: tuple[DataCentreId, ...]
 
 
-class ServerEntry(msgspec.Struct, frozen=True, array_like=True, cache_hash=True):
+class ServerEntry(msgspec.Struct, frozen=True, array_like=True):
     """Entry that a backend server announces about itself.
 
     Parameters
@@ -145,7 +145,7 @@
     cold_ms: int
 
 
-class InstanceEntry(msgspec.Struct, frozen=True, array_like=True, cache_hash=True):
+class InstanceEntry(msgspec.Struct, frozen=True, array_like=True):
     """Registration of an entry instance: the address at which peers reach it."""
 
     instance: InstanceId
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/peers.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/peers.py
@@ -46,6 +46,7 @@
         # Entries of the last read of the store; instances that are known only by their
         # messages are not included.
         self.registered: tuple[InstanceEntry, ...] = ()
+        self._unregistered: set[InstanceId] = set()
 
     def apply(self, entries: Iterable[InstanceEntry], now_ms: int) -> None:
         """Replace the registered instances by a complete read of the store.
@@ -53,7 +54,11 @@
         Live instances without an entry are kept: the store may refuse their
         registration.
         """
-        self.registered = tuple(entries)
+        registered = tuple(entries)
+        if registered is self.registered or registered == self.registered:
+            self._discard_lost(now_ms)
+            return
+        self.registered = registered
         known = self._peers
         self._peers = {
             name: peer for name, peer in known.items() if self._is_live(peer, now_ms)
@@ -66,6 +71,16 @@
                 peer = Peer(entry)
             peer.entry = entry
             self._peers[entry.instance] = peer
+        registered_names = {entry.instance for entry in registered}
+        self._unregistered = self._peers.keys() - registered_names
+
+    def _discard_lost(self, now_ms: int) -> None:
+        """Drop instances that are neither registered nor live."""
+        for name in list(self._unregistered):
+            peer = self._peers.get(name)
+            if peer is None or not self._is_live(peer, now_ms):
+                self._unregistered.discard(name)
+                self._peers.pop(name, None)
 
     def entries(self) -> list[InstanceEntry]:
         """Return the known instances, registered or live, including this one."""
@@ -74,13 +89,17 @@
     def add(self, entries: Iterable[InstanceEntry]) -> None:
         """Add instances that another one knows, as if they were registered."""
         for entry in entries:
-            if entry.instance != self.local.instance:
-                self._peers.setdefault(entry.instance, Peer(entry))
+            name = entry.instance
+            if name != self.local.instance and name not in self._peers:
+                self._peers[name] = Peer(entry)
+                self._unregistered.add(name)
 
     def on_contact(self, entry: InstanceEntry, now_ms: int) -> Peer:
         """Record a message from an instance; adds one that is not registered yet."""
         peer = self._peers.get(entry.instance)
         if peer is None or peer.entry.address != entry.address:
+            if peer is None:
+                self._unregistered.add(entry.instance)
             peer = Peer(entry)
             self._peers[entry.instance] = peer
         peer.last_contact_ms = self.last_contact_ms = now_ms
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/store_snapshot.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/store_snapshot.py
@@ -1,9 +1,9 @@
 """Snapshots of the store, and the changes between two of them."""
 
 import zlib
+from collections import deque
 from collections.abc import Callable, Iterable, Sequence
-from functools import lru_cache
-from typing import TypeVar
+from typing import Generic, TypeVar
 
 import msgspec
 
@@ -29,7 +29,7 @@
 KeyT = TypeVar("KeyT")
 
 # The snapshots of the last reads, and those being compared with them.
-_N_DIGESTS_CACHED = 8
+_N_CHECKSUMS_KEPT = 8
 
 
 class ConfigurationChanges(msgspec.Struct, frozen=True, array_like=True):
@@ -151,8 +151,8 @@
         content = (
             _revision_of(state.configuration),
             sorted(state.evacuated),
-            _digest_servers(self.servers),
-            _digest_instances(self.instances),
+            _sum_servers(self.servers),
+            _sum_instances(self.instances),
         )
         return zlib.crc32(repr(content).encode())
 
@@ -275,17 +275,29 @@
     return {route.destination: route for route in routes}
 
 
-# Nearly all reads find the same entries, and comparing them is faster than a checksum.
-@lru_cache(maxsize=_N_DIGESTS_CACHED)
-def _digest_servers(entries: tuple[ServerEntry, ...]) -> int:
-    parts = [
-        (e.server, e.started_at_ms, e.address, e.is_draining, e.cold_ms > 0)
-        for e in entries
-    ]
-    return zlib.crc32(repr(sorted(parts)).encode())
+class _Checksum(Generic[EntryT]):
+    """Checksum of entries; remembers those of the last tuples.
 
+    Nearly all reads find the same entries, and then keep the same tuple.
+    """
+
+    def __init__(self, part_of: Callable[[EntryT], tuple[object, ...]]) -> None:
+        self._part_of = part_of
+        self._known: deque[tuple[tuple[EntryT, ...], int]] = deque(
+            maxlen=_N_CHECKSUMS_KEPT
+        )
 
-@lru_cache(maxsize=_N_DIGESTS_CACHED)
-def _digest_instances(entries: tuple[InstanceEntry, ...]) -> int:
-    parts = sorted((e.instance, e.address) for e in entries)
-    return zlib.crc32(repr(parts).encode())
+    def __call__(self, entries: tuple[EntryT, ...]) -> int:
+        for known, checksum in self._known:
+            if known is entries:
+                return checksum
+        parts = sorted(self._part_of(entry) for entry in entries)
+        checksum = zlib.crc32(repr(parts).encode())
+        self._known.append((entries, checksum))
+        return checksum
+
+
+_sum_servers: _Checksum[ServerEntry] = _Checksum(
+    lambda e: (e.server, e.started_at_ms, e.address, e.is_draining, e.cold_ms > 0)
+)
+_sum_instances: _Checksum[InstanceEntry] = _Checksum(lambda e: (e.instance, e.address))
--- a/packages/sapphirerail-core/tests/steering/test_server_selector.py
+++ b/packages/sapphirerail-core/tests/steering/test_server_selector.py
@@ -1,7 +1,10 @@
 """Server selection among warm servers, and the load that it is based on."""
 
+import random
 from collections import Counter
 
+import pytest
+
 from sapphirerail_standins.steering_fleet import (
     FEED,
     HOLD,
@@ -118,3 +121,26 @@
     assert server.n_in_flight == 1
     fleet.send(later_packet(1, tag, sequence=2_200, acknowledged=1_500))
     assert server.n_in_flight == 0
+
+
+def test_loads_added_report_by_report_are_those_of_a_sum_over_all():
+    # Each report adds its difference only; a report that replaces another one, a peer
+    # that is lost and a server that left must not leave a remainder.
+    names = [f"osu-{n}" for n in range(1, 5)]
+    fleet = SteeringFleet(dict.fromkeys(names, "osu"))
+    fleet.configure()
+    fleet.announce(*(server_entry(n) for n in range(1, 6)))
+    rng = random.Random(5)
+    receiver = fleet.engines["osu-1"]
+    for step in range(60):
+        fleet.advance(rng.choice([50, 250, 1_600]))
+        for flow in range(3):
+            name = rng.choice(names)
+            fleet.send(opening(1_000 * step + flow, HOLD), name)
+        if step == 30:
+            fleet.announce(*(server_entry(n) for n in range(1, 5)))
+        fleet.exchange_reports()
+        added = {s.entry.server: s.peer_load for s in receiver.directory.servers()}
+        receiver.sweep(fleet.now_ms)
+        summed = {s.entry.server: s.peer_load for s in receiver.directory.servers()}
+        assert added == pytest.approx(summed, abs=1e-6)
