Keep one failing datagram from costing the others of its batch

Cause, found by looking for what other operators ran into: an unexpected error in the handling of one datagram left the loop over the batch; the others waited for the next one, and the time of the batch was not reset. A deeply nested message between instances raised a RecursionError, which was not counted as malformed.

Change: each datagram is handled by itself; a failure is logged at most once a second.

--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/peer_service.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/peer_service.py
@@ -188,7 +188,7 @@
             # A peer with an invalid address would make each later message to it fail.
             for entry in _instances_in(message, changes):
                 check_address(entry.address)
-        except (msgspec.MsgspecError, ValueError, zlib.error):
+        except (msgspec.MsgspecError, ValueError, RecursionError, zlib.error):
             self._metrics.count("peer_messages", "malformed")
             return
         self._metrics.count("peer_messages", "received")
--- a/packages/sapphirerail-node/tests/steering/test_peer_service.py
+++ b/packages/sapphirerail-node/tests/steering/test_peer_service.py
@@ -48,6 +48,7 @@
 
 
 @given(st.binary(max_size=200))
+@example(b"\x91" * 60_000)
 def test_random_bytes_are_counted_as_malformed(payload):
     peers, metrics = make_service()
     peers._on_datagram(payload, ("127.0.0.1", 1))
--- a/packages/sapphirerail-transport/src/sapphirerail_transport/udp.py
+++ b/packages/sapphirerail-transport/src/sapphirerail_transport/udp.py
@@ -1,6 +1,7 @@
 """UDP socket on the running event loop, and parsing of addresses."""
 
 import asyncio
+import logging
 import socket
 from collections.abc import Callable
 
@@ -13,12 +14,16 @@
     "parse_address",
 ]
 
+_log = logging.getLogger(__name__)
+
 Address = tuple[str, int]
 
 # Reading in batches empties the kernel's buffer faster under load; the limit lets the
 # event loop run other work between batches.
 BATCH_SIZE = 128
 DATAGRAM_READ_BYTES = 65_536
+# A datagram that fails may be followed by many of its kind.
+FAILURE_LOG_INTERVAL_S = 1.0
 PORT_MAX = 65_535
 
 
@@ -99,6 +104,7 @@
         self._on_datagram = on_datagram
         self._after_batch = after_batch
         self._is_closed = False
+        self._failure_logged_at_s = -FAILURE_LOG_INTERVAL_S
         self._loop = asyncio.get_running_loop()
         self._loop.add_reader(bound.fileno(), self._read_batch)
 
@@ -145,8 +151,23 @@
                 # ICMP reports that an earlier datagram reached a closed port; more
                 # datagrams may be waiting.
                 continue
-            on_datagram(payload, sender)
+            try:
+                on_datagram(payload, sender)
+            except Exception:
+                # The other datagrams must not wait for, or be lost with, this one.
+                self._log_failure(payload, sender)
             if self._is_closed:
                 return
         if self._after_batch is not None:
             self._after_batch()
+
+    def _log_failure(self, payload: bytes, sender: Address) -> None:
+        """Log the exception being handled, at most once per interval."""
+        now_s = self._loop.time()
+        if now_s - self._failure_logged_at_s >= FAILURE_LOG_INTERVAL_S:
+            self._failure_logged_at_s = now_s
+            _log.exception(
+                "handling a datagram of %d bytes from %s failed",
+                len(payload),
+                format_address(sender),
+            )
--- a/packages/sapphirerail-transport/tests/test_http.py
+++ b/packages/sapphirerail-transport/tests/test_http.py
@@ -120,13 +120,14 @@
     """Call a server that sends its response in parts, with a pause before each."""
 
     async def serve(reader, writer):
-        await reader.readuntil(b"\r\n\r\n")
-        for part in parts:
-            await asyncio.sleep(gap_s)
-            writer.write(part)
-        await reader.read()
-        writer.close()
-        await writer.wait_closed()
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            for part in parts:
+                await asyncio.sleep(gap_s)
+                writer.write(part)
+            await reader.read()
+        finally:
+            writer.close()
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     try:
