--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/refresh.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/refresh.py
@@ -24,7 +24,10 @@
         Age from which on this instance counts as having been cut off; above
         `max_age_ms`, at which it reads itself, by a call of a slow store.
     retry_ms, retry_max_ms : int
-        Initial and maximum backoff after a failed read.
+        Initial and maximum backoff after a failed read, of the first instance.
+    ranked_retry_max_ms : int
+        Maximum backoff of all instances; a part of a divided data centre whose first
+        instances are gone finds its next reader within this time.
     """
 
     interval_ms: int = 500
@@ -35,6 +38,7 @@
     gap_ms: int = 2_400
     retry_ms: int = 200
     retry_max_ms: int = 1_000
+    ranked_retry_max_ms: int = 5_000
 
 
 class Refresh:
@@ -94,11 +98,7 @@
     def wait_ms(self, data_centre_rank: int, rank: int, now_ms: int) -> int:
         """Return the time until this instance should read; 0 if it should read now."""
         if self._failed_at_ms is not None:
-            backoff_ms = min(
-                self.config.retry_ms << min(self._n_failures - 1, 8),
-                self.config.retry_max_ms,
-            )
-            return max(0, self._failed_at_ms + backoff_ms - now_ms)
+            return max(0, self._failed_at_ms + self._backoff_ms(rank) - now_ms)
         if self._read_at_ms is None:
             return 0
         delay_ms = self.delay_ms(data_centre_rank, rank)
@@ -107,6 +107,21 @@
         due_ms = self._read_at_ms + delay_ms
         return max(0, due_ms - now_ms)
 
+    def _backoff_ms(self, rank: int) -> int:
+        """Return the time from a failed read to the next one.
+
+        While the store is away all instances would try again at the same rate, and
+        together at more than its limit; who has a state leaves it to those ranked
+        before.
+        """
+        config = self.config
+        backoff_ms = min(
+            config.retry_ms << min(self._n_failures - 1, 8), config.retry_max_ms
+        )
+        if self._read_at_ms is None:
+            return backoff_ms
+        return min(backoff_ms + config.rank_step_ms * rank, config.ranked_retry_max_ms)
+
     def request_read(self) -> None:
         """Request a read as soon as possible."""
         self._is_read_requested = True
--- a/packages/sapphirerail-core/tests/steering/test_refresh.py
+++ b/packages/sapphirerail-core/tests/steering/test_refresh.py
@@ -1,3 +1,5 @@
+import pytest
+
 from sapphirerail_core.steering import Refresh, RefreshConfig
 
 CONFIG = RefreshConfig()
@@ -113,3 +115,31 @@
     refresh.on_read(1, 10_000)
     refresh.on_read(2, 16_000)
     assert refresh.steady_ms(16_500) == 500
+
+
+@pytest.mark.parametrize("n_instances", [35, 557])
+def test_an_outage_of_the_store_draws_few_calls_from_a_large_data_centre(n_instances):
+    # Pattern: the store is away for all. Each instance tried again every second: 143 of
+    # them made 143 refused calls a second, 3,900 would make more than the store's limit
+    # of 2,000 and keep it from coming back.
+    schedules = [Refresh(CONFIG, 0) for _ in range(n_instances)]
+    n_calls = 0
+    for refresh in schedules:
+        refresh.on_read(1, 0)
+    first_ms, end_ms = 10_000, 20_000
+    for rank, refresh in enumerate(schedules):
+        now_ms = CONFIG.max_age_ms
+        while now_ms < end_ms:
+            refresh.on_failure(now_ms)
+            n_calls += now_ms >= first_ms
+            now_ms += refresh.wait_ms(0, rank, now_ms)
+    calls_per_s = n_calls / ((end_ms - first_ms) / 1_000)
+    assert calls_per_s <= 2_000 / 7
+    assert schedules[0].wait_ms(0, 0, 20_000) <= CONFIG.retry_max_ms
+
+
+def test_an_instance_without_a_state_is_not_kept_waiting_by_its_rank():
+    refresh = Refresh(CONFIG, 0)
+    for _ in range(6):
+        refresh.on_failure(1_000)
+    assert refresh.wait_ms(0, 500, 1_000) == CONFIG.retry_max_ms
