Treat a server as departed once another one has its address

In between probes reached the other server, so the crashed one counted as recovered and got new flows, which were dropped.

Change: of two servers with one address the later one has it; the other gets no new flows, and its open ones are reset after the grace time of a departure.

--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/directory.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/directory.py
@@ -82,7 +82,7 @@
             if server.entry.server not in listed:
                 events += self._on_missing(server, steady_ms, now_ms)
         self._has_missing = len(self._servers) > len(listed)
-        events += self._rebuild_indexes()
+        events += self._rebuild_indexes(now_ms)
         return events
 
     def forget_departed(self, now_ms: int) -> None:
@@ -124,8 +124,8 @@
             ]
         return []
 
-    def _rebuild_indexes(self) -> list[Event]:
-        events = []
+    def _rebuild_indexes(self, now_ms: int) -> list[Event]:
+        events = self._mark_superseded(now_ms)
         self._by_service = {}
         # Of two servers with the same tag the older one keeps it, on every instance.
         ordered = sorted(
@@ -139,10 +139,37 @@
                 continue
             assigned.add(server.tag)
             self._by_tag[server.tag] = server
-            if not server.entry.is_draining:
+            if not (server.entry.is_draining or server.is_superseded):
                 self._by_service.setdefault(server.entry.service, []).append(server)
         return events
 
+    def _mark_superseded(self, now_ms: int) -> list[Event]:
+        """Treat servers as departed whose address a later one has.
+
+        A server that crashes is listed until its entry expires, and its address may be
+        given to another one before: probes then reach that one.
+        """
+        events = []
+        by_address: dict[str, KnownServer] = {}
+        ordered = sorted(
+            self._servers.values(),
+            key=lambda server: (server.added_at_ms, server.entry.started_at_ms),
+            reverse=True,
+        )
+        for server in ordered:
+            latest = by_address.setdefault(server.entry.address, server)
+            was_superseded = server.is_superseded
+            server.is_superseded = latest is not server
+            if server.is_superseded and not was_superseded:
+                server.departed_at_ms = now_ms
+                by = latest.entry.server
+                events.append(
+                    _event(StateChange.SERVER_SUPERSEDED, server.entry, by=by)
+                )
+            elif was_superseded and not server.is_superseded:
+                server.departed_at_ms = None
+        return events
+
 
 def _event(change: StateChange, entry: ServerEntry, **detail: object) -> Event:
     inputs: dict[str, object] = {
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/events.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/events.py
@@ -23,6 +23,7 @@
     SERVER_FAILED = "server_dead"
     SERVER_FAILURE_REPORTED = "server_dead_by_peer"
     SERVER_RECOVERED = "server_recovered"
+    SERVER_SUPERSEDED = "server_superseded"
     INSTANCE_ISOLATED = "instance_stranded"
     INSTANCE_REJOINED = "instance_rejoined"
     TAG_COLLISION = "tag_collision"
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/server_state.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/server_state.py
@@ -52,11 +52,13 @@
         "_unresponsive_since_ms",
         "_peer_failures",
         "cold_until_ms",
+        "added_at_ms",
         "departed_at_ms",
         "entry",
         "forced_cold_until_ms",
         "health",
         "is_probe_in_flight",
+        "is_superseded",
         "missing_since_ms",
         "n_flows",
         "n_in_flight",
@@ -69,6 +71,9 @@
         self.entry = entry
         self.tag: ServerTag = server_tag(entry.identity)
         self.health = Health.ANSWERING
+        self.added_at_ms = now_ms
+        # Whether a later server has its address, so that this one must have ended.
+        self.is_superseded = False
         self.cold_until_ms = now_ms + entry.cold_ms
         self.forced_cold_until_ms = 0
         self.missing_since_ms: int | None = None
@@ -101,7 +106,7 @@
 
     def is_failed(self, now_ms: int) -> bool:
         """Return whether this instance, or enough peers, confirmed a failure."""
-        if self.health is _FAILED:
+        if self.health is _FAILED or self.is_superseded:
             return True
         return self._n_peer_failures(now_ms) >= self._config.n_failure_confirmations
 
