--- a/packages/sapphirerail-node/src/sapphirerail_node/platform/entries.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/platform/entries.py
@@ -3,7 +3,7 @@
 import math
 import socket
 from collections.abc import Iterable
-from typing import Annotated, Any, Literal, TypeVar
+from typing import Annotated, Any, Literal
 
 import msgspec
 
@@ -28,8 +28,8 @@
 ]
 
 _N_IDENTITIES = 2**64
-# The idle timeout of flows if the configuration has no readable one; PROTOCOL.md has no
-# default, so a long one keeps the records of flows that may still be open.
+# The idle timeout of flows if the configuration has no readable one; long, so that the
+# records of flows that may still be open are kept.
 _DEFAULT_FLOW_IDLE_MS = 60_000
 # Deeply nested arrays exceed Python's recursion limit; numbers that are too large for a
 # conversion raise an ArithmeticError.
@@ -41,13 +41,19 @@
     msgspec.MsgspecError,
 )
 
+# By the platform's words; downloads may run more than once, uploads may not.
+_KINDS = {
+    "safe": RequestKind.SAFE,
+    "download": RequestKind.DOWNLOAD,
+    "unsafe": RequestKind.UNSAFE,
+    "upload": RequestKind.UPLOAD,
+}
+
 # Bounds that keep a single entry from overflowing the messages between instances.
 _Name = Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
 _Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 _Duration = Annotated[float, msgspec.Meta(ge=0, le=2**32)]
 
-DecodedT = TypeVar("DecodedT")
-
 
 class _WeightedService(msgspec.Struct):
     service: _Name
@@ -282,15 +288,6 @@
     )
 
 
-# By the platform's words; downloads may run more than once, uploads may not.
-_KINDS = {
-    "safe": RequestKind.SAFE,
-    "download": RequestKind.DOWNLOAD,
-    "unsafe": RequestKind.UNSAFE,
-    "upload": RequestKind.UPLOAD,
-}
-
-
 def _parse_identity(name: str) -> int:
     identity = int(name.rpartition("-")[2], 16)
     if not 0 <= identity < _N_IDENTITIES:
