Let only servers of known services take over an address

An entry of a service that the configuration does not define names no server to use; one with the address of a live server would have had that server's flows reset.

--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/directory.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/directory.py
@@ -1,6 +1,6 @@
 """Directory of the known backend servers, indexed by name, service and tag."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from ..types import DataCentreId, ServerId, ServiceId
 from .config import SteeringConfig
@@ -19,10 +19,18 @@
     ----------
     config : SteeringConfig
         How long departed servers are kept, and when a missing one has departed.
+    is_known_service : callable
+        Returns whether the configuration defines a service. Entries of others name no
+        server to use.
     """
 
-    def __init__(self, config: SteeringConfig) -> None:
+    def __init__(
+        self,
+        config: SteeringConfig,
+        is_known_service: Callable[[ServiceId], bool] = lambda _: True,
+    ) -> None:
         self._config = config
+        self._is_known_service = is_known_service
         self._servers: dict[ServerId, KnownServer] = {}
         self._by_service: dict[ServiceId, list[KnownServer]] = {}
         self._by_tag: dict[int, KnownServer] = {}
@@ -151,8 +159,13 @@
         """
         events = []
         by_address: dict[str, KnownServer] = {}
+        known = [
+            server
+            for server in self._servers.values()
+            if self._is_known_service(server.entry.service)
+        ]
         ordered = sorted(
-            self._servers.values(),
+            known,
             key=lambda server: (server.added_at_ms, server.entry.started_at_ms),
             reverse=True,
         )
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
@@ -82,8 +82,8 @@
         self.config = config
         self.peers = peers
         self.refresh = refresh
-        self.directory = Directory(config)
         self.routes = RouteTable()
+        self.directory = Directory(config, self.routes.has_service)
         self.flows = FlowTable(config.n_flows_max)
         self.server_selector = ServerSelector(
             config, self.directory, self.routes, peers, rng
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/routes.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/routes.py
@@ -40,6 +40,10 @@
         """Return a service, or None if the configuration does not define it."""
         return self._services.get(service)
 
+    def has_service(self, service: ServiceId) -> bool:
+        """Return whether the configuration defines a service."""
+        return service in self._services
+
     def is_evacuated(self, data_centre: DataCentreId) -> bool:
         """Return whether a data centre is evacuated."""
         return data_centre in self.evacuated_since_ms
--- a/packages/sapphirerail-core/tests/steering/test_directory.py
+++ b/packages/sapphirerail-core/tests/steering/test_directory.py
@@ -120,3 +120,14 @@
     directory.apply([first], STEADY_MS, 1_000)
     assert [s.entry.identity for s in directory.of_service(BOOKINGS)] == [1]
     assert directory.by_tag(server_tag(1)).departed_at_ms is None
+
+
+def test_an_entry_of_an_unknown_service_supersedes_nothing():
+    # It was written by somebody else, and must not cost a live server its flows.
+    directory = Directory(CONFIG, lambda service: service == BOOKINGS)
+    live = server_entry(1, address="10.0.0.1:80")
+    stray = server_entry(2, SKETCHES, address="10.0.0.1:80", started_at_ms=9_000)
+    directory.apply([live], STEADY_MS, 0)
+    directory.apply([live, stray], STEADY_MS, 500)
+    assert [s.entry.identity for s in directory.of_service(BOOKINGS)] == [1]
+    assert directory.by_tag(server_tag(1)).departed_at_ms is None
