Tell changes against each of the last reads, not the oldest only

Cause, found while reading: what came and went within three reads, such as an evacuation, was in no difference to the oldest of them; who had got the update in between noticed by the checksum only, and read the store, all of them at once.

Change: an update has the entries that any of the last three reads lacks. The new test fails without it. The probe of a server is split for readers; no change of behaviour.

--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/store_snapshot.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/store_snapshot.py
@@ -157,17 +157,18 @@
         return zlib.crc32(repr(content).encode())
 
     def changes_since(self, *older: "StoreSnapshot") -> SnapshotChanges:
-        """Return the changes that turn an older snapshot into this one.
+        """Return the changes that turn any of some older snapshots into this one.
 
         Parameters
         ----------
         *older : StoreSnapshot
-            The older snapshot, then those between it and this one, oldest first.
+            Consecutive snapshots before this one, oldest first.
         """
-        base = older[0]
-        servers, gone_servers = _difference(self.servers, base.servers, _server_of)
+        servers, gone_servers = _difference(
+            self.servers, [snapshot.servers for snapshot in older], _server_of
+        )
         instances, gone_instances = _difference(
-            self.instances, base.instances, _instance_of
+            self.instances, [snapshot.instances for snapshot in older], _instance_of
         )
         return SnapshotChanges(
             self._operator_changes(older),
@@ -216,14 +217,15 @@
         self, older: Sequence["StoreSnapshot"]
     ) -> OperatorChanges | None:
         states = [snapshot.operator_state for snapshot in (*older, self)]
-        first, last = states[0], states[-1]
+        last = states[-1]
         steps = tuple(
             ConfigurationChanges.between(before.configuration, after.configuration)
             for before, after in zip(states, states[1:], strict=False)
             if after.configuration is not None
             and _revision_of(before.configuration) != after.configuration.revision
         )
-        if not steps and set(first.evacuated) == set(last.evacuated):
+        evacuated = set(last.evacuated)
+        if not steps and all(set(state.evacuated) == evacuated for state in states):
             return None
         return OperatorChanges(
             last.store_revision, last.change_revision, steps, last.evacuated
@@ -232,15 +234,21 @@
 
 def _difference(
     newer: tuple[EntryT, ...],
-    older: tuple[EntryT, ...],
+    older: Iterable[tuple[EntryT, ...]],
     key_of: Callable[[EntryT], KeyT],
 ) -> tuple[tuple[EntryT, ...], tuple[KeyT, ...]]:
-    """Return the new and changed entries, and the keys of the removed ones."""
-    if newer == older:
-        return (), ()
-    known = {key_of(entry): entry for entry in older}
-    changed = tuple(entry for entry in newer if known.get(key_of(entry)) != entry)
-    return changed, tuple(known.keys() - {key_of(entry) for entry in newer})
+    """Return the entries that any older tuple lacks, and the keys of removed ones."""
+    changed: dict[KeyT, EntryT] = {}
+    gone: set[KeyT] = set()
+    for entries in older:
+        if entries == newer:
+            continue
+        known = {key_of(entry): entry for entry in entries}
+        changed |= {key_of(e): e for e in newer if known.get(key_of(e)) != e}
+        gone |= known.keys()
+    if gone:
+        gone -= {key_of(entry) for entry in newer}
+    return tuple(changed.values()), tuple(gone)
 
 
 def _apply(
--- a/packages/sapphirerail-core/tests/steering/test_store_snapshot.py
+++ b/packages/sapphirerail-core/tests/steering/test_store_snapshot.py
@@ -56,3 +56,21 @@
     newer, older = snapshot(6, {}, {}, o1), snapshot(5, {}, {}, o2)
     result = newer.with_changes(older.changes_since(newer))
     assert result.operator_state == newer.operator_state
+
+
+@settings(derandomize=True, max_examples=200)
+@given(
+    st.lists(st.tuples(SERVERS, INSTANCES, STATES), min_size=3, max_size=3),
+    st.integers(0, 1),
+)
+def test_changes_apply_to_each_of_the_snapshots_that_they_span(contents, position):
+    # A receiver may have got any of the last updates. What came and went between two of
+    # them, such as an evacuation, must end for it too.
+    ordered = sorted(contents, key=lambda content: content[2][0])
+    snapshots = [
+        snapshot(revision, *content) for revision, content in enumerate(ordered, 5)
+    ]
+    newer = snapshots[-1]
+    result = snapshots[position].with_changes(newer.changes_since(*snapshots[:-1]))
+    assert result.digest() == newer.digest()
+    assert set(result.operator_state.evacuated) == set(newer.operator_state.evacuated)
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/packet_service.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/packet_service.py
@@ -128,26 +128,32 @@
 
     async def _probe_server(self, server: KnownServer) -> None:
         """Probe a suspected server and pass the result to the engine."""
-        config, detector = self._engine.config, self._engine.failure_detector
+        detector = self._engine.failure_detector
+        reach = await self._probe(parse_address(server.entry.address))
+        if reach is None:
+            self._metrics.count("probes", "inconclusive")
+            detector.on_inconclusive_probe(server, monotonic_ms())
+        else:
+            self._metrics.count("probes", reach.value)
+            detector.on_probe(server, reach is Reach.REACHED, monotonic_ms())
+        self.log_events()
+
+    async def _probe(self, address: Address) -> Reach | None:
+        """Return how an address answers; None if the probe says nothing about it."""
+        config = self._engine.config
         began_ms = monotonic_ms()
         link_check = asyncio.create_task(self._is_link_up())
         try:
-            reach = await probe(parse_address(server.entry.address), config)
-            is_late = monotonic_ms() - began_ms > (
-                config.probe_timeout_ms + config.probe_delay_max_ms
-            )
-            is_conclusive = reach is not Reach.UNANSWERED or (
-                not is_late and await link_check
-            )
+            reach = await probe(address, config)
+            if reach is not Reach.UNANSWERED:
+                return reach
+            delay_ms = monotonic_ms() - began_ms - config.probe_timeout_ms
+            if delay_ms > config.probe_delay_max_ms:
+                # The timeout was handled late, and so would an answer have been.
+                return None
+            return reach if await link_check else None
         finally:
             link_check.cancel()
-        if is_conclusive:
-            self._metrics.count("probes", reach.value)
-            detector.on_probe(server, reach is Reach.REACHED, monotonic_ms())
-        else:
-            self._metrics.count("probes", "inconclusive")
-            detector.on_inconclusive_probe(server, monotonic_ms())
-        self.log_events()
 
     async def _is_link_up(self) -> bool:
         """Return whether an unanswered probe tells something about its server.
