--- a/bench/steering_path.py
+++ b/bench/steering_path.py
@@ -1,6 +1,7 @@
 """Measures the data path on the users' platform against a plain forwarder."""
 
 import asyncio
+import contextlib
 import logging
 import socket
 import statistics
@@ -14,7 +15,12 @@
 from sapphirerail_node.steering.packet_service import PacketService
 from sapphirerail_standins.packet_endpoints import Flag, Segment, ipv4_number
 from sapphirerail_standins.steering_fleet import SteeringFleet, server_entry
-from sapphirerail_transport.udp import Address, UdpSocket, bind_datagram
+from sapphirerail_transport.udp import (
+    Address,
+    UdpSocket,
+    bind_datagram,
+    format_address,
+)
 
 from .result import Baseline, Figure
 
@@ -73,11 +79,16 @@
 class SteeringForwarder:
     """Forwards packets with the whole data path of a platform entry instance."""
 
-    def __init__(self, server: Address) -> None:
-        address = f"{server[0]}:{server[1]}"
+    def __init__(self, servers: list[Address]) -> None:
         fleet = SteeringFleet()
         fleet.configure()
-        fleet.announce(*(server_entry(n, address=address) for n in range(1, N_SERVERS)))
+        # Each has an address of its own: of two with one address the earlier has ended.
+        fleet.announce(
+            *(
+                server_entry(n, address=format_address(address))
+                for n, address in enumerate(servers, 1)
+            )
+        )
         bound = bind_datagram(ANY_PORT)
         host, port = bound.getsockname()
         self.address = (host, port)
@@ -105,13 +116,14 @@
 
 
 async def _measure_ratio() -> Figure:
-    with (
-        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender,
-        bind_datagram(ANY_PORT) as sink,
-    ):
-        host, port = sink.getsockname()
-        plain_forwarder = PlainForwarder((host, port))
-        steering_forwarder = SteeringForwarder((host, port))
+    with contextlib.ExitStack() as stack:
+        sender = stack.enter_context(socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
+        servers = [
+            stack.enter_context(bind_datagram(ANY_PORT)).getsockname()
+            for _ in range(1, N_SERVERS)
+        ]
+        plain_forwarder = PlainForwarder(servers[0])
+        steering_forwarder = SteeringForwarder(servers)
         plain_per_s: list[float] = []
         steered_per_s: list[float] = []
         for n_round in range(N_ROUNDS):
