Limit bandwidth in the link's stream relay, and skip merges without a change

Found by reading the whole change again. The paced relay of the store's tests was a second stream relay beside TcpRelay: accepting, copying and closing were written anew. Behaviour, bounds and assertions are the same.

--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/store_snapshot.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/store_snapshot.py
@@ -253,11 +253,13 @@
 
 def _apply(
     entries: tuple[EntryT, ...],
-    changed: Iterable[EntryT],
-    gone: Iterable[KeyT],
+    changed: Sequence[EntryT],
+    gone: Sequence[KeyT],
     key_of: Callable[[EntryT], KeyT],
 ) -> tuple[EntryT, ...]:
     """Return the entries with changes applied; the same object if none changed."""
+    if not (changed or gone):
+        return entries
     by_key = {key_of(entry): entry for entry in entries}
     by_key |= {key_of(entry): entry for entry in changed}
     for key in gone:
--- a/packages/sapphirerail-node/tests/platform/test_store.py
+++ b/packages/sapphirerail-node/tests/platform/test_store.py
@@ -4,8 +4,14 @@
 import pytest
 
 from sapphirerail_node.platform.store import HttpPlatformStore
-from sapphirerail_standins.paced_relay import PacedRelay
+from sapphirerail_standins.link_faults import (
+    Direction,
+    FaultRule,
+    FaultRules,
+    LinkFaults,
+)
 from sapphirerail_standins.platform_store import PlatformStoreStandIn
+from sapphirerail_standins.tcp_relay import TcpRelay
 
 CONFIGURATION = {
     "version": 7,
@@ -238,9 +244,13 @@
 
 def run_behind_slow_link(scenario):
     async def through_relay(standin, store):
-        relay = PacedRelay(store.address, SLOW_LINK_BYTES_PER_S)
+        rules = FaultRules(seed=1)
+        faults = LinkFaults(bytes_per_s=SLOW_LINK_BYTES_PER_S)
+        rules.add(FaultRule(direction=Direction.BACK, faults=faults))
+        relay = TcpRelay("store", store.address, rules)
+        address = await relay.start(("127.0.0.1", 0))
         try:
-            await scenario(standin, Reader(HttpPlatformStore(await relay.start())))
+            await scenario(standin, Reader(HttpPlatformStore(address)))
         finally:
             await relay.close()
 
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/link_faults.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/link_faults.py
@@ -29,6 +29,9 @@
         reorders datagrams.
     cut : bool
         Whether everything is dropped.
+    bytes_per_s : float
+        Bandwidth that the streams of a relay share in one direction; 0 for no limit.
+        Datagrams are not limited.
     """
 
     loss_share: float = 0.0
@@ -36,6 +39,7 @@
     delay_ms: float = 0.0
     jitter_ms: float = 0.0
     cut: bool = False
+    bytes_per_s: float = 0.0
 
 
 class FaultRule(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/sapphirerail-standins/src/sapphirerail_standins/tcp_relay.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/tcp_relay.py
@@ -24,7 +24,8 @@
     """Forwards streams to one target.
 
     The fault ``cut`` aborts open connections and refuses new ones; ``delay_ms`` delays
-    each chunk. Loss, duplication and jitter don't apply to a stream.
+    each chunk, and ``bytes_per_s`` limits all streams in one direction together. Loss,
+    duplication and jitter don't apply to a stream.
 
     Parameters
     ----------
@@ -42,6 +43,8 @@
         self._rules = rules
         self._connections: set[_Connection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
+        # When the chunks so far have passed a link of limited bandwidth.
+        self._is_free_at_s = dict.fromkeys(Direction, 0.0)
 
     async def start(self, address: Address) -> Address:
         """Listen on an address and return the bound address."""
@@ -113,6 +116,8 @@
             faults = self._rules.faults(self.name, connection.sender, direction)
             if faults.delay_ms:
                 await asyncio.sleep(faults.delay_ms / 1000)
+            if faults.bytes_per_s:
+                await self._pace(direction, len(chunk) / faults.bytes_per_s)
             if not connection.is_blackholed:
                 writer.write(chunk)
                 await writer.drain()
@@ -121,6 +126,13 @@
             await asyncio.Event().wait()
         await _flush(writer)
 
+    async def _pace(self, direction: Direction, duration_s: float) -> None:
+        """Wait until a chunk has passed behind the earlier ones."""
+        now_s = asyncio.get_running_loop().time()
+        free_at_s = max(now_s, self._is_free_at_s[direction]) + duration_s
+        self._is_free_at_s[direction] = free_at_s
+        await asyncio.sleep(free_at_s - now_s)
+
     async def _wait_until_cut(self, connection: _Connection) -> None:
         while not self._is_cut(connection):
             await asyncio.sleep(CUT_POLL_MS / 1000)
