--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/directory.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/directory.py
@@ -90,7 +90,7 @@
             if server.entry.server not in listed:
                 events += self._on_missing(server, steady_ms, now_ms)
         self._has_missing = len(self._servers) > len(listed)
-        events += self._rebuild_indexes(now_ms)
+        events += self._rebuild_indexes()
         return events
 
     def forget_departed(self, now_ms: int) -> None:
@@ -132,14 +132,11 @@
             ]
         return []
 
-    def _rebuild_indexes(self, now_ms: int) -> list[Event]:
-        events = self._mark_superseded(now_ms)
+    def _rebuild_indexes(self) -> list[Event]:
+        events = self._mark_superseded()
         self._by_service = {}
         # Of two servers with the same tag the older one keeps it, on every instance.
-        ordered = sorted(
-            self._servers.values(),
-            key=lambda server: (server.entry.started_at_ms, server.entry.server),
-        )
+        ordered = sorted(self._servers.values(), key=_seniority)
         assigned: set[ServerTag] = set()
         for server in ordered:
             if server.tag in assigned:
@@ -151,11 +148,13 @@
                 self._by_service.setdefault(server.entry.service, []).append(server)
         return events
 
-    def _mark_superseded(self, now_ms: int) -> list[Event]:
-        """Treat servers as departed whose address a later one has.
+    def _mark_superseded(self) -> list[Event]:
+        """Withhold new flows from servers whose address another one announces.
 
         A server that crashes is listed until its entry expires, and its address may be
-        given to another one before: probes then reach that one.
+        given to another one before: probes then reach that one. This is no evidence of
+        a departure, since an entry tells about its own server only: its open flows stay
+        until its own entry is gone.
         """
         events = []
         by_address: dict[str, KnownServer] = {}
@@ -164,26 +163,31 @@
             for server in self._servers.values()
             if self._is_known_service(server.entry.service)
         ]
-        ordered = sorted(
-            known,
-            key=lambda server: (server.added_at_ms, server.entry.started_at_ms),
-            reverse=True,
-        )
-        for server in ordered:
+        for server in sorted(known, key=_recency, reverse=True):
             latest = by_address.setdefault(server.entry.address, server)
             was_superseded = server.is_superseded
             server.is_superseded = latest is not server
             if server.is_superseded and not was_superseded:
-                server.departed_at_ms = now_ms
                 by = latest.entry.server
                 events.append(
                     _event(StateChange.SERVER_SUPERSEDED, server.entry, by=by)
                 )
-            elif was_superseded and not server.is_superseded:
-                server.departed_at_ms = None
         return events
 
 
+def _seniority(server: KnownServer) -> tuple[bool, int, ServerId]:
+    """Return a key that is lowest for the oldest server; unknown starts are last."""
+    entry = server.entry
+    return entry.started_at_ms == 0, entry.started_at_ms, entry.server
+
+
+def _recency(server: KnownServer) -> tuple[bool, int, int]:
+    """Return a key that is highest for the latest of the servers at one address."""
+    # A server without a known start is not taken for the later one.
+    started_at_ms = server.entry.started_at_ms
+    return started_at_ms > 0, server.added_at_ms, started_at_ms
+
+
 def _event(change: StateChange, entry: ServerEntry, **detail: object) -> Event:
     inputs: dict[str, object] = {
         "service": entry.service,
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/model.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/model.py
@@ -125,7 +125,8 @@
     address : str
         ``address:port`` at which it receives packets.
     started_at_ms : int
-        Unix time of its start; distinguishes incarnations with the same name.
+        Unix time of its start; distinguishes incarnations with the same name. 0 if the
+        entry does not contain it.
     n_slots : int
         Number of requests that it runs concurrently.
     is_draining : bool
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/server_state.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/server_state.py
@@ -72,7 +72,7 @@
         self.tag: ServerTag = server_tag(entry.identity)
         self.health = Health.ANSWERING
         self.added_at_ms = now_ms
-        # Whether a later server has its address, so that this one must have ended.
+        # Whether a later server announces its address: no new flows, but not departed.
         self.is_superseded = False
         self.cold_until_ms = now_ms + entry.cold_ms
         self.forced_cold_until_ms = 0
--- a/packages/sapphirerail-node/src/sapphirerail_node/platform/entries.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/platform/entries.py
@@ -92,12 +92,16 @@
 
 
 class _Server(msgspec.Struct, rename="camel"):
+    """Entry of a server; one that lacks any of the required fields is not its own."""
+
     service: _Name
     address: str
     zone: _Name
+    version: str
     slots: _Count
     state: Literal["ready", "draining"]
-    warmup_left_ms: _Duration = 0
+    warmup_left_ms: _Duration
+    seq_no: int
     # Unix time of the start, in ms; absent from servers that do not publish it.
     born: _Count = 0
 
--- a/packages/sapphirerail-node/tests/platform/test_entries.py
+++ b/packages/sapphirerail-node/tests/platform/test_entries.py
@@ -97,6 +97,8 @@
         {"zone": ["osu"]},
         {"born": "yesterday"},
         {"warmupLeftMs": "soon"},
+        {"version": 1},
+        {"seqNo": "four"},
     ],
 )
 def test_invalid_server_entries_are_rejected(changes):
@@ -104,6 +106,14 @@
         decode_server("i-1", encode(SERVER, **changes))
 
 
+@pytest.mark.parametrize("field", SERVER)
+def test_incomplete_server_entries_are_rejected(field):
+    # Guards against an entry of another writer that took the address of a live server.
+    incomplete = {name: value for name, value in SERVER.items() if name != field}
+    with pytest.raises(InputError, match="server.invalid"):
+        decode_server("i-1", json.dumps(incomplete).encode())
+
+
 @pytest.mark.parametrize("name", ["", "i-", "i-xyz", "i-" + "f" * 17])
 def test_name_without_identity_is_rejected(name):
     with pytest.raises(InputError, match="server.invalid"):
