--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/directory.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/directory.py
@@ -5,9 +5,9 @@
 from ..types import DataCentreId, ServerId, ServiceId
 from .config import SteeringConfig
 from .events import Event, StateChange
-from .model import ServerEntry
+from .model import ServerEntry, UnreadableEntry
 from .server_state import KnownServer
-from .tag import ServerTag
+from .tag import ServerTag, server_tag
 
 __all__ = ["Directory", "KnownServer"]
 
@@ -38,7 +38,9 @@
         # because every packet calls it.
         self.by_tag = self._by_tag.get
         self.entries: tuple[ServerEntry, ...] = ()
-        # Whether some servers have no entry, but have not departed yet.
+        self.unreadable: tuple[UnreadableEntry, ...] = ()
+        self._unreadable_tags: frozenset[ServerTag] = frozenset()
+        # Whether some servers have no valid entry, but have not departed yet.
         self._has_missing = False
 
     def servers(self) -> Iterable[KnownServer]:
@@ -57,8 +59,16 @@
             if server.entry.data_centre == data_centre
         ]
 
+    def has_unreadable_entry(self, tag: int) -> bool:
+        """Return whether an entry that cannot be decoded belongs to a tag's server."""
+        return tag in self._unreadable_tags
+
     def apply(
-        self, entries: Iterable[ServerEntry], steady_ms: int, now_ms: int
+        self,
+        entries: Iterable[ServerEntry],
+        steady_ms: int,
+        now_ms: int,
+        unreadable: tuple[UnreadableEntry, ...] = (),
     ) -> list[Event]:
         """Replace the known servers by a complete read of the store.
 
@@ -71,6 +81,8 @@
             soon after an outage may return.
         now_ms : int
             Time of the read.
+        unreadable : tuple of UnreadableEntry
+            Server entries in the store that cannot be decoded.
 
         Returns
         -------
@@ -79,17 +91,26 @@
         """
         entries = tuple(entries)
         is_unchanged = entries is self.entries or entries == self.entries
-        if is_unchanged and not self._has_missing:
+        if is_unchanged and unreadable == self.unreadable and not self._has_missing:
             return []
         events = []
         self.entries = entries
-        listed = {entry.server: entry for entry in self.entries}
-        for entry in self.entries:
+        self.unreadable = unreadable
+        self._unreadable_tags = frozenset(server_tag(e.identity) for e in unreadable)
+        for entry in entries:
             events += self._apply_entry(entry, now_ms)
+        listed = {entry.server for entry in entries}
+        for unusable in unreadable:
+            listed.add(unusable.server)
+            if unusable.server in self._servers:
+                events += self._on_invalid_entry(self._servers[unusable.server])
         for server in list(self._servers.values()):
             if server.entry.server not in listed:
                 events += self._on_missing(server, steady_ms, now_ms)
-        self._has_missing = len(self._servers) > len(listed)
+        self._has_missing = any(
+            server.missing_since_ms is not None or not server.has_valid_entry
+            for server in self._servers.values()
+        )
         events += self._rebuild_indexes()
         return events
 
@@ -106,15 +127,39 @@
         if known is None:
             self._servers[entry.server] = KnownServer(entry, self._config, now_ms)
             return [_event(StateChange.SERVER_ADDED, entry)]
+        if not self._is_own_entry(entry, known):
+            return self._on_invalid_entry(known)
         if known.entry.started_at_ms != entry.started_at_ms:
             self._servers[entry.server] = KnownServer(entry, self._config, now_ms)
             return [_event(StateChange.SERVER_RESTARTED, entry)]
-        is_changed = known.entry.is_draining != entry.is_draining
+        is_changed = (
+            known.entry.is_draining != entry.is_draining or not known.has_valid_entry
+        )
         known.missing_since_ms = None
+        known.has_valid_entry = True
         if known.entry != entry:
             known.update(entry, now_ms)
         return [_event(StateChange.SERVER_CHANGED, entry)] if is_changed else []
 
+    def _is_own_entry(self, entry: ServerEntry, known: KnownServer) -> bool:
+        """Return whether an entry under a known server's name may be its own.
+
+        A server that publishes its start does so in each entry, and one whose service
+        changes to an unknown one cannot be used.
+        """
+        has_lost_start = known.entry.started_at_ms > 0 and entry.started_at_ms == 0
+        is_same_service = entry.service == known.entry.service
+        is_usable = is_same_service or self._is_known_service(entry.service)
+        return is_usable and not has_lost_start
+
+    def _on_invalid_entry(self, server: KnownServer) -> list[Event]:
+        """Keep a server, without new flows: it has an entry, so it has not departed."""
+        server.missing_since_ms = None
+        if not server.has_valid_entry:
+            return []
+        server.has_valid_entry = False
+        return [_event(StateChange.SERVER_ENTRY_INVALID, server.entry)]
+
     def _on_missing(
         self, server: KnownServer, steady_ms: int, now_ms: int
     ) -> list[Event]:
@@ -144,7 +189,7 @@
                 continue
             assigned.add(server.tag)
             self._by_tag[server.tag] = server
-            if not (server.entry.is_draining or server.is_superseded):
+            if _accepts_flows(server):
                 self._by_service.setdefault(server.entry.service, []).append(server)
         return events
 
@@ -175,6 +220,12 @@
         return events
 
 
+def _accepts_flows(server: KnownServer) -> bool:
+    return server.has_valid_entry and not (
+        server.entry.is_draining or server.is_superseded
+    )
+
+
 def _seniority(server: KnownServer) -> tuple[bool, int, ServerId]:
     """Return a key that is lowest for the oldest server; unknown starts are last."""
     entry = server.entry
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
@@ -15,7 +15,7 @@
 from .flows import Flow, FlowTable
 from .isolation import Isolation
 from .messages import LoadReport, ServerLoad
-from .model import OperatorState, Route, ServerEntry
+from .model import OperatorState, Route, ServerEntry, UnreadableEntry
 from .packet import Packet
 from .peers import Peers
 from .refresh import Refresh
@@ -128,22 +128,30 @@
                 self.server_selector.treat_as_cold(DataCentreId(event.subject), now_ms)
         self._events += events
 
-    def apply_servers(self, entries: Iterable[ServerEntry], now_ms: int) -> None:
-        """Apply a complete read of the server entries."""
+    def apply_servers(
+        self,
+        entries: Iterable[ServerEntry],
+        now_ms: int,
+        unreadable: tuple[UnreadableEntry, ...] = (),
+    ) -> None:
+        """Apply a complete read of the server entries, and of unreadable ones."""
         steady_ms = self.refresh.steady_ms(now_ms)
-        self._events += self.directory.apply(entries, steady_ms, now_ms)
+        self._events += self.directory.apply(entries, steady_ms, now_ms, unreadable)
 
     def store_snapshot(self) -> StoreSnapshot:
         """Return the newest read of the store that this instance knows."""
         return StoreSnapshot(
-            self.routes.state, self.directory.entries, self.peers.registered
+            self.routes.state,
+            self.directory.entries,
+            self.peers.registered,
+            self.directory.unreadable,
         )
 
     def apply_store_snapshot(self, snapshot: StoreSnapshot, now_ms: int) -> None:
         """Apply a read of the store by this instance or another one."""
         self.apply_operator_state(snapshot.operator_state, now_ms)
         self.peers.apply(snapshot.instances, now_ms)
-        self.apply_servers(snapshot.servers, now_ms)
+        self.apply_servers(snapshot.servers, now_ms, snapshot.unreadable_servers)
 
     def apply_load_report(self, report: LoadReport, now_ms: int) -> None:
         """Apply a load report of a peer in the local data centre."""
@@ -361,7 +369,8 @@
             return Drop(Reason.UNCONFIRMED_TAG)
         read_ms = self.refresh.read_at_ms()
         is_steady = self.refresh.steady_ms(now_ms) >= self.config.steady_ms
-        if read_ms is None or read_ms <= seen_ms or not is_steady:
+        is_listed = self.directory.has_unreadable_entry(packet.tag)
+        if is_listed or read_ms is None or read_ms <= seen_ms or not is_steady:
             return Drop(Reason.UNCONFIRMED_TAG)
         return Reset(Reason.UNKNOWN_TAG)
 
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/events.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/events.py
@@ -18,6 +18,7 @@
     SERVER_CHANGED = "server_changed"
     SERVER_RESTARTED = "server_restarted"
     SERVER_MISSING = "server_missing"
+    SERVER_ENTRY_INVALID = "server_entry_invalid"
     SERVER_DEPARTED = "server_departed"
     SERVER_SUSPECTED = "server_suspected"
     SERVER_FAILED = "server_dead"
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/model.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/model.py
@@ -16,6 +16,7 @@
     "ServerEntry",
     "ServiceEntry",
     "Share",
+    "UnreadableEntry",
 ]
 
 
@@ -146,6 +147,23 @@
     cold_ms: int
 
 
+class UnreadableEntry(msgspec.Struct, frozen=True, array_like=True):
+    """Entry of a server that cannot be decoded, and so names no server to use.
+
+    It is no evidence that the server has departed: its open flows stay.
+
+    Parameters
+    ----------
+    server : ServerId
+        Name of the server.
+    identity : int
+        Identity of the server, which its name contains.
+    """
+
+    server: ServerId
+    identity: int
+
+
 class InstanceEntry(msgspec.Struct, frozen=True, array_like=True):
     """Registration of an entry instance: the address at which peers reach it."""
 
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/server_state.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/server_state.py
@@ -56,6 +56,7 @@
         "departed_at_ms",
         "entry",
         "forced_cold_until_ms",
+        "has_valid_entry",
         "health",
         "is_probe_in_flight",
         "is_superseded",
@@ -72,6 +73,9 @@
         self.tag: ServerTag = server_tag(entry.identity)
         self.health = Health.ANSWERING
         self.added_at_ms = now_ms
+        # Whether the store has an entry that names this server; if what is under its
+        # name cannot be used, the last valid one stays in `entry`.
+        self.has_valid_entry = True
         # Whether a later server announces its address: no new flows, but not departed.
         self.is_superseded = False
         self.cold_until_ms = now_ms + entry.cold_ms
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/store_snapshot.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/store_snapshot.py
@@ -15,6 +15,7 @@
     Route,
     ServerEntry,
     ServiceEntry,
+    UnreadableEntry,
 )
 from .packet import ServiceAddress
 
@@ -124,6 +125,8 @@
         New and changed entries.
     gone_instances : tuple of InstanceId
         Instances that are no longer registered.
+    unreadable_servers : tuple of UnreadableEntry
+        Entries that can no longer be decoded.
     """
 
     operator: OperatorChanges | None = None
@@ -131,19 +134,23 @@
     gone_servers: tuple[ServerId, ...] = ()
     instances: tuple[InstanceEntry, ...] = ()
     gone_instances: tuple[InstanceId, ...] = ()
+    unreadable_servers: tuple[UnreadableEntry, ...] = ()
 
     def is_empty(self) -> bool:
         """Return whether nothing changed."""
-        lists = (self.servers, self.gone_servers, self.instances, self.gone_instances)
-        return self.operator is None and not any(lists)
+        return self == SnapshotChanges()
 
 
 class StoreSnapshot(msgspec.Struct, frozen=True):
-    """Contents of the store as of one read, or as received from other instances."""
+    """Contents of the store as of one read, or as received from other instances.
+
+    A server has at most one entry, in `servers` or in `unreadable_servers`.
+    """
 
     operator_state: OperatorState
     servers: tuple[ServerEntry, ...]
     instances: tuple[InstanceEntry, ...]
+    unreadable_servers: tuple[UnreadableEntry, ...] = ()
 
     def digest(self) -> int:
         """Return a checksum of the state that must agree on all instances."""
@@ -153,6 +160,7 @@
             sorted(state.evacuated),
             _sum_servers(self.servers),
             _sum_instances(self.instances),
+            sorted(entry.server for entry in self.unreadable_servers),
         )
         return zlib.crc32(repr(content).encode())
 
@@ -170,12 +178,21 @@
         instances, gone_instances = _difference(
             self.instances, [snapshot.instances for snapshot in older], _instance_of
         )
+        unreadable, not_unreadable = _difference(
+            self.unreadable_servers,
+            [snapshot.unreadable_servers for snapshot in older],
+            _server_of,
+        )
+        if not_unreadable:
+            listed = {entry.server for entry in self.servers}
+            gone_servers = tuple({*gone_servers, *not_unreadable} - listed)
         return SnapshotChanges(
             self._operator_changes(older),
             servers,
             gone_servers,
             instances,
             gone_instances,
+            unreadable,
         )
 
     def with_changes(self, changes: SnapshotChanges) -> "StoreSnapshot":
@@ -184,15 +201,29 @@
         An older operators' state is ignored, and one that this snapshot's configuration
         is no base for. The entries are the same object if none of them changed.
         """
+        # The entry of a server may be gone from one list and listed in the other one.
+        readable = [entry.server for entry in changes.servers]
+        unreadable = [entry.server for entry in changes.unreadable_servers]
         return StoreSnapshot(
             self._changed_operator_state(changes.operator),
-            _apply(self.servers, changes.servers, changes.gone_servers, _server_of),
+            _apply(
+                self.servers,
+                changes.servers,
+                (*changes.gone_servers, *unreadable),
+                _server_of,
+            ),
             _apply(
                 self.instances,
                 changes.instances,
                 changes.gone_instances,
                 _instance_of,
             ),
+            _apply(
+                self.unreadable_servers,
+                changes.unreadable_servers,
+                (*changes.gone_servers, *readable),
+                _server_of,
+            ),
         )
 
     def _changed_operator_state(self, changes: OperatorChanges | None) -> OperatorState:
@@ -261,14 +292,16 @@
     if not (changed or gone):
         return entries
     by_key = {key_of(entry): entry for entry in entries}
-    by_key |= {key_of(entry): entry for entry in changed}
+    newer = {key_of(entry): entry for entry in changed}
+    by_key |= newer
     for key in gone:
-        by_key.pop(key, None)
+        if key not in newer:
+            by_key.pop(key, None)
     result = tuple(by_key.values())
     return entries if result == entries else result
 
 
-def _server_of(entry: ServerEntry) -> ServerId:
+def _server_of(entry: ServerEntry | UnreadableEntry) -> ServerId:
     return entry.server
 
 
--- a/packages/sapphirerail-core/tests/steering/test_directory.py
+++ b/packages/sapphirerail-core/tests/steering/test_directory.py
@@ -2,6 +2,7 @@
 
 from sapphirerail_core.steering import StateChange, SteeringConfig
 from sapphirerail_core.steering.directory import Directory
+from sapphirerail_core.steering.model import UnreadableEntry
 from sapphirerail_core.steering.tag import server_tag
 from sapphirerail_standins.steering_fleet import BOOKINGS, SKETCHES, server_entry
 
@@ -162,3 +163,60 @@
     directory.apply([same_tag, live, same_address], STEADY_MS, 500)
     assert directory.by_tag(server_tag(7)).entry == live
     assert [s.entry for s in directory.of_service(BOOKINGS)] == [live]
+
+
+def test_a_server_whose_entry_is_unreadable_keeps_its_flows_and_gets_no_new_ones():
+    # Guards against resets of a live server's flows while bytes of somebody else stand
+    # in place of its entry, as an unreadable entry counted as a deleted one.
+    live = server_entry(1)
+    unreadable = (UnreadableEntry(live.server, live.identity),)
+    directory = directory_of(live, server_entry(2))
+    for now_ms in (500, 1_000):
+        events = directory.apply([server_entry(2)], STEADY_MS, now_ms, unreadable)
+        is_first = now_ms == 500
+        assert state_changes(events) == [StateChange.SERVER_ENTRY_INVALID] * is_first
+        assert directory.by_tag(server_tag(1)).entry == live
+        assert directory.by_tag(server_tag(1)).departed_at_ms is None
+        assert [s.entry.identity for s in directory.of_service(BOOKINGS)] == [2]
+    events = directory.apply([live, server_entry(2)], STEADY_MS, 1_500)
+    assert state_changes(events) == [StateChange.SERVER_CHANGED]
+    assert len(directory.of_service(BOOKINGS)) == 2
+
+
+def test_a_server_with_an_unreadable_entry_departs_once_that_is_removed():
+    live = server_entry(1)
+    directory = directory_of(live)
+    directory.apply([], STEADY_MS, 500, (UnreadableEntry(live.server, live.identity),))
+    events = directory.apply([], STEADY_MS, 1_000)
+    assert state_changes(events) == [StateChange.SERVER_DEPARTED]
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [{"service": SKETCHES}, {"started_at_ms": 0}, {"service": SKETCHES, "n_slots": 9}],
+)
+def test_an_entry_that_is_not_its_own_leaves_a_server_at_its_address(changes):
+    # Guards against packets of open flows that go to the address in an entry that
+    # somebody else wrote under the name of a live server.
+    known_services = {BOOKINGS}
+    directory = Directory(CONFIG, known_services.__contains__)
+    live = server_entry(1, address="10.0.0.1:80")
+    stray = server_entry(1, **({"address": "10.0.0.2:80"} | changes))
+    directory.apply([live], STEADY_MS, 0)
+    for now_ms in (500, 1_000):
+        directory.apply([stray], STEADY_MS, now_ms)
+        assert directory.by_tag(server_tag(1)).entry == live
+        assert list(directory.of_service(BOOKINGS)) == []
+    directory.apply([live], STEADY_MS, 1_500)
+    assert [s.entry for s in directory.of_service(BOOKINGS)] == [live]
+
+
+def test_a_server_of_a_service_that_becomes_known_later_is_used_from_then_on():
+    known_services = {BOOKINGS}
+    directory = Directory(CONFIG, known_services.__contains__)
+    directory.apply([server_entry(1)], STEADY_MS, 0)
+    moved = server_entry(1, SKETCHES, started_at_ms=9_000)
+    directory.apply([moved], STEADY_MS, 500)
+    known_services.add(SKETCHES)
+    directory.apply([moved], STEADY_MS, 1_000)
+    assert [s.entry for s in directory.of_service(SKETCHES)] == [moved]
--- a/packages/sapphirerail-core/tests/steering/test_engine.py
+++ b/packages/sapphirerail-core/tests/steering/test_engine.py
@@ -11,7 +11,12 @@
     StateChange,
     SteeringConfig,
 )
-from sapphirerail_core.steering.model import RequestKind, Route, Share
+from sapphirerail_core.steering.model import (
+    RequestKind,
+    Route,
+    Share,
+    UnreadableEntry,
+)
 from sapphirerail_core.steering.tag import server_tag
 from sapphirerail_standins.steering_fleet import (
     BOOKINGS,
@@ -455,6 +460,21 @@
     assert fleet.send(later_packet(1, tag)) == Reset(Reason.UNKNOWN_TAG)
 
 
+def test_a_tag_whose_server_has_an_unreadable_entry_is_not_reset(fleet):
+    # Guards against resets of a live server's flows by an instance that started while
+    # the server's entry was unreadable, and so has never known its address.
+    fleet.announce()
+    unreadable = (UnreadableEntry(server_entry(9).server, 9),)
+    packet = later_packet(1, server_tag(9))
+    for _ in range(3):
+        fleet.advance(CONFIG.steady_ms)
+        fleet.engine.refresh.on_read(fleet.now_ms, fleet.now_ms)
+        fleet.engine.apply_servers([], fleet.now_ms, unreadable)
+        assert fleet.send(packet) == Drop(Reason.UNCONFIRMED_TAG)
+    fleet.announce(server_entry(9))
+    assert isinstance(fleet.send(packet), Forward)
+
+
 def test_after_an_outage_of_the_store_an_unknown_tag_is_not_reset(fleet):
     tag = server_tag(0xABCDEF)
     fleet.send(later_packet(1, tag))
--- a/packages/sapphirerail-core/tests/steering/test_store_snapshot.py
+++ b/packages/sapphirerail-core/tests/steering/test_store_snapshot.py
@@ -1,12 +1,19 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from sapphirerail_core.steering.model import InstanceEntry, OperatorState
+from sapphirerail_core.steering.model import (
+    InstanceEntry,
+    OperatorState,
+    UnreadableEntry,
+)
 from sapphirerail_core.steering.store_snapshot import StoreSnapshot
 from sapphirerail_standins.steering_fleet import configuration, server_entry
 
+# None stands for an entry that cannot be decoded.
 SERVERS = st.dictionaries(
-    st.integers(1, 8), st.tuples(st.booleans(), st.sampled_from([0, 500])), max_size=8
+    st.integers(1, 8),
+    st.none() | st.tuples(st.booleans(), st.sampled_from([0, 500])),
+    max_size=8,
 )
 INSTANCES = st.dictionaries(st.integers(1, 6), st.integers(1, 3), max_size=6)
 STATES = st.tuples(st.integers(1, 4), st.frozensets(st.sampled_from(["osu", "tema"])))
@@ -18,13 +25,19 @@
             store_revision, 1, configuration(state[0]), tuple(sorted(state[1]))
         ),
         tuple(
-            server_entry(n, is_draining=drains, cold_ms=cold_ms)
-            for n, (drains, cold_ms) in servers.items()
+            server_entry(n, is_draining=fields[0], cold_ms=fields[1])
+            for n, fields in servers.items()
+            if fields is not None
         ),
         tuple(
             InstanceEntry(f"i-{n}", "osu", f"10.0.0.{host}:1")
             for n, host in instances.items()
         ),
+        tuple(
+            UnreadableEntry(server_entry(n).server, n)
+            for n, fields in servers.items()
+            if fields is None
+        ),
     )
 
 
@@ -37,6 +50,7 @@
     assert result.digest() == newer.digest()
     assert set(result.servers) == set(newer.servers)
     assert set(result.instances) == set(newer.instances)
+    assert set(result.unreadable_servers) == set(newer.unreadable_servers)
     assert result.with_changes(changes) == result
     assert newer.changes_since(newer).is_empty()
 
@@ -74,3 +88,5 @@
     result = snapshots[position].with_changes(newer.changes_since(*snapshots[:-1]))
     assert result.digest() == newer.digest()
     assert set(result.operator_state.evacuated) == set(newer.operator_state.evacuated)
+    assert set(result.servers) == set(newer.servers)
+    assert set(result.unreadable_servers) == set(newer.unreadable_servers)
--- a/packages/sapphirerail-node/src/sapphirerail_node/platform/entries.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/platform/entries.py
@@ -25,6 +25,7 @@
     "MalformedPart",
     "decode_configuration",
     "decode_server",
+    "parse_identity",
 ]
 
 _N_IDENTITIES = 2**64
@@ -276,7 +277,7 @@
     try:
         entry = msgspec.json.decode(value, type=_Server)
         check_address(entry.address)
-        identity = _parse_identity(name)
+        identity = parse_identity(name)
     except _DECODING_ERRORS as error:
         raise InputError("server.invalid", f"{name}: {error}") from error
     return ServerEntry(
@@ -292,7 +293,8 @@
     )
 
 
-def _parse_identity(name: str) -> int:
+def parse_identity(name: str) -> int:
+    """Return a server's identity, or raise `ValueError` if its name has none."""
     identity = int(name.rpartition("-")[2], 16)
     if not 0 <= identity < _N_IDENTITIES:
         raise ValueError("the identity must have at most 16 hexadecimal digits")
--- a/packages/sapphirerail-node/src/sapphirerail_node/platform/items.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/platform/items.py
@@ -1,6 +1,7 @@
 """Applies items of the platform's store to a snapshot, as far as they are readable."""
 
 import base64
+import contextlib
 import logging
 import time
 from collections import Counter
@@ -14,12 +15,13 @@
     InstanceEntry,
     OperatorState,
     ServerEntry,
+    UnreadableEntry,
 )
 from sapphirerail_core.steering.store_snapshot import SnapshotChanges, StoreSnapshot
 from sapphirerail_core.types import DataCentreId, InstanceId, ServerId
 from sapphirerail_transport.udp import check_address
 
-from .entries import decode_configuration, decode_server
+from .entries import decode_configuration, decode_server, parse_identity
 
 __all__ = ["INSTANCE_PREFIX", "ItemReader", "StoreItem"]
 
@@ -79,7 +81,7 @@
         self._configuration = state.configuration
         self._evacuated = dict.fromkeys(state.evacuated)
         self._known = known
-        self._servers: dict[str, ServerEntry | None] = {}
+        self._servers: dict[str, ServerEntry | UnreadableEntry | None] = {}
         self._instances: dict[str, InstanceEntry | None] = {}
         self.n_malformed: Counter[str] = Counter()
 
@@ -107,14 +109,17 @@
 
     def snapshot(self, store_revision: int) -> StoreSnapshot:
         """Return the contents of the store after the changes."""
-        servers, gone_servers = _split(self._servers)
+        listed, gone_servers = _split(self._servers)
         instances, gone_instances = _split(self._instances)
         changed = self._known.with_changes(
             SnapshotChanges(
-                servers=tuple(servers),
+                servers=tuple(e for e in listed if isinstance(e, ServerEntry)),
                 gone_servers=tuple(ServerId(name) for name in gone_servers),
                 instances=tuple(instances),
                 gone_instances=tuple(InstanceId(name) for name in gone_instances),
+                unreadable_servers=tuple(
+                    e for e in listed if isinstance(e, UnreadableEntry)
+                ),
             )
         )
         state = OperatorState(
@@ -123,16 +128,21 @@
             self._configuration,
             tuple(self._evacuated),
         )
-        return StoreSnapshot(state, changed.servers, changed.instances)
+        return msgspec.structs.replace(changed, operator_state=state)
 
-    def _decode_server(self, name: str, item: StoreItem) -> ServerEntry | None:
+    def _decode_server(
+        self, name: str, item: StoreItem
+    ) -> ServerEntry | UnreadableEntry | None:
         if item.deleted:
             return None
         try:
             return decode_server(name, _decode_value(item))
         except InputError as error:
             self._on_malformed("server", item.key, str(error), "nothing")
-            return None
+        with contextlib.suppress(ValueError):
+            return UnreadableEntry(ServerId(name), parse_identity(name))
+        # Without an identity in its name, it belongs to no server.
+        return None
 
     def _decode_instance(self, item: StoreItem) -> InstanceEntry | None:
         if item.deleted:
--- a/packages/sapphirerail-node/tests/platform/test_store.py
+++ b/packages/sapphirerail-node/tests/platform/test_store.py
@@ -3,6 +3,8 @@
 
 import pytest
 
+from sapphirerail_core.steering import Forward
+from sapphirerail_core.steering.packet import ServiceAddress
 from sapphirerail_node.platform.store import HttpPlatformStore
 from sapphirerail_standins.link_faults import (
     Direction,
@@ -11,6 +13,7 @@
     LinkFaults,
 )
 from sapphirerail_standins.platform_store import PlatformStoreStandIn
+from sapphirerail_standins.steering_fleet import SteeringFleet, later_packet
 from sapphirerail_standins.tcp_relay import TcpRelay
 
 CONFIGURATION = {
@@ -133,6 +136,78 @@
     run_scenario(scenario)
 
 
+def test_an_unreadable_entry_of_a_server_is_not_taken_for_a_removed_one():
+    # Guards against resets of a live server's flows: bytes of another writer in place
+    # of its entry were read as its removal.
+    async def scenario(standin, store):
+        reader = Reader(store)
+        await standin.put("op/config", CONFIGURATION)
+        await standin.put("servers/i-00000001", SERVER)
+        await standin.put("servers/nobody", b"not an entry")
+        await reader.read()
+        assert reader.snapshot.unreadable_servers == ()
+        await standin.put("servers/i-00000001", b"\xff\x00 not an entry")
+        for newest in (await reader.read(), await store.read(None, 0)):
+            assert newest.snapshot.servers == ()
+            (unreadable,) = newest.snapshot.unreadable_servers
+            assert (unreadable.server, unreadable.identity) == ("i-00000001", 1)
+        await standin.put("servers/i-00000001", SERVER)
+        await reader.read()
+        assert len(reader.snapshot.servers) == 1
+        assert reader.snapshot.unreadable_servers == ()
+        await standin.put("servers/i-00000001", b"not an entry")
+        await reader.read()
+        await standin.remove("servers/i-00000001")
+        await reader.read()
+        assert reader.snapshot.servers == reader.snapshot.unreadable_servers == ()
+
+    run_scenario(scenario)
+
+
+STRAY_ENTRIES = {
+    "unreadable": b"\xff\x00 not an entry",
+    "without_required_fields": {
+        name: SERVER[name] for name in ("service", "address", "zone", "slots", "state")
+    },
+    "of_unknown_state": SERVER | {"state": "resting"},
+    "of_unknown_service": SERVER | {"service": "elsewhere", "address": "10.0.0.8:80"},
+    "of_other_types": SERVER | {"version": 1, "slots": "two"},
+    "without_start": {name: SERVER[name] for name in SERVER if name != "born"},
+}
+
+
+@pytest.mark.parametrize("name", ["i-00000001", "i-00000009", "x-00000001"])
+@pytest.mark.parametrize("stray", STRAY_ENTRIES)
+def test_no_entry_of_another_writer_resets_the_flow_of_a_live_server(name, stray):
+    # Guards against an entry that counts as the departure of a live server, under its
+    # own name or beside it.
+    async def scenario(standin, store):
+        fleet = SteeringFleet()
+        engine = fleet.engine
+        reader = Reader(store)
+
+        async def read():
+            fleet.advance(500)
+            snapshot = (await reader.read()).snapshot
+            state = snapshot.operator_state
+            engine.refresh.on_read(state.store_revision, fleet.now_ms)
+            engine.apply_store_snapshot(snapshot, fleet.now_ms)
+
+        await standin.put("op/config", CONFIGURATION)
+        await standin.put("servers/i-00000001", SERVER)
+        await read()
+        feed = ServiceAddress(0xC6120001 << 16 | 8443)
+        tag = fleet.open(1, feed)
+        await standin.put(f"servers/{name}", STRAY_ENTRIES[stray])
+        for _ in range(10):
+            await read()
+            action = fleet.send(later_packet(1, tag, feed))
+            assert isinstance(action, Forward), action
+            assert action.server.entry.address == SERVER["address"]
+
+    run_scenario(scenario)
+
+
 def test_an_entry_that_was_removed_and_written_again_is_there():
     async def scenario(standin, store):
         reader = Reader(store)
