--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/engine.py
@@ -122,12 +122,21 @@
 
     def apply_operator_state(self, state: OperatorState, now_ms: int) -> None:
         """Apply a read of the operators' state."""
-        events = self.routes.apply(state, now_ms)
+        self._on_operator_events(self.routes.apply(state, now_ms), now_ms)
+
+    def _on_operator_events(self, events: list[Event], now_ms: int) -> None:
         for event in events:
             if event.change is StateChange.DATA_CENTRE_BACK:
                 self.server_selector.treat_as_cold(DataCentreId(event.subject), now_ms)
         self._events += events
 
+    def apply_evacuations(
+        self, evacuated: tuple[DataCentreId, ...], store_revision: int, now_ms: int
+    ) -> None:
+        """Apply the list of all evacuated data centres as of a store revision."""
+        events = self.routes.apply_evacuations(evacuated, store_revision, now_ms)
+        self._on_operator_events(events, now_ms)
+
     def apply_servers(
         self,
         entries: Iterable[ServerEntry],
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/model.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/model.py
@@ -97,11 +97,11 @@
     store_revision : int
         Store revision up to which this state is complete.
     change_revision : int
-        Store revision of the newest change included.
+        Store revision of the newest change up to there.
     configuration : Configuration or None
         Newest configuration; None before the first.
     evacuated : tuple of DataCentreId
-        Evacuated data centres.
+        Evacuated data centres, as of `store_revision` or later.
     """
 
     store_revision: int
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/routes.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/routes.py
@@ -2,6 +2,8 @@
 
 import random
 
+import msgspec
+
 from ..types import DataCentreId, Revision, ServiceId
 from .events import Event, StateChange
 from .model import Configuration, OperatorState, Route, ServiceEntry
@@ -25,6 +27,7 @@
         self.removed: set[ServiceAddress] = set()
         self._services: dict[ServiceId, ServiceEntry] = {}
         self.evacuated_since_ms: dict[DataCentreId, int] = {}
+        self._evacuation_revision = 0
 
     @property
     def revision(self) -> Revision:
@@ -63,12 +66,44 @@
             configuration = current
         elif current is None or configuration.revision > current.revision:
             events.append(self._replace_configuration(configuration))
-        events += self._apply_evacuations(state.evacuated, now_ms)
         self.state = OperatorState(
             state.store_revision,
             max(state.change_revision, self.state.change_revision),
             configuration,
-            tuple(self.evacuated_since_ms),
+            self.state.evacuated,
+        )
+        return events + self.apply_evacuations(
+            state.evacuated, state.store_revision, now_ms
+        )
+
+    def apply_evacuations(
+        self, evacuated: tuple[DataCentreId, ...], store_revision: int, now_ms: int
+    ) -> list[Event]:
+        """Apply the list of all evacuated data centres; ignores an older one.
+
+        The list is in force even if the configuration of that revision is not known
+        yet. So this does not change the revision up to which the state is complete.
+
+        Parameters
+        ----------
+        evacuated : tuple of DataCentreId
+            All evacuated data centres.
+        store_revision : int
+            Store revision of the list.
+        now_ms : int
+            Current time.
+
+        Returns
+        -------
+        list of Event
+            The detected changes.
+        """
+        if store_revision < self._evacuation_revision:
+            return []
+        self._evacuation_revision = store_revision
+        events = self._replace_evacuations(evacuated, now_ms)
+        self.state = msgspec.structs.replace(
+            self.state, evacuated=tuple(self.evacuated_since_ms)
         )
         return events
 
@@ -88,7 +123,7 @@
             StateChange.CONFIGURATION_APPLIED, str(configuration.revision), detail
         )
 
-    def _apply_evacuations(
+    def _replace_evacuations(
         self, evacuated: tuple[DataCentreId, ...], now_ms: int
     ) -> list[Event]:
         events = []
--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/store_snapshot.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/store_snapshot.py
@@ -102,12 +102,16 @@
         can start at any of them.
     evacuated : tuple of DataCentreId
         All evacuated data centres.
+    configuration_revision : Revision or None
+        Revision of the newer state's configuration, also if it is none of
+        `configurations`; None from a sender that does not tell it.
     """
 
     store_revision: int
     change_revision: int
     configurations: tuple[ConfigurationChanges, ...]
     evacuated: tuple[DataCentreId, ...]
+    configuration_revision: Revision | None = None
 
 
 class SnapshotChanges(msgspec.Struct, frozen=True):
@@ -198,8 +202,9 @@
     def with_changes(self, changes: SnapshotChanges) -> "StoreSnapshot":
         """Return a copy with changes applied.
 
-        An older operators' state is ignored, and one that this snapshot's configuration
-        is no base for. The entries are the same object if none of them changed.
+        An older operators' state is ignored, and one whose configuration cannot be
+        derived from this snapshot's: the result would claim a store revision without
+        everything up to it. The entries are the same object if none of them changed.
         """
         # The entry of a server may be gone from one list and listed in the other one.
         readable = [entry.server for entry in changes.servers]
@@ -234,8 +239,8 @@
         for step in changes.configurations:
             if step.base_revision == _revision_of(configuration):
                 configuration = step.apply_to(configuration)
-        newest = changes.configurations[-1:]
-        if newest and newest[0].revision > _revision_of(configuration):
+        newest = changes.configuration_revision
+        if newest is None or newest > _revision_of(configuration):
             return state
         return OperatorState(
             changes.store_revision,
@@ -259,7 +264,11 @@
         if not steps and all(set(state.evacuated) == evacuated for state in states):
             return None
         return OperatorChanges(
-            last.store_revision, last.change_revision, steps, last.evacuated
+            last.store_revision,
+            last.change_revision,
+            steps,
+            last.evacuated,
+            _revision_of(last.configuration),
         )
 
 
--- a/packages/sapphirerail-core/tests/steering/test_routes.py
+++ b/packages/sapphirerail-core/tests/steering/test_routes.py
@@ -65,6 +65,24 @@
     assert not table.is_evacuated("osu")
 
 
+def test_evacuations_that_are_known_ahead_stay_and_do_not_move_the_revision():
+    # Guards against a revision that claims a configuration which was not applied, and
+    # against an evacuation that a read from before it ends again.
+    table = RouteTable()
+    table.apply(state(10), 0)
+    table.apply_evacuations(("osu",), 20, 100)
+    assert table.state.store_revision == 10
+    table.apply(state(15, revision=2), 200)
+    assert table.revision == 2
+    assert table.state.store_revision == 15
+    assert table.is_evacuated("osu")
+    assert table.state.evacuated == ("osu",)
+    table.apply_evacuations((), 19, 300)
+    assert table.is_evacuated("osu")
+    table.apply(state(21, revision=2), 400)
+    assert not table.is_evacuated("osu")
+
+
 def test_new_flows_are_split_by_weight():
     route = Route(
         FEED, "feed", RequestKind.SAFE, (Share(BOOKINGS, 90), Share(SKETCHES, 10))
--- a/packages/sapphirerail-core/tests/steering/test_store_snapshot.py
+++ b/packages/sapphirerail-core/tests/steering/test_store_snapshot.py
@@ -90,3 +90,24 @@
     assert set(result.operator_state.evacuated) == set(newer.operator_state.evacuated)
     assert set(result.servers) == set(newer.servers)
     assert set(result.unreadable_servers) == set(newer.unreadable_servers)
+
+
+@settings(derandomize=True, max_examples=200)
+@given(STATES, st.lists(STATES, min_size=2, max_size=4))
+def test_a_state_that_claims_a_revision_has_all_changes_up_to_it(known, told):
+    # Guards against a receiver that takes the revision of an update without having the
+    # configuration from before the changes in it.
+    snapshots = [
+        snapshot(revision, {}, {}, state)
+        for revision, state in enumerate(sorted(told, key=lambda s: s[0]), 5)
+    ]
+    receiver = snapshot(2, {}, {}, known)
+    newer = snapshots[-1].operator_state
+    result = receiver.with_changes(
+        snapshots[-1].changes_since(*snapshots[:-1])
+    ).operator_state
+    if result.store_revision == newer.store_revision:
+        assert result.configuration.revision >= newer.configuration.revision
+        assert set(result.evacuated) == set(newer.evacuated)
+    else:
+        assert result == receiver.operator_state
--- a/packages/sapphirerail-node/src/sapphirerail_node/steering/peer_service.py
+++ b/packages/sapphirerail-node/src/sapphirerail_node/steering/peer_service.py
@@ -218,6 +218,10 @@
             snapshot = snapshot.with_changes(changes)
             # The engine ignores an older state, so this is safe in any order.
             engine.apply_operator_state(snapshot.operator_state, now_ms)
+            if (operator := changes.operator) is not None:
+                engine.apply_evacuations(
+                    operator.evacuated, operator.store_revision, now_ms
+                )
         self._check_operator_revision(message.operator_revision)
         refresh = engine.refresh
         if snapshot.digest() != message.digest:
