Ignore a read that is older than an update during it

A read whose result comes after an update with a higher revision was applied if the update's read had begun earlier, as Refresh compared the beginnings only; servers and instances were then set back to the older revision, a drain included, until the next read. A lower revision is taken only if the known one was there before the read began: then it was not true, as before.

test_a_read_that_is_older_than_an_update_during_it_is_not_applied fails on the code before. Not seen in a run of the system; the window is as long as a read.

--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/refresh.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/refresh.py
@@ -59,6 +59,7 @@
     def __init__(self, config: RefreshConfig, now_ms: int) -> None:
         self.config = config
         self._read_at_ms: int | None = None
+        self._updated_at_ms: int | None = None
         self._steady_since_ms = now_ms
         # End of the last time without any news, in which this instance and servers near
         # it may have been cut off together.
@@ -133,7 +134,7 @@
         -------
         bool
             Whether its result is to be applied: false if the result of another
-            instance's later read arrived meanwhile.
+            instance's later read, or one with a higher revision, arrived meanwhile.
         """
         if self._n_failures:
             self._steady_since_ms = began_ms
@@ -142,13 +143,18 @@
         self._is_read_requested = False
         if self._read_at_ms is not None and self._read_at_ms > began_ms:
             return False
+        if store_revision < self.store_revision and self._was_updated_since(began_ms):
+            return False
         self._note_gap(began_ms)
-        # Also if the revision is lower: the known one was not true, as reads of the
-        # store are linearizable.
+        # Also if the revision is lower: one that was known before was not true, as
+        # reads of the store are linearizable.
         self.store_revision = store_revision
         self._read_at_ms = began_ms
         return True
 
+    def _was_updated_since(self, began_ms: int) -> bool:
+        return self._updated_at_ms is not None and self._updated_at_ms >= began_ms
+
     def on_failure(self, now_ms: int) -> None:
         """Record a failed read."""
         self._failed_at_ms = now_ms
@@ -166,6 +172,7 @@
         self._note_gap(now_ms)
         self.store_revision = store_revision
         self._read_at_ms = began_ms
+        self._updated_at_ms = now_ms
         self._is_read_requested = False
         self._steady_since_ms = began_ms - steady_ms
         return True
--- a/packages/sapphirerail-core/tests/steering/test_refresh.py
+++ b/packages/sapphirerail-core/tests/steering/test_refresh.py
@@ -83,6 +83,17 @@
     assert refresh.wait_ms(0, 0, 1_990) == CONFIG.interval_ms
 
 
+def test_a_read_that_is_older_than_an_update_during_it_is_not_applied():
+    # Guards against servers and instances that are set back to an older revision: the
+    # other instance's read began before this one, but took effect after it.
+    refresh = Refresh(CONFIG, 0)
+    refresh.on_read(5, 1_000)
+    assert refresh.on_update(9, 600, 9_000, 2_300)
+    assert not refresh.on_read(8, 1_800)
+    assert refresh.store_revision == 9
+    assert refresh.on_read(9, 2_301)
+
+
 def test_an_own_read_corrects_a_revision_that_the_store_never_had():
     refresh = Refresh(CONFIG, 0)
     assert refresh.on_update(2**62, 0, 9_000, 1_000)
