Cover all that steering uses of a server by the checksum of updates

The checksum left out the service, the data centre and the slots of a server, so that an instance that had missed the three updates with such a change took the revision after it and would not have learned of it before the entry's next change.

test_servers_that_differ_in_what_steering_uses_have_other_checksums fails on the code before for these three fields.

--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/store_snapshot.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/store_snapshot.py
@@ -349,7 +349,18 @@
         return checksum
 
 
+# All that steering uses: a receiver whose checksum matches takes the sender's revision.
+# The time that a server stays cold runs down in between.
 _sum_servers: _Checksum[ServerEntry] = _Checksum(
-    lambda e: (e.server, e.started_at_ms, e.address, e.is_draining, e.cold_ms > 0)
+    lambda e: (
+        e.server,
+        e.service,
+        e.data_centre,
+        e.address,
+        e.started_at_ms,
+        e.n_slots,
+        e.is_draining,
+        e.cold_ms > 0,
+    )
 )
 _sum_instances: _Checksum[InstanceEntry] = _Checksum(lambda e: (e.instance, e.address))
--- a/packages/sapphirerail-core/tests/steering/test_store_snapshot.py
+++ b/packages/sapphirerail-core/tests/steering/test_store_snapshot.py
@@ -1,3 +1,5 @@
+import msgspec
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -7,7 +9,7 @@
     UnreadableEntry,
 )
 from sapphirerail_core.steering.store_snapshot import StoreSnapshot
-from sapphirerail_standins.steering_fleet import configuration, server_entry
+from sapphirerail_standins.steering_fleet import SKETCHES, configuration, server_entry
 
 # None stands for an entry that cannot be decoded.
 SERVERS = st.dictionaries(
@@ -64,6 +66,28 @@
     )
 
 
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"service": SKETCHES},
+        {"data_centre": "tema"},
+        {"address": "10.0.0.9:1"},
+        {"started_at_ms": 9_000},
+        {"n_slots": 5},
+        {"is_draining": True},
+        {"cold_ms": 500},
+    ],
+)
+def test_servers_that_differ_in_what_steering_uses_have_other_checksums(changes):
+    # Guards against a lost change: an instance that missed three updates took the
+    # revision of the fourth one, as the checksums were the same.
+    first = snapshot(5, {1: (False, 0)}, {}, (1, frozenset()))
+    (entry,) = first.servers
+    changed = msgspec.structs.replace(entry, **changes)
+    other = msgspec.structs.replace(first, servers=(changed,))
+    assert first.digest() != other.digest()
+
+
 @settings(derandomize=True, max_examples=50)
 @given(STATES, STATES)
 def test_an_older_operator_state_is_ignored(o1, o2):
