Rebuild the directory only while its result may still change

A server whose entry stays unreadable made each read of the store apply all entries and rebuild all indexes, as one with a missing entry does for the seconds until it departs. Only missing entries and those that are not their server's own, as their service is unknown, may lead to another result with the same entries. Not measured; behaviour is the same, and so are the tests of the directory.

--- a/packages/sapphirerail-core/src/sapphirerail_core/steering/directory.py
+++ b/packages/sapphirerail-core/src/sapphirerail_core/steering/directory.py
@@ -40,8 +40,9 @@
         self.entries: tuple[ServerEntry, ...] = ()
         self.unreadable: tuple[UnreadableEntry, ...] = ()
         self._unreadable_tags: frozenset[ServerTag] = frozenset()
-        # Whether some servers have no valid entry, but have not departed yet.
-        self._has_missing = False
+        # Whether the same entries may lead to another result at the next read: servers
+        # whose entries are missing may depart, and unknown services become known.
+        self._is_unsettled = False
 
     def servers(self) -> Iterable[KnownServer]:
         """Return the announced servers, and missing ones that have not departed yet."""
@@ -91,7 +92,7 @@
         """
         entries = tuple(entries)
         is_unchanged = entries is self.entries or entries == self.entries
-        if is_unchanged and unreadable == self.unreadable and not self._has_missing:
+        if is_unchanged and unreadable == self.unreadable and not self._is_unsettled:
             return []
         events = []
         self.entries = entries
@@ -99,17 +100,17 @@
         self._unreadable_tags = frozenset(server_tag(e.identity) for e in unreadable)
         for entry in entries:
             events += self._apply_entry(entry, now_ms)
-        listed = {entry.server for entry in entries}
-        for unusable in unreadable:
-            listed.add(unusable.server)
-            if unusable.server in self._servers:
-                events += self._on_invalid_entry(self._servers[unusable.server])
+        unreadable_names = {entry.server for entry in unreadable}
+        for name in sorted(unreadable_names & self._servers.keys()):
+            events += self._on_invalid_entry(self._servers[name])
+        listed = unreadable_names | {entry.server for entry in entries}
         for server in list(self._servers.values()):
             if server.entry.server not in listed:
                 events += self._on_missing(server, steady_ms, now_ms)
-        self._has_missing = any(
-            server.missing_since_ms is not None or not server.has_valid_entry
-            for server in self._servers.values()
+        self._is_unsettled = any(
+            server.missing_since_ms is not None
+            or (not server.has_valid_entry and name not in unreadable_names)
+            for name, server in self._servers.items()
         )
         events += self._rebuild_indexes()
         return events
