--- a/packages/sapphirerail-standins/src/sapphirerail_standins/platform_system.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/platform_system.py
@@ -287,7 +287,12 @@
 
     async def announce(self, server: PacketServer, **fields: object) -> None:
         """Write a server's entry to the store in place of the server."""
-        entry = {
+        key = f"servers/i-{server.identity:08x}"
+        await self.store.put(key, self.entry_of(server) | fields)
+
+    def entry_of(self, server: PacketServer) -> dict[str, object]:
+        """Return the entry of a server that is ready."""
+        return {
             "service": SERVICE,
             "address": self._addresses[server.name],
             "zone": self.data_centre(server.identity),
@@ -298,8 +303,6 @@
             "seqNo": 1,
             "born": wall_clock_ms() - 60_000,
         }
-        key = f"servers/i-{server.identity:08x}"
-        await self.store.put(key, entry | fields)
 
     async def withdraw(self, server: PacketServer) -> None:
         """Delete a server's entry from the store."""
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -115,6 +115,30 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("name", ["i-00000001", "i-00c0ffee"])
+@pytest.mark.parametrize("kind", ["unreadable", "incomplete", "later"])
+def test_an_entry_of_another_writer_costs_a_live_server_no_flow(name, kind):
+    # Guards against an entry that counts as the departure of a live server, under its
+    # own name or with its address.
+    async def scenario(system):
+        flows = [await system.open() for _ in range(20)]
+        before = await request_all(flows)
+        whole = system.entry_of(system.servers[0])
+        required = ("service", "address", "zone", "slots", "state")
+        stray = {
+            "unreadable": b"\xff\x00 not an entry",
+            "incomplete": {field: whole[field] for field in required},
+            "later": whole,
+        }
+        await system.store.put(f"servers/{name}", stray[kind])
+        # A missing entry counts as a departure after 3.5 s without a failed call.
+        for _ in range(12):
+            assert await request_all(flows) == before
+            await asyncio.sleep(0.4)
+
+    run_scenario(scenario)
+
+
 def test_a_draining_server_keeps_its_flows_and_gets_no_new_ones():
     async def scenario(system):
         leaving = system.servers[0]
