--- a/packages/sapphirerail-standins/src/sapphirerail_standins/platform_system.py
+++ b/packages/sapphirerail-standins/src/sapphirerail_standins/platform_system.py
@@ -197,7 +197,10 @@
             self.instances.append(self._instance(number, address))
         await asyncio.gather(*(entry.start() for entry in self.instances))
         self.in_rotation = list(self.instances)
-        await wait_until("instances are ready", self.all_ready)
+        try:
+            await wait_until("instances are ready", self.all_ready)
+        except TimeoutError as error:
+            raise TimeoutError(f"{error}; {await self._describe_unready()}") from error
         await wait_until("each instance lists all others", self._all_list_each_other)
 
     async def __aexit__(self, *_: object) -> None:
@@ -321,6 +324,15 @@
         """Return whether all instances are ready."""
         return all([await self.is_ready(entry) for entry in self.instances])
 
+    async def _describe_unready(self) -> str:
+        """Return the exit status and the end of the log of each unready instance."""
+        unready = [entry for entry in self.instances if not await self.is_ready(entry)]
+        return "; ".join(
+            f"{entry.name} exited with {entry.process and entry.process.returncode}, "
+            f"logged {entry.log.read_text()[-400:]!r}"
+            for entry in unready
+        )
+
     async def _all_list_each_other(self) -> bool:
         states = [await self.state(entry) for entry in self.instances]
         return all(
